--- /dev/null
+++ b/src/bin/bramblebend.ts
@@ -0,0 +1,79 @@
+#!/usr/bin/env node
+// The operators' command line.
+import sade from 'sade';
+import { Client } from '../cli/client.js';
+import { Commands } from '../cli/commands.js';
+import { Version } from '../startup/version.js';
+
+type Flags = { control?: string; token?: string; 'if-match'?: string; key?: string; within?: string };
+
+const clientOf = (flags: Flags): Client => {
+  const places = (flags.control ?? process.env.BRAMBLEBEND_CONTROL ?? '')
+    .split(',')
+    .filter((one) => one !== '');
+  const token = flags.token ?? process.env.BRAMBLEBEND_TOKEN ?? '';
+  if (places.length === 0 || token === '') {
+    process.stderr.write(
+      'say where the control plane is: --control and --token, or BRAMBLEBEND_CONTROL and BRAMBLEBEND_TOKEN\n',
+    );
+    process.exit(2);
+  }
+  return Client.of(places, token);
+};
+
+const tell = (work: Promise<Commands> | Commands): void => {
+  Promise.resolve(work).then(
+    ({ text, code }) => {
+      process.stdout.write(`${text}\n`);
+      process.exitCode = code;
+    },
+    (error) => {
+      process.stderr.write(`${(error as Error).message}\n`);
+      process.exitCode = 3;
+    },
+  );
+};
+
+const cli = sade('bramblebend')
+  .version(Version)
+  .option('--control', 'HTTP addresses of the control nodes, comma-separated')
+  .option('--token', 'operator’s token');
+
+cli
+  .command('manifest get [revision]', 'Print the manifest in force, or a kept one')
+  .action((revision: string | undefined, flags: Flags) => tell(Commands.get(clientOf(flags), revision)));
+cli
+  .command('manifest put <file>', 'Replace the manifest by a file (- for standard input)')
+  .option('--if-match', 'revision that it replaces (the one in force)')
+  .option('--key', 'idempotency key, to repeat the very same put safely')
+  .action((file: string, flags: Flags) => {
+    const tag = flags['if-match'] === undefined ? undefined : `"${flags['if-match']}"`;
+    tell(Commands.put(clientOf(flags), file, tag, flags.key));
+  });
+cli
+  .command('manifest check <file>', 'Check a manifest without taking it')
+  .action((file: string) => tell(Commands.check(file)));
+cli
+  .command('manifest diff <file>', 'Show how a file differs from the manifest in force')
+  .action((file: string, flags: Flags) => tell(Commands.diff(clientOf(flags), file)));
+cli
+  .command('manifest rollback <revision>', 'Take back a kept manifest as a new revision')
+  .action((revision: string, flags: Flags) => tell(Commands.rollback(clientOf(flags), revision)));
+cli
+  .command('zone evacuate <zone>', 'Give a zone nothing new')
+  .action((zone: string, flags: Flags) => tell(Commands.evacuate(clientOf(flags), zone)));
+cli
+  .command('zone restore <zone>', 'Take an evacuated zone back')
+  .action((zone: string, flags: Flags) => tell(Commands.restore(clientOf(flags), zone)));
+cli.command('nodes', 'List the members').action((flags: Flags) => tell(Commands.nodes(clientOf(flags))));
+cli
+  .command('status', 'Show which revision is in force where, and who leads')
+  .action((flags: Flags) => tell(Commands.status(clientOf(flags))));
+cli.command('audit', 'List the changes').action((flags: Flags) => tell(Commands.audit(clientOf(flags))));
+cli
+  .command('trace [file]', 'Put a file and follow the change through all nodes; without one, the newest')
+  .option('--within', 'milliseconds to follow it for (5000)')
+  .action((file: string | undefined, flags: Flags) =>
+    tell(Commands.trace(clientOf(flags), file, Number(flags.within ?? 5000))),
+  );
+cli.parse(process.argv);
--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 // The proxy, on a front machine: where callers' prompts enter.
-import { Proxy } from '../proxy/program.js';
+import { ProxyProgram } from '../proxy/program.js';
 import { Program } from '../startup/program.js';
 import { Settings } from '../startup/settings.js';
 
@@ -17,5 +17,5 @@
     concurrent: 'most requests served at once (512)',
     drain: 'milliseconds that requests may finish in after SIGTERM (30000)',
   },
-  start: Proxy.start,
+  start: ProxyProgram.start,
 });
--- /dev/null
+++ b/src/cli/client.ts
@@ -0,0 +1,54 @@
+// The CLI's way to the control plane: the addresses are tried in turn, for any core takes a call.
+import { request } from 'undici';
+
+export type Client = {
+  readonly call: (
+    method: 'GET' | 'PUT' | 'POST',
+    path: string,
+    body?: unknown,
+    headers?: Readonly<Record<string, string>>,
+  ) => Promise<Client.Answer>;
+};
+
+export declare namespace Client {
+  type Answer = {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, unknown>>;
+    readonly body: unknown;
+  };
+}
+
+const mayTryNext = (error: unknown): boolean =>
+  ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'].includes(
+    (error as NodeJS.ErrnoException).code ?? '',
+  );
+
+export const Client = {
+  of(places: readonly string[], token: string): Client {
+    return {
+      async call(method, path, body, headers = {}) {
+        let last: unknown = new Error('no address of the control plane is given');
+        for (const place of places) {
+          try {
+            const answer = await request(`http://${place}${path}`, {
+              method,
+              headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json', ...headers },
+              body: body === undefined ? null : JSON.stringify(body),
+              headersTimeout: 12_000,
+            });
+            const text = await answer.body.text();
+            return {
+              status: answer.statusCode,
+              headers: answer.headers,
+              body: text === '' ? {} : JSON.parse(text),
+            };
+          } catch (error) {
+            last = error;
+            if (method !== 'GET' && !mayTryNext(error)) break;
+          }
+        }
+        throw last;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,154 @@
+// What the operators' command line does. Each command returns what it prints and its exit code: 0 done,
+// 1 refused or not found, 3 not confirmed (the change may have been taken).
+import { readFileSync } from 'node:fs';
+import { Check } from '../manifest/check.js';
+import type { Client } from './client.js';
+import { Diff } from './diff.js';
+import { Trace } from './trace.js';
+
+export type Commands = { readonly text: string; readonly code: number };
+
+type Manifest = { evacuations?: string[]; zones: Record<string, unknown> } & Record<string, unknown>;
+type Entry = Trace.Node & { readonly ready: boolean; readonly age: number; readonly http: string };
+
+const show = (value: unknown): string => JSON.stringify(value, null, 2);
+
+const judge = (answer: Client.Answer): Commands => ({
+  text: show(answer.body),
+  code: answer.status < 300 ? 0 : answer.status === 503 ? 3 : 1,
+});
+
+const readFile = (path: string): unknown => JSON.parse(readFileSync(path === '-' ? 0 : path, 'utf8'));
+
+const getManifest = async (
+  client: Client,
+): Promise<{ document: Manifest | undefined; tag: string; answer: Client.Answer }> => {
+  const answer = await client.call('GET', '/v1/manifest');
+  const tag = String(answer.headers.etag ?? '"0"');
+  return { document: answer.status === 200 ? (answer.body as Manifest) : undefined, tag, answer };
+};
+
+const table = (rows: readonly (readonly string[])[]): string => {
+  const widths =
+    rows[0]?.map((_cell, column) => Math.max(...rows.map((row) => row[column]?.length ?? 0))) ?? [];
+  return rows
+    .map((row) =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column]!))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+};
+
+const stampText = ({ epoch, revision }: Trace.Stamp): string => `${epoch}.${revision}`;
+
+const listNodes = async (client: Client): Promise<readonly Entry[]> => {
+  const answer = await client.call('GET', '/v1/nodes');
+  if (answer.status !== 200) throw new Error(show(answer.body));
+  return (answer.body as { nodes: Entry[] }).nodes;
+};
+
+const changeZone = async (client: Client, zone: string, isEvacuated: boolean): Promise<Commands> => {
+  const { document, tag, answer } = await getManifest(client);
+  if (!document) return judge(answer);
+  if (!Object.hasOwn(document.zones, zone)) return { text: `the manifest has no zone ${zone}`, code: 1 };
+  const others = (document.evacuations ?? []).filter((one) => one !== zone);
+  const evacuations = isEvacuated ? [...others, zone] : others;
+  const note = `${isEvacuated ? 'evacuate' : 'restore'} ${zone}`;
+  return judge(
+    await client.call('PUT', '/v1/manifest', { ...document, evacuations, note }, { 'if-match': tag }),
+  );
+};
+
+export const Commands = {
+  async get(client: Client, revision?: string): Promise<Commands> {
+    const answer = await client.call(
+      'GET',
+      revision === undefined ? '/v1/manifest' : `/v1/manifest/${revision}`,
+    );
+    return judge(answer);
+  },
+  async put(
+    client: Client,
+    path: string,
+    ifMatch: string | undefined,
+    key: string | undefined,
+  ): Promise<Commands> {
+    const tag = ifMatch ?? (await getManifest(client)).tag;
+    const headers = { 'if-match': tag, ...(key === undefined ? {} : { 'idempotency-key': key }) };
+    return judge(await client.call('PUT', '/v1/manifest', readFile(path), headers));
+  },
+  check(path: string): Commands {
+    const checked = Check.manifest(readFile(path));
+    return checked.kind === 'good'
+      ? { text: 'the manifest is good', code: 0 }
+      : { text: checked.findings.map((one) => `${one.place} ${one.text}`).join('\n'), code: 1 };
+  },
+  async diff(client: Client, path: string): Promise<Commands> {
+    const { document, answer } = await getManifest(client);
+    if (!document && answer.status !== 404) return judge(answer);
+    const diffs = Diff.of(document ?? {}, readFile(path));
+    return { text: diffs.length === 0 ? 'no difference' : Diff.text(diffs), code: 0 };
+  },
+  async rollback(client: Client, revision: string): Promise<Commands> {
+    const { tag } = await getManifest(client);
+    const body = { revision: Number(revision) };
+    return judge(await client.call('POST', '/v1/manifest/rollback', body, { 'if-match': tag }));
+  },
+  evacuate: (client: Client, zone: string) => changeZone(client, zone, true),
+  restore: (client: Client, zone: string) => changeZone(client, zone, false),
+  async nodes(client: Client): Promise<Commands> {
+    const nodes = await listNodes(client);
+    const rows = [...nodes]
+      .sort((a, b) => a.zone.localeCompare(b.zone) || a.node.localeCompare(b.node))
+      .map((one) => [
+        one.zone,
+        one.node,
+        one.program,
+        stampText(one.stamp),
+        one.ready ? 'ready' : 'unready',
+        one.via,
+      ]);
+    return { text: table([['ZONE', 'NODE', 'PROGRAM', 'STAMP', 'STATE', 'VIA'], ...rows]), code: 0 };
+  },
+  async status(client: Client): Promise<Commands> {
+    return judge(await client.call('GET', '/v1/status'));
+  },
+  async audit(client: Client): Promise<Commands> {
+    return judge(await client.call('GET', '/v1/audit'));
+  },
+  async trace(client: Client, path: string | undefined, within: number): Promise<Commands> {
+    const nodes = await listNodes(client);
+    let wanted: Trace.Stamp | undefined;
+    const before = await client.call('GET', '/v1/status');
+    if (before.status !== 200) return judge(before);
+    const { stamp } = before.body as { stamp: Trace.Stamp };
+    if (path === undefined) wanted = stamp;
+    else {
+      const { tag } = await getManifest(client);
+      const running = client.call('PUT', '/v1/manifest', readFile(path), { 'if-match': tag });
+      const traced = Trace.run(nodes, { epoch: stamp.epoch, revision: stamp.revision + 1 }, within);
+      const put = await running;
+      if (put.status !== 200) return judge(put);
+      return Commands.print(await traced);
+    }
+    return Commands.print(await Trace.run(nodes, wanted, within));
+  },
+  print(traces: readonly Trace[]): Commands {
+    const rows = [...traces]
+      .sort((a, b) => (a.after ?? Number.POSITIVE_INFINITY) - (b.after ?? Number.POSITIVE_INFINITY))
+      .map((one) => [
+        one.after === undefined ? 'never' : `${one.after.toFixed(0)} ms`,
+        one.node,
+        one.program,
+        one.zone,
+        one.via,
+      ]);
+    const isEverywhere = traces.every((one) => one.after !== undefined);
+    return {
+      text: table([['HELD AFTER', 'NODE', 'PROGRAM', 'ZONE', 'VIA'], ...rows]),
+      code: isEverywhere ? 0 : 1,
+    };
+  },
+};
--- /dev/null
+++ b/src/cli/diff.ts
@@ -0,0 +1,28 @@
+// The difference of two JSON documents: each place that one has otherwise than the other.
+export type Diff = {
+  readonly place: string;
+  readonly before: unknown;
+  readonly after: unknown;
+};
+
+const isRecord = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null;
+
+const walk = (before: unknown, after: unknown, place: string): Diff[] => {
+  if (Object.is(before, after)) return [];
+  if (!isRecord(before) || !isRecord(after) || Array.isArray(before) !== Array.isArray(after))
+    return [{ place: place === '' ? '/' : place, before, after }];
+  const keys = [...new Set([...Object.keys(before), ...Object.keys(after)])];
+  return keys.flatMap((key) => walk(before[key], after[key], `${place}/${key}`));
+};
+
+export const Diff = {
+  of: (before: unknown, after: unknown): readonly Diff[] => walk(before, after, ''),
+  text: (diffs: readonly Diff[]): string =>
+    diffs
+      .flatMap(({ place, before, after }) => [
+        ...(before === undefined ? [] : [`- ${place} ${JSON.stringify(before)}`]),
+        ...(after === undefined ? [] : [`+ ${place} ${JSON.stringify(after)}`]),
+      ])
+      .join('\n'),
+};
--- a/src/control/commands/leave.ts
+++ b/src/control/commands/leave.ts
@@ -1,5 +1,5 @@
 // A notice that an instance is leaving. It holds until the platform's list no longer names the instance.
-import { Guard } from '../../kinds/guard.js';
+import type { Guard } from '../../kinds/guard.js';
 import { Document } from '../../manifest/document.js';
 import { Answer } from '../answer.js';
 import type { Office } from '../office.js';
--- a/src/control/commands/put-manifest.ts
+++ b/src/control/commands/put-manifest.ts
@@ -26,7 +26,9 @@
   async run(office: Office, put: PutManifest): Promise<Answer> {
     const checked = Check.manifest(put.body);
     if (checked.kind === 'bad')
-      return Answer.fail(422, 'invalid_manifest', 'the manifest was not taken', { findings: checked.findings });
+      return Answer.fail(422, 'invalid_manifest', 'the manifest was not taken', {
+        findings: checked.findings,
+      });
     if (put.ifMatch === undefined)
       return Answer.fail(428, 'if_match_missing', 'If-Match must name the revision that is replaced');
     const { document } = checked;
--- a/src/control/commands/put-servers.ts
+++ b/src/control/commands/put-servers.ts
@@ -19,7 +19,9 @@
         if (serial === platform.serial && isDeepStrictEqual(servers, platform.servers))
           return { status: 200, body: { serial, revision: platform.revision } };
         if (serial <= platform.serial)
-          return Answer.fail(412, 'stale', `the list is at serial ${platform.serial}`, { serial: platform.serial });
+          return Answer.fail(412, 'stale', `the list is at serial ${platform.serial}`, {
+            serial: platform.serial,
+          });
         return { kind: 'platform', stamp, serial, servers, at };
       },
       (state) => ({ status: 200, body: { serial, revision: state.platform.revision } }),
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -1,9 +1,10 @@
 // The control plane's HTTP interface, for operators and for the platform. Any core takes a call; one
 // that does not lead passes it to the primary, once. Nothing else is ever passed on.
-import { createAdaptorServer } from '@hono/node-server';
-import type { Server } from 'node:http';
+
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { Hono, type Context } from 'hono';
+import type { Server } from 'node:http';
+import { createAdaptorServer } from '@hono/node-server';
+import { type Context, Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import { request } from 'undici';
 import { Tenure } from '../epoch/tenure.js';
@@ -101,7 +102,11 @@
       }
     };
     const serve =
-      (people: readonly { name: string; token: string; teams?: readonly string[] }[], handle: Handle, isLocal = false) =>
+      (
+        people: readonly { name: string; token: string; teams?: readonly string[] }[],
+        handle: Handle,
+        isLocal = false,
+      ) =>
       async (context: Context<Env>): Promise<Response> => {
         const token = /^Bearer +(\S+)$/i.exec(context.req.header('authorization') ?? '')?.[1] ?? '';
         const person = people.find((one) => isSame(one.token, token));
@@ -134,33 +139,69 @@
       '/v1/*',
       bodyLimit({
         maxSize: longestBody,
-        onError: (context) => context.json(Answer.fail(413, 'body_too_long', 'the body is too long').body, 413),
+        onError: (context) =>
+          context.json(Answer.fail(413, 'body_too_long', 'the body is too long').body, 413),
       }),
     );
-    app.get('/v1/manifest', serve(operators, () => ReadManifest.run(office, {})));
-    app.put('/v1/manifest', serve(operators, (context) => PutManifest.run(office, putOf(context))));
+    app.get(
+      '/v1/manifest',
+      serve(operators, () => ReadManifest.run(office, {})),
+    );
+    app.put(
+      '/v1/manifest',
+      serve(operators, (context) => PutManifest.run(office, putOf(context))),
+    );
     app.post(
       '/v1/manifest/check',
-      serve(operators, (context) => {
-        const checked = Check.manifest(context.var.body);
-        return {
-          status: 200,
-          body: { good: checked.kind === 'good', findings: checked.kind === 'bad' ? checked.findings : [] },
-        };
-      }, true),
+      serve(
+        operators,
+        (context) => {
+          const checked = Check.manifest(context.var.body);
+          return {
+            status: 200,
+            body: { good: checked.kind === 'good', findings: checked.kind === 'bad' ? checked.findings : [] },
+          };
+        },
+        true,
+      ),
+    );
+    app.post(
+      '/v1/manifest/rollback',
+      serve(operators, (context) => Rollback.run(office, putOf(context))),
     );
-    app.post('/v1/manifest/rollback', serve(operators, (context) => Rollback.run(office, putOf(context))));
     app.get(
       '/v1/manifest/:revision',
-      serve(operators, (context) => ReadManifest.run(office, { revision: context.req.param('revision') ?? '' })),
+      serve(operators, (context) =>
+        ReadManifest.run(office, { revision: context.req.param('revision') ?? '' }),
+      ),
+    );
+    app.get(
+      '/v1/nodes',
+      serve(operators, () => ReadStatus.nodes({ roll, core })),
+    );
+    app.get(
+      '/v1/status',
+      serve(operators, () => ReadStatus.run(office, { roll, core })),
+    );
+    app.get(
+      '/v1/audit',
+      serve(operators, () => ReadServers.run(office, { kind: 'audit' })),
+    );
+    app.get(
+      '/v1/servers',
+      serve(either, () => ReadServers.run(office, { kind: 'servers' })),
+    );
+    app.put(
+      '/v1/servers',
+      serve(platform, (context) => PutServers.run(office, { body: context.var.body })),
+    );
+    app.post(
+      '/v1/leaving',
+      serve(platform, (context) => Leave.run(office, { body: context.var.body })),
+    );
+    app.notFound((context) =>
+      give(context as Context<Env>, Answer.fail(404, 'no_path', 'there is nothing here')),
     );
-    app.get('/v1/nodes', serve(operators, () => ReadStatus.nodes({ roll, core })));
-    app.get('/v1/status', serve(operators, () => ReadStatus.run(office, { roll, core })));
-    app.get('/v1/audit', serve(operators, () => ReadServers.run(office, { kind: 'audit' })));
-    app.get('/v1/servers', serve(either, () => ReadServers.run(office, { kind: 'servers' })));
-    app.put('/v1/servers', serve(platform, (context) => PutServers.run(office, { body: context.var.body })));
-    app.post('/v1/leaving', serve(platform, (context) => Leave.run(office, { body: context.var.body })));
-    app.notFound((context) => give(context as Context<Env>, Answer.fail(404, 'no_path', 'there is nothing here')));
     const server = createAdaptorServer({
       fetch: app.fetch,
       overrideGlobalObjects: false,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -48,9 +48,18 @@
     }));
     const age = (): number =>
       core?.leading() && mates.couriers().some((courier) => courier.isUp()) ? 0 : feed.age();
-    const mates: Mates = Mates.of({ seeds: startup.seeds, own: () => wire, feed, age, roll, note: ring.note });
+    const mates: Mates = Mates.of({
+      seeds: startup.seeds,
+      own: () => wire,
+      feed,
+      age,
+      roll,
+      note: ring.note,
+    });
     const highest = () =>
-      Epoch.of(Math.max(feed.stamp().epoch, store.state().stamp.epoch, ...roll.all().map((one) => one.stamp.epoch)));
+      Epoch.of(
+        Math.max(feed.stamp().epoch, store.state().stamp.epoch, ...roll.all().map((one) => one.stamp.epoch)),
+      );
     const proposer = Proposer.of({
       register,
       couriers: mates.couriers,
--- a/src/kinds/stamp.ts
+++ b/src/kinds/stamp.ts
@@ -7,7 +7,10 @@
 
 export const Stamp = {
   none: { epoch: Epoch.none, revision: Revision.none } as Stamp,
-  of: (epoch: number, revision: number): Stamp => ({ epoch: Epoch.of(epoch), revision: Revision.of(revision) }),
+  of: (epoch: number, revision: number): Stamp => ({
+    epoch: Epoch.of(epoch),
+    revision: Revision.of(revision),
+  }),
   compare: (a: Stamp, b: Stamp): number => a.epoch - b.epoch || a.revision - b.revision,
   isNewer: (a: Stamp, b: Stamp): boolean => Stamp.compare(a, b) > 0,
   isSame: (a: Stamp, b: Stamp): boolean => Stamp.compare(a, b) === 0,
--- a/src/manifest/check.ts
+++ b/src/manifest/check.ts
@@ -62,13 +62,7 @@
   const isRegion: Known = (name) => Object.values(document.zones).some((zone) => zone.region === name);
   checkNames(rule.groups, `${place}/groups`, isGroup, 'group', findings);
   checkNames(rule.spill, `${place}/spill`, isRegion, 'region of any zone', findings);
-  checkNames(
-    rule.teams,
-    `${place}/teams`,
-    (name) => Object.hasOwn(document.teams, name),
-    'team',
-    findings,
-  );
+  checkNames(rule.teams, `${place}/teams`, (name) => Object.hasOwn(document.teams, name), 'team', findings);
   const steps = [
     { groups: rule.groups, model: undefined, at: `${place}/groups` },
     ...(rule.fallback ?? []).map((step, index) => ({
--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -156,7 +156,14 @@
     }
     const groups = new Map<string, Compiled.Group>();
     for (const [name, group] of Object.entries(document.groups))
-      groups.set(name, compileGroup(name, group, [...servers.values()].filter((one) => one.group === name)));
+      groups.set(
+        name,
+        compileGroup(
+          name,
+          group,
+          [...servers.values()].filter((one) => one.group === name),
+        ),
+      );
     const teams = new Map<string, Compiled.Team>();
     for (const [name, team] of Object.entries(document.teams))
       for (const key of team.keys)
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -18,7 +18,10 @@
 const instance = Guard.text<Ident.Instance>(word);
 
 const timeouts = { connect: span, first_byte: span, per_try: span, total: span, idle: span };
-const place = Guard.record({}, { header, pointer: Guard.text({ like: /^(\/[^/]*)+$/, as: 'a JSON pointer' }) });
+const place = Guard.record(
+  {},
+  { header, pointer: Guard.text({ like: /^(\/[^/]*)+$/, as: 'a JSON pointer' }) },
+);
 
 const identity = Guard.record(
   { path },
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -33,8 +33,7 @@
   ({ server }: Pick): boolean => {
     const newest = needs.compiled()?.servers.get(server.instance);
     return (
-      newest !== undefined &&
-      newest.isOpen &&
+      newest?.isOpen === true &&
       newest.group === server.group &&
       newest.address.host === server.address.host &&
       newest.address.port === server.address.port &&
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -8,8 +8,8 @@
 import { Alarm } from '../../kinds/alarm.js';
 import { Mishap } from '../../kinds/mishap.js';
 import { Moment } from '../../kinds/moment.js';
-import type { Tries } from '../../upstream/tries.js';
 import type { Trial } from '../../upstream/trial.js';
+import type { Tries } from '../../upstream/tries.js';
 import { Answers } from '../answers.js';
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
@@ -73,61 +73,63 @@
 };
 
 export const Commit = {
-  filter: (needs: Filter.Needs): Filter => async (context) => {
-    const { call } = context.var;
-    const { outgoing } = context.env;
-    const verdict = Call.need(call, 'verdict');
-    const rule = Call.need(call, 'rule');
-    const count = (outcome: string) => needs.meters.requests.inc({ rule: rule.name, outcome });
-    return match(verdict)
-      .with({ kind: 'drop' }, ({ status, why: cause, retryAfter, tries }) => {
-        count(`drop_${status}`);
-        needs.meters.drops.inc({ code: cause });
-        return Answers.drop(context, {
-          status,
-          code: cause,
-          text: why[cause] ?? `no server answered: ${cause}`,
-          ran: status === 503 ? 'no' : 'unknown',
-          retryAfter,
-          tries,
-        });
-      })
-      .with({ kind: 'answer' }, ({ trial, tries }) => {
-        count(`answer_${trial.status}`);
-        outgoing.writeHead(trial.status, {
-          ...Hygiene.down(trial.headers),
-          ...nameServer(call, trial, tries),
-          'bramblebend-ran': 'unknown',
-          'content-length': trial.body.length,
-        });
-        outgoing.end(trial.body);
-        return RESPONSE_ALREADY_SENT;
-      })
-      .with({ kind: 'stream' }, async ({ trial, tries }) => {
-        if (outgoing.destroyed) {
-          await trial.connection.destroy();
+  filter:
+    (needs: Filter.Needs): Filter =>
+    async (context) => {
+      const { call } = context.var;
+      const { outgoing } = context.env;
+      const verdict = Call.need(call, 'verdict');
+      const rule = Call.need(call, 'rule');
+      const count = (outcome: string) => needs.meters.requests.inc({ rule: rule.name, outcome });
+      return match(verdict)
+        .with({ kind: 'drop' }, ({ status, why: cause, retryAfter, tries }) => {
+          count(`drop_${status}`);
+          needs.meters.drops.inc({ code: cause });
+          return Answers.drop(context, {
+            status,
+            code: cause,
+            text: why[cause] ?? `no server answered: ${cause}`,
+            ran: status === 503 ? 'no' : 'unknown',
+            retryAfter,
+            tries,
+          });
+        })
+        .with({ kind: 'answer' }, ({ trial, tries }) => {
+          count(`answer_${trial.status}`);
+          outgoing.writeHead(trial.status, {
+            ...Hygiene.down(trial.headers),
+            ...nameServer(call, trial, tries),
+            'bramblebend-ran': 'unknown',
+            'content-length': trial.body.length,
+          });
+          outgoing.end(trial.body);
+          return RESPONSE_ALREADY_SENT;
+        })
+        .with({ kind: 'stream' }, async ({ trial, tries }) => {
+          if (outgoing.destroyed) {
+            await trial.connection.destroy();
+            trial.job.end();
+            count('client_left');
+            return RESPONSE_ALREADY_SENT;
+          }
+          needs.meters.firstByte.observe({ rule: rule.name }, Moment.since(call.arrived) / 1000);
+          outgoing.writeHead(trial.status, {
+            ...Hygiene.down(trial.headers),
+            ...nameServer(call, trial, tries),
+          });
+          outgoing.flushHeaders();
+          const how = await stream(trial, outgoing, Call.need(call, 'timeouts').idle);
           trial.job.end();
-          count('client_left');
+          if (how === 'done') needs.pool.give(trial.connection);
+          else await trial.connection.destroy();
+          count(how === 'done' ? 'served' : `broken_by_${how}`);
+          if (how !== 'done') needs.meters.breaks.inc({ side: how });
+          if (how === 'server') {
+            needs.ejector.bad(trial.pick.server, trial.pick.group);
+            needs.note('stream broken', { request: call.id, by: trial.pick.server.instance });
+          }
           return RESPONSE_ALREADY_SENT;
-        }
-        needs.meters.firstByte.observe({ rule: rule.name }, Moment.since(call.arrived) / 1000);
-        outgoing.writeHead(trial.status, {
-          ...Hygiene.down(trial.headers),
-          ...nameServer(call, trial, tries),
-        });
-        outgoing.flushHeaders();
-        const how = await stream(trial, outgoing, Call.need(call, 'timeouts').idle);
-        trial.job.end();
-        if (how === 'done') needs.pool.give(trial.connection);
-        else await trial.connection.destroy();
-        count(how === 'done' ? 'served' : `broken_by_${how}`);
-        if (how !== 'done') needs.meters.breaks.inc({ side: how });
-        if (how === 'server') {
-          needs.ejector.bad(trial.pick.server, trial.pick.group);
-          needs.note('stream broken', { request: call.id, by: trial.pick.server.instance });
-        }
-        return RESPONSE_ALREADY_SENT;
-      })
-      .exhaustive();
-  },
+        })
+        .exhaustive();
+    },
 };
--- a/src/proxy/filters/home.ts
+++ b/src/proxy/filters/home.ts
@@ -7,26 +7,29 @@
 export type Home = { readonly name: string };
 
 export const Home = {
-  filter: (_needs: Filter.Needs): Filter => async (context, next) => {
-    const { call } = context.var;
-    const rule = Call.need(call, 'rule');
-    const team = Call.need(call, 'team');
-    const told = rule.homeHeader === undefined ? undefined : context.env.incoming.headers[rule.homeHeader];
-    const name = told === undefined ? team.home : String(told);
-    const regions = name === undefined ? undefined : Call.need(call, 'compiled').homes.get(name);
-    if (!regions)
-      return Answers.drop(context, {
-        status: 400,
-        code: 'unknown_home',
-        text: name === undefined ? 'neither the request nor its team names a home' : 'the home is not known',
-      });
-    if (team.homes && !team.homes.some((one) => one === name))
-      return Answers.drop(context, {
-        status: 403,
-        code: 'forbidden_home',
-        text: 'the home is not among those of the team',
-      });
-    call.regions = regions;
-    return next();
-  },
+  filter:
+    (_needs: Filter.Needs): Filter =>
+    async (context, next) => {
+      const { call } = context.var;
+      const rule = Call.need(call, 'rule');
+      const team = Call.need(call, 'team');
+      const told = rule.homeHeader === undefined ? undefined : context.env.incoming.headers[rule.homeHeader];
+      const name = told === undefined ? team.home : String(told);
+      const regions = name === undefined ? undefined : Call.need(call, 'compiled').homes.get(name);
+      if (!regions)
+        return Answers.drop(context, {
+          status: 400,
+          code: 'unknown_home',
+          text:
+            name === undefined ? 'neither the request nor its team names a home' : 'the home is not known',
+        });
+      if (team.homes && !team.homes.some((one) => one === name))
+        return Answers.drop(context, {
+          status: 403,
+          code: 'forbidden_home',
+          text: 'the home is not among those of the team',
+        });
+      call.regions = regions;
+      return next();
+    },
 };
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -24,40 +24,42 @@
 };
 
 export const MatchRule = {
-  filter: (_needs: Filter.Needs): Filter => async (context, next) => {
-    const { call } = context.var;
-    const { headers } = context.env.incoming;
-    const { method, path } = context.req;
-    const team = Call.need(call, 'team');
-    const model = call.prompt?.model;
-    const rule = Call.need(call, 'compiled').rules.find(
-      (one) =>
-        Admit.isLike(one, method, path, headers) &&
-        (one.match.models === undefined || (model !== undefined && one.match.models.includes(model))) &&
-        (one.teams === undefined || one.teams.includes(team.name)),
-    );
-    if (!rule)
-      return Answers.drop(context, {
-        status: 404,
-        code: 'no_rule',
-        text: 'no rule takes this path, method, model and team',
-      });
-    if ((call.body?.length ?? 0) > rule.body)
-      return Answers.drop(context, {
-        status: 413,
-        code: 'body_too_long',
-        text: `the body is longer than ${rule.body} bytes`,
-      });
-    const asked = headers[overrides];
-    const timeouts = asked === undefined ? rule.timeouts : readOverrides(String(asked), rule);
-    if (!timeouts)
-      return Answers.drop(context, {
-        status: 400,
-        code: 'bad_timeouts',
-        text: `${overrides} must read name=milliseconds, with names out of ${Object.keys(rule.timeouts).join(', ')}`,
-      });
-    call.rule = rule;
-    call.timeouts = timeouts;
-    return next();
-  },
+  filter:
+    (_needs: Filter.Needs): Filter =>
+    async (context, next) => {
+      const { call } = context.var;
+      const { headers } = context.env.incoming;
+      const { method, path } = context.req;
+      const team = Call.need(call, 'team');
+      const model = call.prompt?.model;
+      const rule = Call.need(call, 'compiled').rules.find(
+        (one) =>
+          Admit.isLike(one, method, path, headers) &&
+          (one.match.models === undefined || (model !== undefined && one.match.models.includes(model))) &&
+          (one.teams === undefined || one.teams.includes(team.name)),
+      );
+      if (!rule)
+        return Answers.drop(context, {
+          status: 404,
+          code: 'no_rule',
+          text: 'no rule takes this path, method, model and team',
+        });
+      if ((call.body?.length ?? 0) > rule.body)
+        return Answers.drop(context, {
+          status: 413,
+          code: 'body_too_long',
+          text: `the body is longer than ${rule.body} bytes`,
+        });
+      const asked = headers[overrides];
+      const timeouts = asked === undefined ? rule.timeouts : readOverrides(String(asked), rule);
+      if (!timeouts)
+        return Answers.drop(context, {
+          status: 400,
+          code: 'bad_timeouts',
+          text: `${overrides} must read name=milliseconds, with names out of ${Object.keys(rule.timeouts).join(', ')}`,
+        });
+      call.rule = rule;
+      call.timeouts = timeouts;
+      return next();
+    },
 };
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -23,11 +23,11 @@
 import { ProxyServer } from './server.js';
 import { Stall } from './stall.js';
 
-export type Proxy = { readonly start: (startup: Settings['proxy'], ring: Ring) => Promise<Program> };
+export type ProxyProgram = { readonly start: (startup: Settings['proxy'], ring: Ring) => Promise<Program> };
 
 const parse = (text: string): Address => Address.parse(text)!;
 
-export const Proxy: Proxy = {
+export const ProxyProgram: ProxyProgram = {
   async start(startup, ring) {
     const feed = Feed.of();
     const budget = Budget.of();
@@ -46,7 +46,11 @@
       newest: () => compiled,
       onWrong(server, cause) {
         meters.wrong.inc({ group: server.group });
-        ring.alert('wrong identity', { instance: server.instance, why: Mishap.text(cause), ...Mishap.info(cause) });
+        ring.alert('wrong identity', {
+          instance: server.instance,
+          why: Mishap.text(cause),
+          ...Mishap.info(cause),
+        });
       },
     });
     feed.watch((view) => {
@@ -77,7 +81,12 @@
         meters,
         note: ring.note,
       },
-      { isReady, change: (by) => void (active += by) },
+      {
+        isReady,
+        change(by) {
+          active += by;
+        },
+      },
     );
     const listening = await Listen(server, parse(startup.listen));
     const ops = Ops.of({
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -1,12 +1,13 @@
 // The callers' port: every call goes through the chain of filters, each of which may answer.
-import { createAdaptorServer } from '@hono/node-server';
+
 import type { Server } from 'node:http';
+import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import { Ident } from '../kinds/ident.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Moment } from '../kinds/moment.js';
 import { Answers } from './answers.js';
-import { Call } from './call.js';
+import type { Call } from './call.js';
 import type { Filter } from './filter.js';
 import { Admit } from './filters/admit.js';
 import { Attempt } from './filters/attempt.js';
@@ -55,7 +56,9 @@
     app.get('/health', (context) => context.json({ status: 'up' }));
     app.get('/ready', (context) => {
       const reason = probes.isReady();
-      return reason === undefined ? context.json({ ready: true }) : context.json({ ready: false, reason }, 503);
+      return reason === undefined
+        ? context.json({ ready: true })
+        : context.json({ ready: false, reason }, 503);
     });
     app.use('*', begin(probes));
     app.use('*', Admit.filter(needs));
--- a/src/replica/backup.ts
+++ b/src/replica/backup.ts
@@ -14,7 +14,11 @@
 };
 
 export const Backup = {
-  of(needs: { readonly register: Register; readonly store: Store; readonly isLeading: () => boolean }): Backup {
+  of(needs: {
+    readonly register: Register;
+    readonly store: Store;
+    readonly isLeading: () => boolean;
+  }): Backup {
     const { register, store } = needs;
     const turns = Turns.of();
     return {
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -2,18 +2,20 @@
 // core in sync. A backup that does not confirm is taken out of sync through the register first; only
 // then does the primary acknowledge alone. A primary whose own disk fails or stalls hands its place to
 // the backup; one that finds a higher epoch is deposed and never acknowledges again.
+
+import type { Proposer } from '../epoch/proposer.js';
 import { Tenure } from '../epoch/tenure.js';
 import { Alarm } from '../kinds/alarm.js';
+import { Epoch } from '../kinds/epoch.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Phase } from '../kinds/phase.js';
 import { Revision } from '../kinds/revision.js';
-import { Stamp } from '../kinds/stamp.js';
+import type { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
 import type { State } from '../store/state.js';
 import { Store } from '../store/store.js';
 import type { Courier } from '../wire/courier.js';
 import type { Frame } from '../wire/frame.js';
-import type { Proposer } from '../epoch/proposer.js';
 
 export type Primary = {
   readonly tenure: () => Tenure;
@@ -69,8 +71,7 @@
     const mustLead = () => {
       if (!phase.is('leading')) throw Mishap.of('unconfirmed', 'no longer primary');
     };
-    const others = () =>
-      tenure.inSync.filter((one) => one !== disk).map((one) => Tenure.core(tenure, one)!);
+    const others = () => tenure.inSync.filter((one) => one !== disk).map((one) => Tenure.core(tenure, one)!);
     const send = async (core: Frame.Core, change: State.Change, before: State): Promise<void> => {
       const courier = needs.courierTo(core);
       if (!courier) throw Mishap.of('link', `no courier to ${core.node}`);
@@ -86,7 +87,12 @@
           ackWithin,
         );
       let reply = await append(change);
-      if (reply.kind === 'appended' && !reply.isTaken && reply.floor <= tenure.epoch && change.kind !== 'whole') {
+      if (
+        reply.kind === 'appended' &&
+        !reply.isTaken &&
+        reply.floor <= tenure.epoch &&
+        change.kind !== 'whole'
+      ) {
         await append({ kind: 'whole', stamp: before.stamp, state: before });
         reply = await append(change);
       }
@@ -196,17 +202,19 @@
           mustLead();
           if (above.epoch < tenure.epoch) return;
           await alter((base) =>
-            Tenure.next({ ...base, epoch: base.epoch > above.epoch ? base.epoch : above.epoch }, {}),
+            Tenure.next({ ...base, epoch: Epoch.of(Math.max(base.epoch, above.epoch)) }, {}),
           );
         }),
       async tend() {
         if (!phase.is('leading')) return;
-        if (!store.isSound()) await turns.take(() => handOver(new Error('the store is broken'))).catch(() => {});
+        if (!store.isSound())
+          await turns.take(() => handOver(new Error('the store is broken'))).catch(() => {});
         const dead = others().filter((core) => courierDown(core) > deadAfter);
         if (dead.length > 0) await turns.take(shrink);
         if (others().length === 0) await recruit();
         const votes = await proposer.votes();
-        if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk))) await proposer.install();
+        if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk)))
+          await proposer.install();
       },
       join: (core) =>
         turns.take(async () => {
--- a/src/startup/ops.ts
+++ b/src/startup/ops.ts
@@ -1,6 +1,7 @@
 // The operations port that every program has: health, readiness, metrics and the log ring.
-import { createAdaptorServer } from '@hono/node-server';
+
 import type { Server } from 'node:http';
+import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { Registry } from 'prom-client';
 import type { Ring } from '../log/ring.js';
@@ -18,7 +19,9 @@
     app.get('/health', (context) => context.json({ status: 'up', ...terms.describe() }));
     app.get('/ready', (context) => {
       const reason = terms.isReady();
-      return reason === undefined ? context.json({ ready: true }) : context.json({ ready: false, reason }, 503);
+      return reason === undefined
+        ? context.json({ ready: true })
+        : context.json({ ready: false, reason }, 503);
     });
     app.get('/metrics', async (context) =>
       context.body(await terms.registry.metrics(), 200, { 'content-type': terms.registry.contentType }),
--- a/src/startup/program.ts
+++ b/src/startup/program.ts
@@ -3,7 +3,7 @@
 // a second one ends at once. Exit codes: 0 ended in order, 1 a mishap, 2 a bad startup.
 import { readFileSync } from 'node:fs';
 import sade from 'sade';
-import { Guard } from '../kinds/guard.js';
+import type { Guard } from '../kinds/guard.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Ring } from '../log/ring.js';
 import { Version } from './version.js';
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -1,7 +1,10 @@
 // The startup of each daemon, as guards. Unknown keys are findings.
 import { Guard } from '../kinds/guard.js';
 
-const name = Guard.text({ like: /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, as: 'a name of letters, digits, . _ -' });
+const name = Guard.text({
+  like: /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/,
+  as: 'a name of letters, digits, . _ -',
+});
 const seeds = Guard.list(Guard.address, { min: 1, max: 3 });
 
 const proxy = Guard.record(
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -96,8 +96,7 @@
         }
         case 'leaving':
           draft.platform.revision = revision;
-          if (!draft.platform.leaving.includes(change.instance))
-            draft.platform.leaving.push(change.instance);
+          if (!draft.platform.leaving.includes(change.instance)) draft.platform.leaving.push(change.instance);
           draft.audit.push({
             revision,
             by: 'platform',
@@ -110,8 +109,14 @@
           const { manifest, platform } = structuredClone(change.view);
           const at = '';
           if (manifest && draft.manifests.length === 0)
-            draft.manifests.push({ revision, document: manifest.document, by: 'refill', at } as (typeof draft.manifests)[number]);
-          if (draft.platform.serial === 0) draft.platform = { ...platform, revision } as typeof draft.platform;
+            draft.manifests.push({
+              revision,
+              document: manifest.document,
+              by: 'refill',
+              at,
+            } as (typeof draft.manifests)[number]);
+          if (draft.platform.serial === 0)
+            draft.platform = { ...platform, revision } as typeof draft.platform;
           draft.audit.push({ revision, by: 'refill', at, what: 'taken back from nodes', teams: [] });
           break;
         }
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -32,7 +32,12 @@
       signal.removeEventListener('abort', onAbort);
       socket.destroy();
       reject(
-        Mishap.of('connect', `no connection to ${Address.text(server.address)}`, { to: server.instance }, cause),
+        Mishap.of(
+          'connect',
+          `no connection to ${Address.text(server.address)}`,
+          { to: server.instance },
+          cause,
+        ),
       );
     };
     const onAbort = () => fail(signal.reason);
@@ -56,11 +61,12 @@
     keepAliveTimeout: 30_000,
     maxHeaderSize: 32 * 1024,
     connect(_options, callback) {
-      if (isSpent || socket.destroyed) callback(Mishap.of('connect', 'the connection has ended'), null);
-      else {
-        isSpent = true;
-        callback(null, socket);
-      }
+      const isOver = isSpent || socket.destroyed;
+      isSpent = true;
+      queueMicrotask(() => {
+        if (isOver) callback(Mishap.of('connect', 'the connection has ended'), null);
+        else callback(null, socket);
+      });
     },
   });
 };
--- a/src/upstream/ejector.ts
+++ b/src/upstream/ejector.ts
@@ -34,7 +34,8 @@
     };
     return {
       isOut,
-      restsFor: (server) => Math.max(0, Moment.left(healths.get(server.instance)?.restUntil ?? (0 as Moment))),
+      restsFor: (server) =>
+        Math.max(0, Moment.left(healths.get(server.instance)?.restUntil ?? (0 as Moment))),
       out: () => [...healths].filter(([, one]) => !Moment.isPast(one.outUntil)).map(([name]) => name),
       good(server) {
         const health = healthOf(server);
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -34,7 +34,9 @@
   type Terms = { readonly maySend: () => boolean; readonly signal: AbortSignal };
 }
 
-type Told = { readonly kind: 'data'; readonly chunk: Buffer } | { readonly kind: 'end'; readonly cause?: Error };
+type Told =
+  | { readonly kind: 'data'; readonly chunk: Buffer }
+  | { readonly kind: 'end'; readonly cause?: Error };
 
 const makeBody = (controller: Dispatcher.DispatchController) => {
   let sink: Exchange.Sink | undefined;
@@ -82,7 +84,7 @@
     new Promise((resolve) => {
       let isSent = false;
       let made: ReturnType<typeof makeBody> | undefined;
-      let abort: (cause: Error) => void = () => {};
+      let abort: (cause: Error) => void = (cause) => fail(cause);
       const onAbort = () => abort(terms.signal.reason as Error);
       const finish = () => terms.signal.removeEventListener('abort', onAbort);
       const fail = (cause: Error) => {
--- a/src/upstream/identity.ts
+++ b/src/upstream/identity.ts
@@ -13,8 +13,7 @@
     .slice(1)
     .map((part) => part.replaceAll('~1', '/').replaceAll('~0', '~'))
     .reduce<unknown>(
-      (at, key) =>
-        typeof at === 'object' && at !== null ? (at as Record<string, unknown>)[key] : undefined,
+      (at, key) => (typeof at === 'object' && at !== null ? (at as Record<string, unknown>)[key] : undefined),
       value,
     );
 
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -53,9 +53,7 @@
   },
   choose(among: readonly Pick[], key: string | undefined, needs: Pick.Needs): Pick | undefined {
     const { busyness } = needs;
-    const free = among.filter(
-      ({ server, group }) => busyness.of(server.instance).jobs < group.concurrent,
-    );
+    const free = among.filter(({ server, group }) => busyness.of(server.instance).jobs < group.concurrent);
     if (free.length <= 1) return free[0];
     if (key === undefined) {
       const a = free[Math.floor(needs.random() * free.length)]!;
--- a/src/upstream/pool.ts
+++ b/src/upstream/pool.ts
@@ -6,11 +6,7 @@
 import { Connection } from './connection.js';
 
 export type Pool = {
-  readonly take: (
-    server: Compiled.Server,
-    group: Compiled.Group,
-    signal: AbortSignal,
-  ) => Promise<Connection>;
+  readonly take: (server: Compiled.Server, group: Compiled.Group, signal: AbortSignal) => Promise<Connection>;
   readonly give: (connection: Connection) => void;
   readonly retain: (compiled: Compiled) => void;
   readonly close: () => Promise<void>;
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -4,13 +4,13 @@
 // budget bound them all. A verdict is given the moment it is known.
 import { match } from 'ts-pattern';
 import { Alarm } from '../kinds/alarm.js';
-import { Moment } from '../kinds/moment.js';
 import type { Ident } from '../kinds/ident.js';
+import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Budget } from './budget.js';
 import { Pick } from './pick.js';
 import { RetryAfter } from './retry-after.js';
-import { Trial } from './trial.js';
+import type { Trial } from './trial.js';
 
 export type Tries =
   | { readonly kind: 'stream'; readonly trial: Extract<Trial, { kind: 'stream' }>; readonly tries: number }
@@ -91,8 +91,7 @@
     const needs = plan.pick();
     for (let index = from; index < tiers.length; index += 1) {
       const open = Pick.open(tiers[index]!, needs).filter(
-        ({ server }) =>
-          needs.ejector.restsFor(server) === 0 && (!isUntried || !tried.has(server.instance)),
+        ({ server }) => needs.ejector.restsFor(server) === 0 && (!isUntried || !tried.has(server.instance)),
       );
       const pick = Pick.choose(open, rule.isAffine ? plan.key : undefined, needs);
       if (pick) return { pick, index };
@@ -111,7 +110,14 @@
   const isOver = () => plan.signal.aborted || Moment.isPast(plan.deadline);
 
   let next = choose(0, true);
-  if (!next) return verdict('no_server');
+  if (!next) {
+    const needs = plan.pick();
+    const rests = tiers.flatMap((tier) =>
+      Pick.open(tier, needs).map(({ server }) => needs.ejector.restsFor(server)),
+    );
+    retryAfter = rests.length > 0 ? Math.min(...rests) : 0;
+    return verdict('no_server');
+  }
   for (;;) {
     if (tries > 0 && !plan.budget.spend()) return verdict('budget');
     tierIndex = next.index;
@@ -144,7 +150,10 @@
     } else if (canRetry) {
       const open = Pick.open(tiers[tierIndex]!, plan.pick());
       const rests = open.map(({ server }) => plan.pick().ejector.restsFor(server));
-      const wait = Math.max(Math.min(...rests, longestRetryAfter), backOff(rule.retry, retries, plan.pick().random));
+      const wait = Math.max(
+        Math.min(...rests, longestRetryAfter),
+        backOff(rule.retry, retries, plan.pick().random),
+      );
       if (open.length === 0 || wait >= Moment.left(plan.deadline)) return verdict();
       yield { kind: 'pause', span: wait };
       retries += 1;
--- a/src/wire/courier.ts
+++ b/src/wire/courier.ts
@@ -85,7 +85,9 @@
             if (reply instanceof Error) reject(reply);
             else resolve(reply);
           };
-          const alarm = Alarm.after(within, () => settle(Mishap.of('silence', `${needs.place} did not answer`)));
+          const alarm = Alarm.after(within, () =>
+            settle(Mishap.of('silence', `${needs.place} did not answer`)),
+          );
           waiting.set(mine, settle);
           if (!link?.send({ ...request, serial: mine } as Frame.Request))
             settle(Mishap.of('link', `no link to ${needs.place}`));
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -18,7 +18,12 @@
   readonly mate: string;
 };
 
-type Terms = { readonly stamp: () => Stamp; readonly age: () => number; readonly pingEvery?: number; readonly silence?: number };
+type Terms = {
+  readonly stamp: () => Stamp;
+  readonly age: () => number;
+  readonly pingEvery?: number;
+  readonly silence?: number;
+};
 
 async function* read(socket: Socket): AsyncGenerator<Frame, void, void> {
   let held: Buffer = Buffer.alloc(0);
--- /dev/null
+++ b/test/edge.test.ts
@@ -0,0 +1,199 @@
+// The edge: every refusal of ours, homes and spill, header hygiene, and the identity of servers.
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { Bench } from './bench.js';
+
+const serve: Bench.Handle = (_request, response) => Bench.sse(response, ['one']);
+const chat = '/v1/chat/completions';
+
+describe('edge', () => {
+  let bench: Bench;
+  let a: Bench.BackEnd;
+  let b: Bench.BackEnd;
+  let c: Bench.BackEnd;
+  let plain: Bench.BackEnd;
+
+  before(async () => {
+    bench = await Bench.start();
+    a = await bench.backEnd({ instance: 'a1', group: 'llm', region: 'a', handle: serve });
+    b = await bench.backEnd({ instance: 'b1', group: 'llm', region: 'b', handle: serve });
+    c = await bench.backEnd({ instance: 'c1', group: 'llm', region: 'c', handle: serve });
+    plain = await bench.backEnd({
+      instance: 'p1',
+      group: 'plain',
+      region: 'a',
+      handle: (_request, response) => void response.end('{"count":3}'),
+    });
+    await bench.list([a, b, c, plain]);
+    for (let count = 0; count < 60; count += 1) await bench.chat('once');
+  });
+  after(() => bench.stop());
+
+  const drops = async (
+    wanted: { status: number; code: string },
+    path: string,
+    body: unknown,
+    headers: Record<string, string> = {},
+  ) => {
+    const before = [a, b, c].map((one) => one.reached.length);
+    const answer = await bench.call(path, body, headers);
+    assert.equal(answer.status, wanted.status);
+    const { error } = JSON.parse(answer.text);
+    assert.equal(error.code, wanted.code);
+    assert.equal(error.ran, 'no');
+    assert.equal(answer.headers['bramblebend-ran'], 'no');
+    assert.equal(answer.headers['bramblebend-request-id'], error.request_id);
+    assert.deepEqual(
+      [a, b, c].map((one) => one.reached.length),
+      before,
+    );
+  };
+
+  it('drops a missing or unknown key with 401', async () => {
+    await drops(
+      { status: 401, code: 'invalid_api_key' },
+      chat,
+      { model: 'once' },
+      { authorization: 'Bearer nobody' },
+    );
+    await drops({ status: 401, code: 'invalid_api_key' }, '/nowhere', undefined, { authorization: '' });
+  });
+  it('drops what no rule takes with 404', async () => {
+    await drops({ status: 404, code: 'no_rule' }, chat, { model: 'unheard-of' });
+    await drops({ status: 404, code: 'no_rule' }, '/nowhere', undefined);
+  });
+  it('drops malformed JSON with 400', () => drops({ status: 400, code: 'bad_json' }, chat, '{"model":'));
+  it('drops a body over the limit with 413', () =>
+    drops({ status: 413, code: 'body_too_long' }, chat, { model: 'once', messages: 'x'.repeat(30_000) }));
+  it('drops an unknown home with 400 and never guesses', () =>
+    drops({ status: 400, code: 'unknown_home' }, chat, { model: 'once' }, { 'x-home': 'atlantis' }));
+  it('drops a home that is not the team’s with 403', () =>
+    drops({ status: 403, code: 'forbidden_home' }, chat, { model: 'once' }, { 'x-home': 'c' }));
+  it('drops malformed timeouts with 400', () =>
+    drops(
+      { status: 400, code: 'bad_timeouts' },
+      chat,
+      { model: 'once' },
+      { 'bramblebend-timeouts': 'total=soon' },
+    ));
+
+  it('keeps homes: spills within them and answers 503 not run when they hold no server', async () => {
+    await bench.list([b, c, plain]);
+    const spilled = await bench.chat('once');
+    assert.equal(spilled.headers['bramblebend-region'], 'b');
+    await bench.list([c, plain]);
+    const reached = c.reached.length;
+    await drops({ status: 503, code: 'no_server' }, chat, { model: 'once', messages: [] });
+    assert.equal(c.reached.length, reached);
+    const theirs = await bench.chat('once', {}, { authorization: 'Bearer another-key' });
+    assert.equal(theirs.headers['bramblebend-region'], 'c');
+    await bench.list([a, b, c, plain]);
+  });
+
+  it('lists the models of the team’s rules', async () => {
+    const answer = await bench.call('/v1/models');
+    assert.deepEqual(
+      JSON.parse(answer.text).data.map((one: { id: string }) => one.id),
+      ['once', 'again'],
+    );
+  });
+
+  it('serves plain lookups by path prefix', async () => {
+    const answer = await bench.call('/stock/insulin?size=3');
+    assert.equal(answer.status, 200);
+    assert.equal(answer.text, '{"count":3}');
+    assert.equal(plain.reached.at(-1)?.url, '/stock/insulin?size=3');
+  });
+
+  it('lets no key, hop-by-hop or system header of the caller through, and passes the rest on', async () => {
+    await bench.chat(
+      'once',
+      {},
+      {
+        'x-envoy-max-retries': '9',
+        'bramblebend-tries': '7',
+        'bramblebend-request-id': 'forged',
+        'proxy-authorization': 'Basic abc',
+        'x-trace': 'kept',
+      },
+    );
+    const { headers } = a.reached.at(-1)!;
+    for (const name of ['authorization', 'x-envoy-max-retries', 'bramblebend-tries', 'proxy-authorization'])
+      assert.equal(headers[name], undefined, name);
+    assert.notEqual(headers['bramblebend-request-id'], 'forged');
+    assert.match(String(headers['bramblebend-request-id']), /^[0-9a-f-]{36}$/);
+    assert.equal(headers['x-trace'], 'kept');
+  });
+
+  it('sends nothing to another service or instance that answers at a listed address', async () => {
+    const stranger = await bench.backEnd({
+      instance: 'x1',
+      group: 'llm',
+      region: 'a',
+      handle: serve,
+      service: 'a-service-of-somebody',
+    });
+    const lying = { ...stranger, instance: 'a7' };
+    await bench.list([stranger, b]);
+    assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'b');
+    stranger.service = 'llm';
+    await bench.list([lying, b]);
+    assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'b');
+    assert.equal(stranger.reached.length, 0);
+    await bench.list([stranger, b]);
+    assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'a');
+    const { ops } = bench.kit.fronts[0]!;
+    const metrics = await (await fetch(`http://${ops}/metrics`)).text();
+    assert.match(metrics, /bramblebend_wrong_identities_total\{group="llm"\} [1-9]/);
+    await bench.list([a, b, c, plain]);
+  });
+
+  it('reaches no other service when an address with kept connections is reused', async () => {
+    const old = await bench.backEnd({ instance: 'a5', group: 'llm', region: 'a', handle: serve });
+    await bench.list([old, b]);
+    assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'a');
+    await old.stop();
+    const other = await bench.backEnd({
+      instance: 'z1',
+      group: 'llm',
+      region: 'a',
+      handle: serve,
+      service: 'another',
+      address: old.address,
+    });
+    for (let count = 0; count < 5; count += 1)
+      assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'b');
+    assert.equal(other.reached.length, 0);
+    await bench.list([a, b, c, plain]);
+  });
+
+  it('outlives bad input on every port', async () => {
+    const front = bench.kit.fronts[0]!;
+    const core = bench.kit.cores[0]!;
+    const send = (address: string, bytes: Buffer) =>
+      new Promise<void>((resolve) => {
+        const [host, port] = address.split(':');
+        const socket = connect(Number(port), host, () => socket.end(bytes));
+        socket.on('error', () => {});
+        socket.on('close', () => resolve());
+        socket.resume();
+      });
+    const long = Buffer.alloc(8);
+    long.writeUInt32BE(0xffffffff, 0);
+    const inputs = [
+      Buffer.from([0, 0, 0, 9, 1]),
+      long,
+      Buffer.from([0, 0, 0, 3, 0xff, 0xff, 0xff]),
+      Buffer.from('GET / HTTP/1.1\r\n\r\n'),
+      Buffer.from([0, 0, 0, 0]),
+      Buffer.from(`GET / HTTP/1.1\r\nhost: x\r\nx-long: ${'y'.repeat(40_000)}\r\n\r\n`),
+    ];
+    for (const address of [front.wire, front.feed, core.wire, core.http, front.listen, front.ops])
+      for (const input of inputs) await send(address, input);
+    assert.equal((await bench.chat('once')).status, 200);
+    const metrics = await (await fetch(`http://${core.http}/metrics`)).text();
+    assert.match(metrics, /bramblebend_links_refused [1-9]/);
+    for (const one of [front.agent, front.proxy, core.process]) assert.equal(one?.isUp(), true);
+  });
+});
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,125 @@
+// The house rules that a program can check: who may import whom, file length, one named export a file,
+// a paragraph at the head, and no way for a process to start another.
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { builtinModules } from 'node:module';
+import { join, relative } from 'node:path';
+import { describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+const root = fileURLToPath(new URL('../../', import.meta.url));
+
+const may: Readonly<Record<string, readonly string[]>> = {
+  kinds: [],
+  log: ['kinds'],
+  wire: ['kinds'],
+  manifest: ['kinds'],
+  startup: ['kinds', 'log'],
+  store: ['kinds', 'manifest'],
+  epoch: ['kinds', 'wire', 'store'],
+  news: ['kinds', 'manifest', 'wire'],
+  membership: ['kinds', 'wire', 'manifest', 'news'],
+  upstream: ['kinds', 'manifest'],
+  duty: ['kinds', 'wire', 'membership'],
+  repair: ['kinds', 'wire', 'manifest', 'news'],
+  replica: ['kinds', 'wire', 'store', 'epoch'],
+  proxy: ['kinds', 'log', 'startup', 'manifest', 'membership', 'news', 'upstream', 'duty', 'repair'],
+  agent: ['kinds', 'log', 'startup', 'manifest', 'membership', 'news', 'wire', 'duty', 'repair'],
+  control: [
+    'kinds',
+    'log',
+    'startup',
+    'manifest',
+    'membership',
+    'news',
+    'wire',
+    'store',
+    'epoch',
+    'replica',
+    'duty',
+    'repair',
+  ],
+  cli: ['kinds', 'manifest', 'startup'],
+  bin: ['startup', 'proxy', 'agent', 'control', 'cli'],
+};
+
+const listFiles = (folder: string): string[] =>
+  readdirSync(folder, { withFileTypes: true }).flatMap((entry) =>
+    entry.isDirectory()
+      ? listFiles(join(folder, entry.name))
+      : entry.name.endsWith('.ts')
+        ? [join(folder, entry.name)]
+        : [],
+  );
+
+const files = ['src', 'tools', 'test'].flatMap((folder) => listFiles(join(root, folder)));
+const read = (file: string) => readFileSync(file, 'utf8');
+const importsOf = (text: string) =>
+  [...text.matchAll(/(?:from|import\()\s*'([^']+)'/g)].map((found) => found[1]!);
+const sources = files.filter((file) => relative(root, file).startsWith('src/'));
+const modules = (JSON.parse(read(join(root, 'package.json'))) as { dependencies: Record<string, string> })
+  .dependencies;
+
+describe('house rules', () => {
+  it('lets each module import only what it may', () => {
+    const breaches = sources.flatMap((file) => {
+      const [, module = ''] = relative(root, file).split('/');
+      return importsOf(read(file)).flatMap((name) => {
+        if (name.startsWith('.')) {
+          const [first, other = ''] = relative(root, join(file, '..', name)).split('/');
+          return first === 'src' && (other === module || may[module]?.includes(other))
+            ? []
+            : [`${relative(root, file)} imports ${name}`];
+        }
+        const isDeclared = Object.keys(modules).some((one) => name === one || name.startsWith(`${one}/`));
+        return isDeclared || builtinModules.includes(name.replace('node:', '')) ? [] : [`${file}: ${name}`];
+      });
+    });
+    assert.deepEqual(breaches, []);
+  });
+  it('keeps commands and queries apart', () => {
+    const breaches = sources.flatMap((file) => {
+      const place = relative(join(root, 'src/control'), file);
+      const other = place.startsWith('commands/')
+        ? 'queries'
+        : place.startsWith('queries/')
+          ? 'commands'
+          : undefined;
+      return other !== undefined && importsOf(read(file)).some((name) => name.includes(other)) ? [place] : [];
+    });
+    assert.deepEqual(breaches, []);
+  });
+  it('starts no process, and reads no wall clock in a decision', () => {
+    const clockReaders = /control\/commands\/|control\/folder\.ts/;
+    const breaches = sources.flatMap((file) => {
+      const text = read(file);
+      const starts = /child_process|worker_threads|\bcluster\b.*from/.test(text);
+      const clock = /Date\.now\(|new Date\(\)/.test(text) && !clockReaders.test(file);
+      return starts || clock ? [relative(root, file)] : [];
+    });
+    assert.deepEqual(breaches, []);
+  });
+  it('keeps files to 400 lines, with a paragraph at the head', () => {
+    const breaches = files.flatMap((file) => {
+      const lines = read(file).split('\n');
+      const head = lines[0]?.startsWith('#!') ? lines[1] : lines[0];
+      return lines.length > 401 || !head?.startsWith('// ') ? [relative(root, file)] : [];
+    });
+    assert.deepEqual(breaches, []);
+  });
+  it('exports one name a file', () => {
+    const breaches = sources.flatMap((file) => {
+      const names = new Set(
+        [...read(file).matchAll(/^export (?:declare )?(?:const|type|namespace|function|class) (\w+)/gm)].map(
+          (found) => found[1],
+        ),
+      );
+      const hasDefault = /^export default/m.test(read(file));
+      const isProgram = relative(root, file).startsWith('src/bin/');
+      return (names.size === 1 || (isProgram && names.size === 0)) && !hasDefault
+        ? []
+        : [relative(root, file)];
+    });
+    assert.deepEqual(breaches, []);
+  });
+});
--- /dev/null
+++ b/test/store.test.ts
@@ -0,0 +1,95 @@
+// The file under the data folder: what was synced is there again, a torn tail is cut, and damage
+// anywhere before makes the whole folder untrusted instead of half read.
+import assert from 'node:assert/strict';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, describe, it } from 'node:test';
+import { Folder } from '../src/control/folder.js';
+import { Stamp } from '../src/kinds/stamp.js';
+import { File } from '../src/store/file.js';
+
+const folders: string[] = [];
+const makeFolder = () => {
+  const folder = mkdtempSync(join(tmpdir(), 'bramblebend-store-'));
+  folders.push(folder);
+  return folder;
+};
+const fill = async (folder: string, count: number) => {
+  const file = await File.open(folder, 'one.log');
+  for (let index = 0; index < count; index += 1) await file.append(Buffer.from(`payload ${index}`));
+  await file.close();
+  return readFileSync(join(folder, 'one.log'));
+};
+const readAll = async (folder: string) => {
+  const file = await File.open(folder, 'one.log');
+  const texts = file.payloads.map((payload) => payload.toString('utf8'));
+  await file.close();
+  return texts;
+};
+
+describe('store', () => {
+  after(() => {
+    for (const folder of folders) rmSync(folder, { recursive: true, force: true });
+  });
+
+  it('cuts a torn tail at every length and can be written on', async () => {
+    const whole = await fill(makeFolder(), 3);
+    for (let length = 0; length < whole.length; length += 1) {
+      const folder = makeFolder();
+      writeFileSync(join(folder, 'one.log'), whole.subarray(0, length));
+      const kept = await readAll(folder);
+      assert.deepEqual(kept, ['payload 0', 'payload 1', 'payload 2'].slice(0, kept.length));
+      assert.ok(kept.length < 3);
+      const file = await File.open(folder, 'one.log');
+      await file.append(Buffer.from('after'));
+      await file.close();
+      assert.deepEqual(await readAll(folder), [...kept, 'after']);
+    }
+  });
+
+  it('trusts no file that is damaged before its end', async () => {
+    const whole = await fill(makeFolder(), 3);
+    const lastRecord = Math.floor((whole.length / 3) * 2);
+    for (let place = 0; place < lastRecord; place += 1) {
+      const folder = makeFolder();
+      const damaged = Buffer.from(whole);
+      damaged[place]! ^= 0x40;
+      writeFileSync(join(folder, 'one.log'), damaged);
+      await assert.rejects(File.open(folder, 'one.log'), /damaged/, `a flipped bit at ${place}`);
+    }
+  });
+
+  it('rewrites to what is given and keeps it', async () => {
+    const folder = makeFolder();
+    await fill(folder, 50);
+    const file = await File.open(folder, 'one.log');
+    await file.rewrite([Buffer.from('all of it')]);
+    await file.append(Buffer.from('and more'));
+    await file.close();
+    assert.deepEqual(await readAll(folder), ['all of it', 'and more']);
+  });
+
+  it('sets a damaged data folder aside and begins blank under a new disk name', async () => {
+    const folder = makeFolder();
+    const first = await Folder.open(folder, () => {});
+    for (let revision = 1; revision <= 3; revision += 1)
+      await first.store.take({ kind: 'opened', stamp: Stamp.of(1, revision) });
+    await first.store.close();
+    const again = await Folder.open(folder, () => {});
+    assert.equal(again.register.disk, first.register.disk);
+    assert.deepEqual(again.store.state().stamp, Stamp.of(1, 3));
+    await again.store.close();
+    const path = join(folder, 'state.log');
+    const bytes = readFileSync(path);
+    bytes[15]! ^= 1;
+    writeFileSync(path, bytes);
+    const alerts: string[] = [];
+    const blank = await Folder.open(folder, (text) => alerts.push(text));
+    assert.notEqual(blank.register.disk, first.register.disk);
+    assert.equal(blank.register.isBlank(), true);
+    assert.deepEqual(blank.store.state().stamp, Stamp.none);
+    assert.equal(alerts.length, 1);
+    await blank.store.close();
+  });
+});
--- a/tools/caller.ts
+++ b/tools/caller.ts
@@ -36,7 +36,10 @@
 }
 
 const judgeTokens = (text: string, wanted: number): string | undefined => {
-  const tokens = [...text.matchAll(/"content":"([^"]*?):(\d+) "/g)].map((found) => [found[1], Number(found[2])]);
+  const tokens = [...text.matchAll(/"content":"([^"]*?):(\d+) "/g)].map((found) => [
+    found[1],
+    Number(found[2]),
+  ]);
   const runs = new Set(tokens.map(([run]) => run));
   if (runs.size > 1) return 'two runs joined';
   const gap = tokens.findIndex(([, index], place) => index !== place);
@@ -123,21 +126,24 @@
     const plan = (kind: Deployment.Kind) => {
       timers.set(
         kind.name,
-        setTimeout(() => {
-          if (isStopped) return;
-          sent += 1;
-          const id = `${kind.name}-${sent}`;
-          const proxy = random.pick(terms.proxies());
-          const home = random.pick(kind.homes);
-          const prefix = random.below(kind.prefixes);
-          journal.write({ event: 'sent', id, kind: kind.name, runs: kind.runs, home, proxy });
-          const work = Caller.once(kind, { id, proxy, home, prefix, agent }).then((entry) => {
-            journal.write({ event: 'ended', ...entry });
-            pending.delete(work);
-          });
-          pending.add(work);
-          plan(kind);
-        }, random.gap(kind.perSecond * (terms.rate ?? 1))),
+        setTimeout(
+          () => {
+            if (isStopped) return;
+            sent += 1;
+            const id = `${kind.name}-${sent}`;
+            const proxy = random.pick(terms.proxies());
+            const home = random.pick(kind.homes);
+            const prefix = random.below(kind.prefixes);
+            journal.write({ event: 'sent', id, kind: kind.name, runs: kind.runs, home, proxy });
+            const work = Caller.once(kind, { id, proxy, home, prefix, agent }).then((entry) => {
+              journal.write({ event: 'ended', ...entry });
+              pending.delete(work);
+            });
+            pending.add(work);
+            plan(kind);
+          },
+          random.gap(kind.perSecond * (terms.rate ?? 1)),
+        ),
       );
     };
     for (const kind of terms.kinds) plan(kind);
--- a/tools/checkers.ts
+++ b/tools/checkers.ts
@@ -63,7 +63,9 @@
     });
   },
   extraTriesFew: ({ sent, runs }) => {
-    const seen = runs.filter((run) => (run.event === 'run' || run.event === 'refused') && run.caller !== undefined);
+    const seen = runs.filter(
+      (run) => (run.event === 'run' || run.event === 'refused') && run.caller !== undefined,
+    );
     const callers = new Set(seen.map((run) => run.caller));
     const extra = seen.length - callers.size;
     return extra > extraShare * sent.length + slack
--- a/tools/deployments/baobab.ts
+++ b/tools/deployments/baobab.ts
@@ -12,8 +12,22 @@
     { zone: 'saint-louis-1', region: 'saint-louis', fronts: 2 },
   ],
   backEnds: [
-    { kind: 'model', group: 'pharma-llm', zone: 'dakar-1', region: 'dakar', count: 3, models: ['renewal', 'counter'] },
-    { kind: 'model', group: 'pharma-llm', zone: 'thies-1', region: 'thies', count: 2, models: ['renewal', 'counter'] },
+    {
+      kind: 'model',
+      group: 'pharma-llm',
+      zone: 'dakar-1',
+      region: 'dakar',
+      count: 3,
+      models: ['renewal', 'counter'],
+    },
+    {
+      kind: 'model',
+      group: 'pharma-llm',
+      zone: 'thies-1',
+      region: 'thies',
+      count: 2,
+      models: ['renewal', 'counter'],
+    },
     {
       kind: 'model',
       group: 'pharma-llm',
@@ -24,7 +38,14 @@
     },
     { kind: 'ordering', group: 'ordering', zone: 'dakar-1', region: 'dakar', count: 1, models: [] },
     { kind: 'ordering', group: 'ordering', zone: 'thies-1', region: 'thies', count: 1, models: [] },
-    { kind: 'ordering', group: 'ordering', zone: 'saint-louis-1', region: 'saint-louis', count: 1, models: [] },
+    {
+      kind: 'ordering',
+      group: 'ordering',
+      zone: 'saint-louis-1',
+      region: 'saint-louis',
+      count: 1,
+      models: [],
+    },
   ],
   manifest: {
     zones: {
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -17,7 +17,12 @@
   readonly startAgent: (front: FleetKit.Front) => Promise<void>;
   readonly startProxy: (front: FleetKit.Front) => Promise<void>;
   readonly startServer: (server: FleetKit.Server) => Promise<void>;
-  readonly operate: (method: string, path: string, body?: unknown, headers?: Record<string, string>) => Promise<FleetKit.Answer>;
+  readonly operate: (
+    method: string,
+    path: string,
+    body?: unknown,
+    headers?: Record<string, string>,
+  ) => Promise<FleetKit.Answer>;
   readonly putManifest: (document: Document) => Promise<FleetKit.Answer>;
   readonly putServers: (serial: number) => Promise<FleetKit.Answer>;
   readonly stop: () => Promise<void>;
@@ -43,7 +48,11 @@
     journal: string;
     process?: Process;
   };
-  type Answer = { readonly status: number; readonly etag: string | undefined; readonly body: Record<string, unknown> };
+  type Answer = {
+    readonly status: number;
+    readonly etag: string | undefined;
+    readonly body: Record<string, unknown>;
+  };
   type Terms = {
     readonly folder: string;
     readonly deployment: Deployment;
@@ -90,7 +99,10 @@
   call,
   lay(terms: FleetKit.Terms): Pick<FleetKit, 'cores' | 'fronts' | 'servers'> {
     const { folder, deployment } = terms;
-    const address = () => `${network()}.${(machines = (machines % 250) + 1)}`;
+    const address = () => {
+      machines = (machines % 250) + 1;
+      return `${network()}.${machines}`;
+    };
     const cores = [0, 1, 2].map((index) => {
       const ip = address();
       const { zone } = deployment.zones[index % deployment.zones.length]!;
@@ -114,7 +126,12 @@
     const servers = deployment.backEnds.flatMap((backEnd) =>
       Array.from({ length: backEnd.count }, (_none, index) => {
         const instance = `${backEnd.group}-${backEnd.region}-${index + 1}`;
-        return { instance, backEnd, address: `${address()}:9000`, journal: join(folder, `${instance}.journal`) };
+        return {
+          instance,
+          backEnd,
+          address: `${address()}:9000`,
+          journal: join(folder, `${instance}.journal`),
+        };
       }),
     );
     return { cores, fronts, servers };
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -13,7 +13,13 @@
 import { Random } from './random.js';
 import { Report } from './report.js';
 
-type Flags = { deployment: 'baobab' | 'likhet'; seed: number; seconds: number; rate: number; affinity: string };
+type Flags = {
+  deployment: 'baobab' | 'likhet';
+  seed: number;
+  seconds: number;
+  rate: number;
+  affinity: string;
+};
 
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
@@ -51,10 +57,12 @@
     await pause((flags.seconds * 1000) / 4);
     await caller.stop();
     const report = Report.of(kit);
+    const unserved = Report.read(kit).ended.filter((entry) => entry.outcome !== 'whole');
     process.stdout.write(
-      `${JSON.stringify({ deployment: deployment.name, seed: flags.seed, processes: kit.fronts.length * 2 + 3 + kit.servers.length, firstRevision: first, startedIn, inForceMs: changes.map(Math.round), ...report, folder }, null, 2)}\n`,
+      `${JSON.stringify({ deployment: deployment.name, seed: flags.seed, processes: kit.fronts.length * 2 + 3 + kit.servers.length, firstRevision: first, startedIn, inForceMs: changes.map(Math.round), ...report, unserved: unserved.slice(0, 10), folder }, null, 2)}\n`,
     );
-    return Object.values(report.breaches).every((list) => list.length === 0) ? 0 : 1;
+    const isClean = Object.values(report.breaches).every((list) => list.length === 0);
+    return isClean && report.requests > 0 && unserved.length === 0 ? 0 : 1;
   } finally {
     await kit.stop();
   }
--- a/tools/process.ts
+++ b/tools/process.ts
@@ -45,7 +45,9 @@
     const ready = await new Promise<Record<string, string>>((resolve, reject) => {
       const lines = createInterface({ input: child.stdout });
       lines.once('line', (line) => resolve(JSON.parse(line) as Record<string, string>));
-      void ended.then((code) => reject(new Error(`${name} ended with ${code} before it was ready; see ${terms.log}`)));
+      void ended.then((code) =>
+        reject(new Error(`${name} ended with ${code} before it was ready; see ${terms.log}`)),
+      );
     });
     return {
       name,
--- a/tools/report.ts
+++ b/tools/report.ts
@@ -49,8 +49,14 @@
           name,
           {
             requests: mine.length,
-            outcomes: countBy(mine.map((entry) => (entry.outcome === 'dropped' ? `${entry.status}` : entry.outcome))),
-            firstTokenMs: { p50: quantile(first, 0.5), p90: quantile(first, 0.9), p99: quantile(first, 0.99) },
+            outcomes: countBy(
+              mine.map((entry) => (entry.outcome === 'dropped' ? `${entry.status}` : entry.outcome)),
+            ),
+            firstTokenMs: {
+              p50: quantile(first, 0.5),
+              p90: quantile(first, 0.9),
+              p99: quantile(first, 0.99),
+            },
             tries: countBy(mine.map((entry) => String(entry.tries))),
           },
         ];
@@ -60,7 +66,8 @@
     return {
       requests: sent.length,
       kinds,
-      warmShare: Math.round((prompts.filter((run) => run.warm).length / Math.max(1, prompts.length)) * 1000) / 1000,
+      warmShare:
+        Math.round((prompts.filter((run) => run.warm).length / Math.max(1, prompts.length)) * 1000) / 1000,
       breaches: Object.fromEntries(
         Object.entries(Checkers).map(([name, check]) => [name, check(journals).slice(0, 20)]),
       ),
--- a/tools/standin.ts
+++ b/tools/standin.ts
@@ -77,8 +77,17 @@
     }
     return now;
   };
-  const json = (response: ServerResponse, status: number, body: object, headers: Record<string, string> = {}) => {
-    response.writeHead(status, { 'content-type': 'application/json', 'x-instance-id': flags.instance, ...headers });
+  const json = (
+    response: ServerResponse,
+    status: number,
+    body: object,
+    headers: Record<string, string> = {},
+  ) => {
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'x-instance-id': flags.instance,
+      ...headers,
+    });
     response.end(JSON.stringify(body));
   };
   const refuse = (response: ServerResponse, status: number, isNotRun: boolean, retryAfter?: number) =>
@@ -94,7 +103,10 @@
 
   const complete = async (request: IncomingMessage, response: ServerResponse, text: string, now: Fault) => {
     const body = JSON.parse(text) as Body;
-    const ids = { request: request.headers['bramblebend-request-id'], caller: request.headers['x-request-id'] };
+    const ids = {
+      request: request.headers['bramblebend-request-id'],
+      caller: request.headers['x-request-id'],
+    };
     if (waiting >= flags.queue) {
       journal.write({ event: 'refused', instance: flags.instance, ...ids });
       return refuse(response, 429, true, 1);
@@ -113,7 +125,14 @@
       const isWarm = key !== '' && cache.use(key);
       const uncached = whole.length - (isWarm ? shared.length : 0);
       const slow = isCold() ? 1 + busy : 1;
-      journal.write({ event: 'run', instance: flags.instance, run: runId, warm: isWarm, model: body.model, ...ids });
+      journal.write({
+        event: 'run',
+        instance: flags.instance,
+        run: runId,
+        warm: isWarm,
+        model: body.model,
+        ...ids,
+      });
       await pause((uncached / 1000) * flags.prefill * slow);
       if (now.kind === 'stall') await new Promise<void>((resolve) => response.once('close', resolve));
       if (isGone || response.destroyed) return journal.write({ event: 'left', run: runId, ...ids });
@@ -157,7 +176,10 @@
     }
   };
   const lookUp = async (request: IncomingMessage, response: ServerResponse) => {
-    const ids = { request: request.headers['bramblebend-request-id'], caller: request.headers['x-request-id'] };
+    const ids = {
+      request: request.headers['bramblebend-request-id'],
+      caller: request.headers['x-request-id'],
+    };
     journal.write({ event: 'run', instance: flags.instance, run: randomUUID().slice(0, 8), ...ids });
     await pause(flags.pace);
     json(response, 200, { sku: request.url?.split('/').at(-1), count: 7, by: flags.instance });
@@ -174,7 +196,8 @@
         object: 'list',
         data: models.map((id) => ({ id, object: 'model', created: 0, owned_by: flags.service })),
       });
-    if (path === '/identity') return json(response, 200, { service: flags.service, instance: flags.instance });
+    if (path === '/identity')
+      return json(response, 200, { service: flags.service, instance: flags.instance });
     const text = await readBody(request);
     served += 1;
     const now = useFault();
