--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -3,6 +3,7 @@
 import sade from 'sade';
 import { Client } from '../cli/client.js';
 import { Commands } from '../cli/commands.js';
+import { ReadLog } from '../cli/read-log.js';
 import { Version } from '../startup/version.js';
 
 type Flags = { control?: string; token?: string; 'if-match'?: string; key?: string; within?: string };
@@ -76,4 +77,7 @@
   .action((file: string | undefined, flags: Flags) =>
     tell(Commands.trace(clientOf(flags), file, Number(flags.within ?? 5000))),
   );
+cli
+  .command('log <address>', 'Read the log ring of a program, by its operations address')
+  .action((address: string) => tell(ReadLog.run(address).then((text) => ({ text, code: 0 }))));
 cli.parse(process.argv);
--- a/src/proxy/answers.ts
+++ b/src/proxy/answers.ts
@@ -1,6 +1,7 @@
 // Our own answers, OpenAI-style. Each carries the request's id and says whether the request ran: no
 // means it did not and never will; unknown means that it may have.
 import type { Context } from 'hono';
+import { Stamp } from '../kinds/stamp.js';
 import { RetryAfter } from '../upstream/retry-after.js';
 import type { Call } from './call.js';
 
@@ -25,6 +26,8 @@
     const ran = answer.ran ?? 'no';
     context.header('bramblebend-request-id', id);
     context.header('bramblebend-ran', ran);
+    const { compiled } = context.var.call;
+    if (compiled) context.header('bramblebend-stamp', Stamp.text(compiled.stamp));
     if (answer.tries !== undefined) context.header('bramblebend-tries', String(answer.tries));
     if (answer.retryAfter !== undefined)
       context.header('retry-after', RetryAfter.write(answer.retryAfter, Math.random));
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -8,6 +8,7 @@
 import { Alarm } from '../../kinds/alarm.js';
 import { Mishap } from '../../kinds/mishap.js';
 import { Moment } from '../../kinds/moment.js';
+import { Stamp } from '../../kinds/stamp.js';
 import type { Trial } from '../../upstream/trial.js';
 import type { Tries } from '../../upstream/tries.js';
 import { Answers } from '../answers.js';
@@ -24,6 +25,7 @@
   'bramblebend-group': trial.pick.group.name,
   'bramblebend-region': trial.pick.server.region,
   'bramblebend-tries': String(tries),
+  'bramblebend-stamp': Stamp.text(Call.need(call, 'compiled').stamp),
 });
 
 const stream = (trial: Streamed, outgoing: ServerResponse, idle: number): Promise<Commit> =>
--- a/tools/caller.ts
+++ b/tools/caller.ts
@@ -22,6 +22,7 @@
     readonly ran: string | undefined;
     readonly tries: number;
     readonly region: string | undefined;
+    readonly stamp: string | undefined;
     readonly firstToken: number;
     readonly took: number;
     readonly fault?: string;
@@ -82,6 +83,7 @@
       ran: named['bramblebend-ran'] as string | undefined,
       tries: Number(named['bramblebend-tries'] ?? 0),
       region: named['bramblebend-region'] as string | undefined,
+      stamp: named['bramblebend-stamp'] as string | undefined,
       firstToken,
       took: performance.now() - began,
       ...(fault === undefined ? {} : { fault }),
