--- /dev/null
+++ b/test/program.test.ts
@@ -0,0 +1,136 @@
+// The programs as programs: flags, checked startup, readiness, exit codes and drain.
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { connect } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { Bench } from './bench.js';
+
+const bin = (name: string) => fileURLToPath(new URL(`../src/bin/${name}.js`, import.meta.url));
+const run = (name: string, ...args: string[]) =>
+  spawnSync(process.execPath, [bin(name), ...args], { encoding: 'utf8', timeout: 20_000 });
+
+const isClosed = (address: string): Promise<boolean> =>
+  new Promise((resolve) => {
+    const [host, port] = address.split(':');
+    const socket = connect(Number(port), host, () => {
+      socket.destroy();
+      resolve(false);
+    });
+    socket.once('error', () => resolve(true));
+  });
+
+describe('programs', () => {
+  let bench: Bench;
+  const folder = mkdtempSync(join(tmpdir(), 'bramblebend-program-'));
+  before(async () => {
+    bench = await Bench.start();
+  });
+  after(async () => {
+    await bench.stop();
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  it('tell their version and their flags', () => {
+    for (const name of ['proxy', 'agent', 'control', 'bramblebend']) {
+      assert.match(run(name, '--version').stdout, /\d+\.\d+\.\d+/);
+      assert.match(run(name, '--help').stdout, /Usage/);
+    }
+  });
+
+  it('report all findings of a bad startup with their place, and end with 2', () => {
+    const file = join(folder, 'bad.json');
+    writeFileSync(file, JSON.stringify({ node: 'n', zone: '', wire: 'a-name:1', surplus: true, seeds: [] }));
+    const result = run('agent', '--startup', file, '--ops', '127.0.0.1:0');
+    assert.equal(result.status, 2);
+    for (const place of ['/zone', '/wire', '/surplus', '/seeds', '/feed'])
+      assert.match(result.stderr, new RegExp(place));
+    assert.doesNotMatch(result.stderr, /\/ops/);
+    assert.equal(run('proxy', '--surplus', '1').status, 2);
+    assert.equal(run('bramblebend', 'status').status, 2);
+  });
+
+  it('check and compare manifests on the command line', () => {
+    const good = join(folder, 'good.json');
+    const bad = join(folder, 'bad-manifest.json');
+    writeFileSync(good, JSON.stringify({ ...Bench.manifest, note: 'other' }));
+    writeFileSync(bad, JSON.stringify({ ...Bench.manifest, rules: [{ name: 'r' }] }));
+    assert.equal(run('bramblebend', 'manifest', 'check', good).status, 0);
+    const findings = run('bramblebend', 'manifest', 'check', bad);
+    assert.equal(findings.status, 1);
+    assert.match(findings.stdout, /\/rules\/0\/groups is missing/);
+    const where = [
+      '--control',
+      bench.kit.cores.map((core) => core.http).join(','),
+      '--token',
+      'operator-token-of-the-fleet',
+    ];
+    assert.match(run('bramblebend', 'manifest', 'diff', good, ...where).stdout, /\+ \/note "other"/);
+    const traced = run('bramblebend', 'trace', good, ...where);
+    assert.equal(traced.status, 0, traced.stdout);
+    for (const core of bench.kit.cores) assert.match(traced.stdout, new RegExp(`\\d+ ms +${core.node} `));
+    assert.match(run('bramblebend', 'manifest', 'get', ...where).stdout, /"note": "other"/);
+    assert.equal(run('bramblebend', 'zone', 'evacuate', 'c-1', ...where).status, 0);
+    assert.match(run('bramblebend', 'manifest', 'get', ...where).stdout, /"evacuations": \[\s+"c-1"/);
+    assert.equal(run('bramblebend', 'zone', 'restore', 'c-1', ...where).status, 0);
+  });
+
+  it('drain on SIGTERM: a running stream ends whole, then the program ends with 0', async () => {
+    let finish: () => void = () => {};
+    const begun = new Promise<void>((resolve) => {
+      finish = resolve;
+    });
+    let end: () => void = () => {};
+    const server = await bench.backEnd({
+      instance: 'slow',
+      group: 'llm',
+      region: 'a',
+      handle(_request, response) {
+        Bench.sse(response, ['one'], false);
+        end = () => response.end('data: [DONE]\n\n');
+        finish();
+      },
+    });
+    await bench.list([server]);
+    const front = bench.kit.fronts[0]!;
+    const answer = bench.chat('again');
+    await begun;
+    front.proxy?.signal('SIGTERM');
+    while (!(await isClosed(front.listen)));
+    end();
+    assert.equal((await answer).text, 'data: one\n\ndata: [DONE]\n\n');
+    assert.equal(await front.proxy?.ended, 0);
+    await bench.kit.startProxy(front);
+  });
+
+  it('end at once on a second SIGTERM', async () => {
+    let begin: () => void = () => {};
+    const begun = new Promise<void>((resolve) => {
+      begin = resolve;
+    });
+    const server = await bench.backEnd({
+      instance: 'endless',
+      group: 'llm',
+      region: 'a',
+      handle(_request, response) {
+        Bench.sse(response, ['one'], false);
+        const more = setInterval(() => response.write('data: more\n\n'), 50);
+        response.once('close', () => clearInterval(more));
+        begin();
+      },
+    });
+    await bench.list([server]);
+    const front = bench.kit.fronts[0]!;
+    const answer = bench.chat('again');
+    await begun;
+    front.proxy?.signal('SIGTERM');
+    while (!(await isClosed(front.listen)));
+    assert.equal(front.proxy?.isUp(), true);
+    front.proxy?.signal('SIGTERM');
+    await front.proxy?.ended;
+    assert.equal((await answer).isBroken, true);
+  });
+});
