--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -73,6 +73,7 @@
       ring,
       describe: () => ({
         node: startup.node,
+        boot,
         stamp: feed.stamp(),
         parent: uplink.parent(),
         version: Version,
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -93,7 +93,13 @@
       isReady,
       registry: meters.registry,
       ring,
-      describe: () => ({ node: startup.node, stamp: feed.stamp(), out: ejector.out(), version: Version }),
+      describe: () => ({
+        node: startup.node,
+        boot,
+        stamp: feed.stamp(),
+        out: ejector.out(),
+        version: Version,
+      }),
     }).server();
     const opsAt = await Listen(ops, parse(startup.ops));
     const roll = Roll.of(() => ({
--- /dev/null
+++ b/tools/faults/faults.ts
@@ -0,0 +1,77 @@
+// The runner's side of the faults: one small file that the preloaded module of every process watches.
+import { renameSync, writeFileSync } from 'node:fs';
+
+export type Faults = {
+  readonly path: string;
+  readonly cut: (from: readonly string[], to: readonly string[], isOneWay: boolean) => () => void;
+  readonly disk: (node: string, kind: Faults.Disk) => () => void;
+  readonly clock: (node: string, by: number) => () => void;
+  readonly healAll: () => void;
+};
+
+export declare namespace Faults {
+  type Disk = 'slow' | 'stall' | 'full' | 'gone';
+  type State = {
+    readonly cuts: readonly string[];
+    readonly disks: Readonly<Record<string, Disk>>;
+    readonly clocks: Readonly<Record<string, number>>;
+  };
+}
+
+export const Faults = {
+  open(path: string): Faults {
+    const cuts = new Map<string, number>();
+    const disks = new Map<string, Faults.Disk>();
+    const clocks = new Map<string, number>();
+    const write = () => {
+      const state: Faults.State = {
+        cuts: [...cuts.keys()],
+        disks: Object.fromEntries(disks),
+        clocks: Object.fromEntries(clocks),
+      };
+      writeFileSync(`${path}.new`, JSON.stringify(state));
+      renameSync(`${path}.new`, path);
+    };
+    write();
+    return {
+      path,
+      cut(from, to, isOneWay) {
+        const pairs = from.flatMap((a) =>
+          to.flatMap((b) => (a === b ? [] : isOneWay ? [`${a}>${b}`] : [`${a}>${b}`, `${b}>${a}`])),
+        );
+        for (const pair of pairs) cuts.set(pair, (cuts.get(pair) ?? 0) + 1);
+        write();
+        return () => {
+          for (const pair of pairs) {
+            const left = (cuts.get(pair) ?? 1) - 1;
+            if (left <= 0) cuts.delete(pair);
+            else cuts.set(pair, left);
+          }
+          write();
+        };
+      },
+      disk(node, kind) {
+        disks.set(node, kind);
+        write();
+        return () => {
+          disks.delete(node);
+          write();
+        };
+      },
+      clock(node, by) {
+        clocks.set(node, by);
+        write();
+        return () => {
+          clocks.delete(node);
+          write();
+        };
+      },
+      healAll() {
+        cuts.clear();
+        disks.clear();
+        clocks.clear();
+        write();
+      },
+    };
+  },
+};
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -5,6 +5,7 @@
 import { request } from 'undici';
 import type { Document } from '../src/manifest/document.js';
 import type { Deployment } from './deployments/deployment.js';
+import type { Faults } from './faults/faults.js';
 import { Process } from './process.js';
 
 export type FleetKit = {
@@ -46,6 +47,8 @@
     backEnd: Deployment.BackEnd;
     address: string;
     journal: string;
+    service?: string;
+    cold?: number;
     process?: Process;
   };
   type Answer = {
@@ -58,7 +61,7 @@
     readonly deployment: Deployment;
     readonly seed?: number;
     readonly stand?: { readonly pace?: number; readonly prefill?: number; readonly slots?: number };
-    readonly coreArgs?: readonly string[];
+    readonly faults?: Faults;
   };
 }
 
@@ -141,10 +144,25 @@
     mkdirSync(folder, { recursive: true });
     const { cores, fronts, servers } = FleetKit.lay(terms);
     const seeds = cores.map((core) => core.wire);
+    const outside = (name: string, values: readonly unknown[]) => {
+      const log = join(folder, `${name}.log`);
+      const { faults } = terms;
+      if (!faults) return { log };
+      const place = values.find((value) => typeof value === 'string' && /^127\.\d+\.\d+\.\d+:/.test(value));
+      return {
+        log,
+        nodeArgs: ['--import', script('tools/faults/preload.js').pathname],
+        env: {
+          BRAMBLEBEND_FAULTS: faults.path,
+          BRAMBLEBEND_FAULTS_IP: String(place).split(':')[0] ?? '',
+          BRAMBLEBEND_FAULTS_NODE: name,
+        },
+      };
+    };
     const launch = async (name: string, path: string, startup: object): Promise<Process> => {
       const file = join(folder, `${name}.json`);
       writeFileSync(file, JSON.stringify(startup, null, 2));
-      return Process.start(name, script(path), ['--startup', file], { log: join(folder, `${name}.log`) });
+      return Process.start(name, script(path), ['--startup', file], outside(name, Object.values(startup)));
     };
     const startCore = async (core: FleetKit.Core) => {
       const { node, zone, wire, http, data } = core;
@@ -173,7 +191,8 @@
       const flags: Record<string, string> = {
         kind,
         instance: server.instance,
-        service: group,
+        service: server.service ?? group,
+        cold: String(server.cold ?? 0),
         listen: server.address,
         journal: server.journal,
         models: models.join(','),
@@ -185,7 +204,7 @@
         server.instance,
         script('tools/standin.js'),
         Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]),
-        { log: join(folder, `${server.instance}.log`) },
+        outside(server.instance, [server.address]),
       );
     };
     const headers = { authorization: `Bearer ${operatorToken}` };
