--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -4,6 +4,7 @@
 import { Address } from '../kinds/address.js';
 import { Ident } from '../kinds/ident.js';
 import type { Ring } from '../log/ring.js';
+import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
@@ -38,18 +39,27 @@
       ready: !isDraining,
     }));
     const mates = () => startup.seeds;
+    const children = Children.of(roll);
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
-      Downlink.serve(link, hello, frames, { feed, roll, mates, version: Version });
+      Downlink.serve(link, hello, frames, {
+        feed,
+        roll,
+        children,
+        mates,
+        version: Version,
+        onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
+      });
     const terms = { stamp: feed.stamp, age: feed.age, serve, note: ring.note };
     const doorway = await Doorway.open({ ...terms, address: parse(startup.wire) });
     wire = Doorway.text(doorway);
     const inner = await Doorway.open({ ...terms, address: parse(startup.feed) });
-    const uplink = Uplink.run({
+    const uplink: Uplink = Uplink.run({
       feed,
       roll,
       seeds: startup.seeds,
       version: Version,
       isUpward: true,
+      onTokens: ({ stamp: _stamp, ...body }) => void children.send(body.node, body),
       note: ring.note,
     });
     const registry = new Registry();
--- a/src/control/mates.ts
+++ b/src/control/mates.ts
@@ -5,11 +5,13 @@
 import type { Feed } from '../news/feed.js';
 import { Version } from '../startup/version.js';
 import { Courier } from '../wire/courier.js';
+import type { Frame } from '../wire/frame.js';
 
 export type Mates = {
   readonly tend: (places: readonly string[]) => void;
   readonly couriers: () => readonly Courier[];
   readonly at: (place: string) => Courier | undefined;
+  readonly sendUp: (node: string, body: Frame.Body) => boolean;
   readonly stop: () => Promise<void>;
 };
 
@@ -20,6 +22,7 @@
     readonly feed: Feed;
     readonly age: () => number;
     readonly roll: Roll;
+    readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): Mates {
     const { feed, roll } = needs;
@@ -30,6 +33,8 @@
       await Promise.all([courier.stop(), uplink.done]);
     };
     return {
+      sendUp: (node, body) =>
+        [...held.values()].some(({ uplink }) => uplink.parent() === node && uplink.send(body)),
       at: (place) => held.get(place)?.courier,
       couriers: () => [...held.values()].map(({ courier }) => courier),
       tend(places) {
@@ -50,6 +55,7 @@
                 version: Version,
                 isFixed: true,
                 isUpward: true,
+                onTokens: needs.onTokens,
                 note: needs.note,
               }),
             });
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,11 +1,13 @@
 // A control node as a program: its disk, its part of the register, replication, sessions with agents,
 // and the HTTP interface.
 import { Gauge, Registry } from 'prom-client';
+import { BudgetDuty } from '../duty/budget-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Ident } from '../kinds/ident.js';
 import type { Ring } from '../log/ring.js';
+import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
 import { Feed } from '../news/feed.js';
@@ -49,14 +51,24 @@
     }));
     const age = (): number =>
       core?.leading() && mates.couriers().some((courier) => courier.isUp()) ? 0 : feed.age();
+    const children = Children.of(roll);
+    const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
     const mates: Mates = Mates.of({
       seeds: startup.seeds,
       own: () => wire,
       feed,
       age,
       roll,
+      onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
       note: ring.note,
     });
+    const budget = BudgetDuty.of({
+      own: startup.node,
+      tenure: () => core?.tenure(),
+      isLive: (node) => roll.all().some((entry) => entry.node === node),
+      passUp: (node, frame) => void mates.sendUp(node, frame),
+      sendDown,
+    });
     const highest = () =>
       Epoch.of(
         Math.max(feed.stamp().epoch, store.state().stamp.epoch, ...roll.all().map((one) => one.stamp.epoch)),
@@ -89,7 +101,14 @@
       serve: (link, hello, frames) =>
         hello.aim === 'core'
           ? desk.serve(link, frames)
-          : Downlink.serve(link, hello, frames, { feed, roll, mates: places, version: Version }),
+          : Downlink.serve(link, hello, frames, {
+              feed,
+              roll,
+              children,
+              mates: places,
+              version: Version,
+              onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
+            }),
     });
     wire = Doorway.text(doorway);
     core = Core.of({
@@ -125,6 +144,7 @@
     gauge('epoch', 'epoch of the register', () => running.tenure()?.epoch ?? 0);
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
+    gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
     gauge('members', 'nodes on the roll', () => roll.all().length);
     gauge('links_refused', 'links closed for what they sent', doorway.refused);
     gauge('news_dropped', 'news dropped as not newer', feed.dropped);
--- /dev/null
+++ b/src/duty/budget-duty.ts
@@ -0,0 +1,53 @@
+// The budget duty at a core: pools the tokens that proxies have no use for and grants them to those that
+// ask. A core that does not hold the duty passes what comes up on to the one that does. A new holder
+// begins empty; what was on its way is lost, never made twice.
+import type { Frame } from '../wire/frame.js';
+import { Order } from './order.js';
+import { Purse } from './purse.js';
+
+export type BudgetDuty = {
+  readonly take: (frame: BudgetDuty.Tokens) => void;
+  readonly pooled: () => number;
+  readonly holder: () => string | undefined;
+};
+
+export declare namespace BudgetDuty {
+  type Tokens = Extract<Frame.Body, { kind: 'tokens' }>;
+}
+
+export const BudgetDuty = {
+  of(needs: {
+    readonly own: string;
+    readonly tenure: () => Frame.Tenure | undefined;
+    readonly isLive: (node: string) => boolean;
+    readonly passUp: (node: string, frame: BudgetDuty.Tokens) => void;
+    readonly sendDown: (frame: BudgetDuty.Tokens) => void;
+  }): BudgetDuty {
+    let pool = Purse.of();
+    let epoch = 0;
+    const holder = (): string | undefined => {
+      const tenure = needs.tenure();
+      return tenure && Order.first(Order.of(tenure), needs.isLive);
+    };
+    const hold = (tenure: Frame.Tenure) => {
+      if (tenure.epoch !== epoch) pool = Purse.of();
+      epoch = tenure.epoch;
+    };
+    return {
+      holder,
+      pooled: () => pool.total(),
+      take(frame) {
+        const tenure = needs.tenure();
+        const who = holder();
+        if (!tenure || who === undefined) return;
+        if (who !== needs.own) return needs.passUp(who, frame);
+        hold(tenure);
+        pool.add(frame.batches);
+        const wanted = Math.min(frame.wanted, pool.total());
+        const batches = wanted > 0 ? pool.take(wanted) : undefined;
+        const { epoch: under } = tenure;
+        if (batches) needs.sendDown({ kind: 'tokens', node: frame.node, epoch: under, batches, wanted: 0 });
+      },
+    };
+  },
+};
--- /dev/null
+++ b/src/duty/purse.ts
@@ -0,0 +1,60 @@
+// A purse holds tokens by the moment each was earned. A token exists once: it is added, and taken out to
+// be spent or passed on; one that has grown old is gone. Amounts are counted in thousandths, so that
+// fifths add up exactly.
+import { Moment } from '../kinds/moment.js';
+
+export type Purse = {
+  readonly add: (batches: readonly Purse.Batch[]) => void;
+  readonly take: (amount: number, newest?: boolean) => readonly Purse.Batch[] | undefined;
+  readonly total: () => number;
+};
+
+export declare namespace Purse {
+  type Batch = { readonly amount: number; readonly age: number };
+}
+
+type Held = { amount: number; readonly born: Moment };
+
+const lifetime = 15_000;
+const grain = 500;
+
+export const Purse = {
+  lifetime,
+  of(): Purse {
+    let held: Held[] = [];
+    const expire = () => {
+      if (held.length > 0 && Moment.since(held[0]!.born) > lifetime)
+        held = held.filter((one) => Moment.since(one.born) <= lifetime);
+    };
+    const total = () => {
+      expire();
+      return held.reduce((sum, one) => sum + one.amount, 0);
+    };
+    return {
+      total,
+      add(batches) {
+        for (const { amount, age } of batches) {
+          if (!(amount > 0) || !(age >= 0) || age > lifetime) continue;
+          const born = Moment.after(-age);
+          const near = held.find((one) => born >= one.born && born - one.born < grain);
+          if (near) near.amount += amount;
+          else held = [...held, { amount, born }].sort((a, b) => a.born - b.born);
+        }
+      },
+      take(amount, newest = false) {
+        if (total() < amount) return undefined;
+        const taken: Purse.Batch[] = [];
+        let left = amount;
+        for (const one of newest ? [...held].reverse() : held) {
+          const part = Math.min(one.amount, left);
+          one.amount -= part;
+          left -= part;
+          if (part > 0) taken.push({ amount: part, age: Moment.since(one.born) });
+          if (left === 0) break;
+        }
+        held = held.filter((one) => one.amount > 0);
+        return taken;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/src/membership/children.ts
@@ -0,0 +1,30 @@
+// The links to this node's children, by name. A frame for a node further down goes to the child that the
+// roll says it was told through.
+import type { Frame } from '../wire/frame.js';
+import type { Link } from '../wire/link.js';
+import type { Roll } from './roll.js';
+
+export type Children = {
+  readonly add: (node: string, link: Link) => void;
+  readonly remove: (node: string, link: Link) => void;
+  readonly send: (node: string, body: Frame.Body) => boolean;
+  readonly count: () => number;
+};
+
+export const Children = {
+  of(roll: Roll): Children {
+    const links = new Map<string, Link>();
+    return {
+      add: (node, link) => void links.set(node, link),
+      remove(node, link) {
+        if (links.get(node) === link) links.delete(node);
+      },
+      count: () => links.size,
+      send(node, body) {
+        const via = roll.all().find((entry) => entry.node === node)?.via ?? '';
+        const link = links.get(node) ?? links.get(via);
+        return link?.send(body) ?? false;
+      },
+    };
+  },
+};
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -8,6 +8,7 @@
 import type { Feed } from '../news/feed.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
+import type { Children } from './children.js';
 import type { Roll } from './roll.js';
 
 export type Downlink = { readonly node: string };
@@ -18,7 +19,8 @@
     readonly roll: Roll;
     readonly mates: () => readonly string[];
     readonly version: string;
-    readonly refill?: (view: View) => void;
+    readonly children: Children;
+    readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
   };
 }
 
@@ -37,6 +39,7 @@
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask' });
     };
     const unwatch = feed.watch(sendNews);
+    needs.children.add(node, link);
     try {
       link.send({ kind: 'welcome', self: roll.self(), mates: [...needs.mates()], version: needs.version });
       roll.note([hello.self], node, !isMate);
@@ -53,16 +56,16 @@
           })
           .with({ kind: 'ask' }, sendNews)
           .with({ kind: 'news' }, ({ view }) => {
-            const offered = View.decode(view);
-            if (needs.refill) needs.refill(offered);
-            else feed.offer(offered);
+            feed.offer(View.decode(view));
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
+          .with({ kind: 'tokens' }, needs.onTokens)
           .otherwise(({ kind }) => {
             throw Mishap.of('frame', `unexpected ${kind} from a child`, { node });
           });
     } finally {
       unwatch();
+      needs.children.remove(node, link);
       roll.forget(node);
     }
   },
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -17,6 +17,7 @@
 export type Uplink = {
   readonly state: () => string;
   readonly parent: () => string;
+  readonly send: (body: Frame.Body) => boolean;
   readonly stop: () => void;
   readonly done: Promise<void>;
 };
@@ -29,6 +30,7 @@
     readonly version: string;
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
+    readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
 }
@@ -51,6 +53,7 @@
     });
     const places = [...needs.seeds];
     let parent = '';
+    let current: Link | undefined;
     let next = startAt(roll.self().node, places.length);
 
     const learn = (mates: readonly string[]) => {
@@ -83,6 +86,7 @@
           if (feed.age() > oldAfter && places.length > 1)
             throw Mishap.of('silence', 'no fresh word from the primary here');
         })
+        .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'drop' }, ({ reason }) => {
           throw Mishap.of('link', `dropped by parent: ${reason}`);
         })
@@ -98,9 +102,11 @@
       const unwatch = [feed.watch(() => tell(link)), roll.watch(() => tell(link))];
       const rolls = Alarm.every(rollEvery, () => tell(link));
       try {
+        current = link;
         link.send({ kind: 'hello', self: roll.self(), version: needs.version, aim: 'session' });
         for await (const frame of link.frames()) take(frame, link);
       } finally {
+        current = undefined;
         rolls.stop();
         for (const end of unwatch) end();
         stop.signal.removeEventListener('abort', onStop);
@@ -128,6 +134,12 @@
       }
       phase.become('stopped');
     };
-    return { state: () => phase.state, parent: () => parent, stop: () => stop.abort(), done: run() };
+    return {
+      state: () => phase.state,
+      parent: () => parent,
+      send: (body) => (phase.is('joined') && current?.send(body)) || false,
+      stop: () => stop.abort(),
+      done: run(),
+    };
   },
 };
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -30,7 +30,10 @@
 export const ProxyProgram: ProxyProgram = {
   async start(startup, ring) {
     const feed = Feed.of();
-    const budget = Budget.of();
+    const budget = Budget.of((batches, wanted) =>
+      uplink.send({ kind: 'tokens', node: startup.node, epoch: 0, batches, wanted }),
+    );
+    const tending = Alarm.every(500, budget.tend);
     const busyness = Busyness.of();
     const stall = Stall.of();
     const boot = Ident.boot();
@@ -113,13 +116,14 @@
       ops: Address.text(opsAt),
       ready: isReady() === undefined,
     }));
-    const uplink = Uplink.run({
+    const uplink: Uplink = Uplink.run({
       feed,
       roll,
       seeds: [startup.agent],
       version: Version,
       isFixed: true,
       isUpward: true,
+      onTokens: ({ epoch, batches }) => budget.grant(epoch, batches),
       note: ring.note,
     });
     return {
@@ -136,6 +140,7 @@
         await uplink.done;
         await pool.close();
         stall.stop();
+        tending.stop();
         ops.close();
       },
     };
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -1,47 +1,49 @@
-// Tokens for extra tries. Each real request earns a fifth of one, every try beyond a request's first
-// spends a whole one, and none is ever made in another way, so that over all nodes together extra
-// tries stay below a fifth of real requests. Tokens grow old: what is earned in one window ends with
-// the next.
+// Tokens for extra tries at one proxy. Each real request earns a fifth of one, every try beyond a
+// request's first spends a whole one, and none is ever made in another way, so that over all nodes
+// together extra tries stay below a fifth of real requests. What this proxy has no use for goes to the
+// pool; when it runs short it asks the pool. Grants from below the epoch it has seen are dropped.
+import { Purse } from '../duty/purse.js';
 import { Moment } from '../kinds/moment.js';
 
 export type Budget = {
   readonly earn: () => void;
   readonly spend: () => boolean;
+  readonly want: () => void;
   readonly held: () => number;
+  readonly grant: (epoch: number, batches: readonly Purse.Batch[]) => void;
+  readonly tend: () => void;
 };
 
-const share = 0.2;
-const windowSpan = 10_000;
+const whole = 1000;
+const earned = 200;
+const reserve = 2 * whole;
+const asked = 3 * whole;
+const askAgainAfter = 50;
 
 export const Budget = {
-  share,
-  of(): Budget {
-    let began = Moment.now();
-    let now = 0;
-    let before = 0;
-    const turn = () => {
-      const passed = Moment.since(began);
-      if (passed < windowSpan) return;
-      before = passed < 2 * windowSpan ? now : 0;
-      now = 0;
-      began = Moment.now();
-    };
+  of(send: (batches: readonly Purse.Batch[], wanted: number) => boolean = () => false): Budget {
+    const purse = Purse.of();
+    let epoch = 0;
+    let askedAt = 0 as Moment;
     return {
-      held() {
-        turn();
-        return now + before;
+      held: () => purse.total() / whole,
+      earn: () => purse.add([{ amount: earned, age: 0 }]),
+      spend: () => purse.take(whole) !== undefined,
+      want() {
+        if (purse.total() >= whole || Moment.since(askedAt) < askAgainAfter) return;
+        askedAt = Moment.now();
+        send([], asked);
       },
-      earn() {
-        turn();
-        now += share;
+      grant(from, batches) {
+        if (from < epoch) return;
+        epoch = from;
+        purse.add(batches);
       },
-      spend() {
-        turn();
-        if (now + before < 1 - 1e-9) return false;
-        const old = Math.min(before, 1);
-        before -= old;
-        now -= 1 - old;
-        return true;
+      tend() {
+        const surplus = purse.total() - reserve;
+        if (surplus < whole) return;
+        const batches = purse.take(surplus, true);
+        if (batches && !send(batches, 0)) purse.add(batches);
       },
     };
   },
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -143,10 +143,9 @@
     const untried = choose(canRetry ? tierIndex : tierIndex + 1, true);
     const isHop = untried !== undefined && untried.index > tierIndex;
     if (untried && (!isHop || hops < rule.hops)) {
-      if (!isHop) {
-        yield { kind: 'pause', span: backOff(rule.retry, retries, plan.pick().random) };
-        retries += 1;
-      }
+      plan.budget.want();
+      yield { kind: 'pause', span: backOff(rule.retry, retries, plan.pick().random) };
+      if (!isHop) retries += 1;
     } else if (canRetry) {
       const open = Pick.open(tiers[tierIndex]!, plan.pick());
       const rests = open.map(({ server }) => plan.pick().ejector.restsFor(server));
@@ -155,6 +154,7 @@
         backOff(rule.retry, retries, plan.pick().random),
       );
       if (open.length === 0 || wait >= Moment.left(plan.deadline)) return verdict();
+      plan.budget.want();
       yield { kind: 'pause', span: wait };
       retries += 1;
     } else return verdict();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -35,6 +35,13 @@
     | { readonly kind: 'news'; readonly view: Uint8Array }
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'drop'; readonly reason: string }
+    | {
+        readonly kind: 'tokens';
+        readonly node: string;
+        readonly epoch: number;
+        readonly batches: readonly { readonly amount: number; readonly age: number }[];
+        readonly wanted: number;
+      }
     | Request
     | Reply;
   type Request =
