--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -25,6 +25,7 @@
     const feed = Feed.of();
     const boot = Ident.boot();
     let wire = '';
+    let depth = 1;
     let opsText = '';
     let isDraining = false;
     const roll: Roll = Roll.of(() => ({
@@ -36,6 +37,7 @@
       http: '',
       wire,
       ops: opsText,
+      depth,
       ready: !isDraining,
     }));
     const mates = () => startup.seeds;
@@ -46,6 +48,7 @@
         roll,
         children,
         mates,
+        relays: () => [],
         version: Version,
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
@@ -59,6 +62,9 @@
       seeds: startup.seeds,
       version: Version,
       isUpward: true,
+      onParent(parent) {
+        depth = parent.depth + 1;
+      },
       onTokens: ({ stamp: _stamp, ...body }) => void children.send(body.node, body),
       note: ring.note,
     });
@@ -86,6 +92,8 @@
         boot,
         stamp: feed.stamp(),
         parent: uplink.parent(),
+        depth,
+        children: children.count(),
         version: Version,
       }),
     }).server();
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -11,6 +11,7 @@
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
 import { Feed } from '../news/feed.js';
+import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
 import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
@@ -47,6 +48,7 @@
       http,
       wire,
       ops: http,
+      depth: 0,
       ready: core?.tenure() !== undefined,
     }));
     const age = (): number =>
@@ -106,6 +108,7 @@
               roll,
               children,
               mates: places,
+              relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
             }),
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -18,6 +18,7 @@
     readonly feed: Feed;
     readonly roll: Roll;
     readonly mates: () => readonly string[];
+    readonly relays: (child: Frame.Entry) => readonly string[];
     readonly version: string;
     readonly children: Children;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
@@ -41,8 +42,14 @@
     const unwatch = feed.watch(sendNews);
     needs.children.add(node, link);
     try {
-      link.send({ kind: 'welcome', self: roll.self(), mates: [...needs.mates()], version: needs.version });
       roll.note([hello.self], node, !isMate);
+      link.send({
+        kind: 'welcome',
+        self: roll.self(),
+        mates: [...needs.mates()],
+        relays: [...needs.relays(hello.self)],
+        version: needs.version,
+      });
       if (Stamp.isNewer(feed.stamp(), hello.self.stamp)) sendNews();
       compare(hello.self.stamp);
       for await (const frame of frames)
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -6,12 +6,14 @@
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
 import { Mishap } from '../kinds/mishap.js';
+import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Stamp } from '../kinds/stamp.js';
 import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import type { Frame } from '../wire/frame.js';
 import { Link } from '../wire/link.js';
+import { Places } from './places.js';
 import type { Roll } from './roll.js';
 
 export type Uplink = {
@@ -30,16 +32,16 @@
     readonly version: string;
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
+    readonly onParent?: (parent: Frame.Entry) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
 }
 
-const oldAfter = 2500;
+const oldAfter = 1500;
 const rollEvery = 500;
-
-const startAt = (node: string, count: number): number =>
-  [...node].reduce((sum, letter) => (sum * 31 + letter.charCodeAt(0)) >>> 0, 7) % Math.max(1, count);
+const pingEvery = 200;
+const silence = 1200;
 
 export const Uplink = {
   run(needs: Uplink.Needs): Uplink {
@@ -51,26 +53,27 @@
       joined: ['seeking', 'stopped'],
       stopped: [],
     });
-    const places = [...needs.seeds];
+    const places = Places.of(needs.seeds, roll.self().node, needs.isFixed ?? false);
+    let joinedAt = Moment.now();
     let parent = '';
     let current: Link | undefined;
-    let next = startAt(roll.self().node, places.length);
 
-    const learn = (mates: readonly string[]) => {
-      if (needs.isFixed) return;
-      for (const mate of mates) if (Address.parse(mate) && !places.includes(mate)) places.push(mate);
-      while (places.length > 16) places.splice(needs.seeds.length, 1);
-    };
     const tell = (link: Link) => {
       if (!needs.isUpward) return;
       link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
     };
     const take = (frame: Frame, link: Link) =>
       match(frame)
-        .with({ kind: 'welcome' }, ({ self, mates, stamp }) => {
+        .with({ kind: 'welcome' }, ({ self, mates, relays, stamp }) => {
+          places.learn(mates);
+          if (!needs.isFixed && places.lower(relays, roll.self().wire)) {
+            needs.note('going lower', { relays });
+            return link.close();
+          }
           phase.become('joined');
+          joinedAt = Moment.now();
           parent = self.node;
-          learn(mates);
+          needs.onParent?.(self);
           tell(link);
           if (Stamp.isNewer(stamp, feed.stamp())) link.send({ kind: 'ask' });
         })
@@ -83,7 +86,7 @@
         .with({ kind: 'ping' }, ({ age, stamp }) => {
           feed.hear(age);
           if (Stamp.isNewer(stamp, feed.stamp())) link.send({ kind: 'ask' });
-          if (feed.age() > oldAfter && places.length > 1)
+          if (feed.age() > oldAfter && Moment.since(joinedAt) > oldAfter && places.count() > 1)
             throw Mishap.of('silence', 'no fresh word from the primary here');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
@@ -96,7 +99,11 @@
     const attend = async (place: string): Promise<void> => {
       const address = Address.parse(place);
       if (!address) return;
-      const link = await Link.open(address, { stamp: feed.stamp, age: feed.age }, stop.signal);
+      const link = await Link.open(
+        address,
+        { stamp: feed.stamp, age: feed.age, pingEvery, silence },
+        stop.signal,
+      );
       const onStop = () => link.close();
       stop.signal.addEventListener('abort', onStop, { once: true });
       const unwatch = [feed.watch(() => tell(link)), roll.watch(() => tell(link))];
@@ -115,8 +122,7 @@
     };
     const run = async () => {
       for (let round = 0; !stop.signal.aborted; round += 1) {
-        const place = places[next % places.length] ?? '';
-        next = (next + 1) % places.length;
+        const place = places.next();
         phase.become('joining');
         let wasJoined = false;
         try {
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -114,6 +114,7 @@
       http: Address.text(listening),
       wire: '',
       ops: Address.text(opsAt),
+      depth: 0,
       ready: isReady() === undefined,
     }));
     const uplink: Uplink = Uplink.run({
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -72,7 +72,7 @@
         socket.destroy();
         return;
       }
-      const link = Link.over(socket, { stamp: needs.stamp, age: needs.age });
+      const link = Link.over(socket, { stamp: needs.stamp, age: needs.age, pingEvery: 200 });
       links.add(link);
       void attend(link);
     });
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -21,6 +21,7 @@
     readonly age: number;
     readonly ready: boolean;
     readonly ops: string;
+    readonly depth: number;
   };
   type Body =
     | { readonly kind: 'hello'; readonly self: Entry; readonly version: string; readonly aim: string }
@@ -28,6 +29,7 @@
         readonly kind: 'welcome';
         readonly self: Entry;
         readonly mates: readonly string[];
+        readonly relays: readonly string[];
         readonly version: string;
       }
     | { readonly kind: 'ping'; readonly age: number }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -6,9 +6,9 @@
 syntax = "proto3";
 message Stamp { uint64 epoch = 1; uint64 revision = 2; }
 message Entry { string node = 1; string program = 2; string zone = 3; string boot = 4; Stamp stamp = 5;
-  string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; }
+  string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; uint32 depth = 13; }
 message Hello { Entry self = 1; string version = 2; string aim = 3; }
-message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; }
+message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; repeated string relays = 4; }
 message Ping { double age = 1; }
 message Ask {}
 message News { bytes view = 1; }
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -7,11 +7,13 @@
 import { request } from 'undici';
 import type { Document } from '../src/manifest/document.js';
 import { Deployment } from '../tools/deployments/deployment.js';
+import { Faults } from '../tools/faults/faults.js';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
 
 export type Bench = {
   readonly kit: FleetKit;
+  readonly faults: Faults | undefined;
   readonly call: (path: string, body?: unknown, headers?: Record<string, string>) => Promise<Bench.Answer>;
   readonly chat: (model: string, more?: object, headers?: Record<string, string>) => Promise<Bench.Answer>;
   readonly list: (backEnds: readonly Bench.BackEnd[]) => Promise<void>;
@@ -184,15 +186,24 @@
     }
     return { status: answer.statusCode, headers: answer.headers, text, isBroken };
   },
-  async start(terms: { readonly fronts?: number; readonly manifest?: Document } = {}): Promise<Bench> {
+  async start(
+    terms: {
+      readonly fronts?: number;
+      readonly inFirst?: number;
+      readonly manifest?: Document;
+      readonly hasFaults?: boolean;
+    } = {},
+  ): Promise<Bench> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-test-'));
     const zones = ['a', 'b', 'c'].map((region, index) => ({
       zone: `${region}-1`,
       region,
-      fronts: index < (terms.fronts ?? 1) ? 1 : 0,
+      fronts: index < (terms.fronts ?? 1) ? (index === 0 ? (terms.inFirst ?? 1) : 1) : 0,
     }));
+    const faults = terms.hasFaults ? Faults.open(join(folder, 'faults.json')) : undefined;
     const kit = await FleetKit.start({
       folder,
+      ...(faults ? { faults } : {}),
       deployment: { name: 'bench', zones, backEnds: [], manifest: terms.manifest ?? manifest, mix: [] },
     });
     await InForce.putWhenReady(kit, terms.manifest ?? manifest);
@@ -204,6 +215,7 @@
       Bench.call(kit.fronts[0]!.listen, path, body, headers);
     return {
       kit,
+      faults,
       call,
       chat: (model, more = {}, headers = {}) =>
         call(chat, { model, stream: true, messages: [{ role: 'user', content: 'hello' }], ...more }, headers),
