--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -1,7 +1,7 @@
 // Tokens for extra tries at one proxy. Each real request earns a fifth of one, every try beyond a
 // request's first spends a whole one, and none is ever made in another way, so that over all nodes
 // together extra tries stay below a fifth of real requests. What this proxy has no use for goes to the
-// pool; when it runs short it asks the pool. Grants from below the epoch it has seen are dropped.
+// pool; a small reserve is topped up from it, and a try that finds no token asks for more. Grants from below the epoch it has seen are dropped.
 import { Purse } from '../duty/purse.js';
 import { Moment } from '../kinds/moment.js';
 
@@ -41,6 +41,7 @@
       },
       tend() {
         const surplus = purse.total() - reserve;
+        if (surplus < -whole) send([], reserve - purse.total());
         if (surplus < whole) return;
         const batches = purse.take(surplus, true);
         if (batches && !send(batches, 0)) purse.add(batches);
