--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -42,6 +42,7 @@
     }));
     const mates = () => startup.seeds;
     const children = Children.of(roll);
+    let roster: readonly string[] = [];
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
       Downlink.serve(link, hello, frames, {
         feed,
@@ -49,6 +50,8 @@
         children,
         mates,
         relays: () => [],
+        roster: () => roster,
+        onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
         version: Version,
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
@@ -62,6 +65,11 @@
       seeds: startup.seeds,
       version: Version,
       isUpward: true,
+      onRoster(proxies) {
+        roster = proxies;
+        children.broadcast({ kind: 'roster', proxies });
+      },
+      onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
         depth = parent.depth + 1;
       },
--- a/src/control/mates.ts
+++ b/src/control/mates.ts
@@ -23,6 +23,7 @@
     readonly age: () => number;
     readonly roll: Roll;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
+    readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): Mates {
     const { feed, roll } = needs;
@@ -56,6 +57,7 @@
                 isFixed: true,
                 isUpward: true,
                 onTokens: needs.onTokens,
+                onCold: needs.onCold,
                 note: needs.note,
               }),
             });
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -4,6 +4,7 @@
 import { BudgetDuty } from '../duty/budget-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
+import { Alarm } from '../kinds/alarm.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Ident } from '../kinds/ident.js';
 import type { Ring } from '../log/ring.js';
@@ -54,6 +55,21 @@
     const age = (): number =>
       core?.leading() && mates.couriers().some((courier) => courier.isUp()) ? 0 : feed.age();
     const children = Children.of(roll);
+    const isBelow = (node: string) =>
+      roll.all().some((entry) => entry.node === node && entry.program !== 'control');
+    const roster = () =>
+      roll
+        .all()
+        .filter((entry) => entry.program === 'proxy')
+        .map((entry) => entry.node)
+        .sort();
+    let told = '';
+    const rosters = Alarm.every(250, () => {
+      const proxies = roster();
+      if (proxies.join() === told) return;
+      told = proxies.join();
+      children.broadcast({ kind: 'roster', proxies }, isBelow);
+    });
     const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
     const mates: Mates = Mates.of({
       seeds: startup.seeds,
@@ -62,6 +78,7 @@
       age,
       roll,
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
+      onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
       note: ring.note,
     });
     const budget = BudgetDuty.of({
@@ -110,7 +127,9 @@
               mates: places,
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
+              roster,
               onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
+              onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame),
             }),
     });
     wire = Doorway.text(doorway);
@@ -178,6 +197,7 @@
     return {
       ready: { wire, http },
       async drain() {
+        rosters.stop();
         await running.stop();
         await mates.stop();
         await doorway.close();
--- a/src/membership/children.ts
+++ b/src/membership/children.ts
@@ -7,6 +7,7 @@
 export type Children = {
   readonly add: (node: string, link: Link) => void;
   readonly remove: (node: string, link: Link) => void;
+  readonly broadcast: (body: Frame.Body, isFor?: (node: string) => boolean) => void;
   readonly send: (node: string, body: Frame.Body) => boolean;
   readonly count: () => number;
 };
@@ -20,6 +21,9 @@
         if (links.get(node) === link) links.delete(node);
       },
       count: () => links.size,
+      broadcast(body, isFor = () => true) {
+        for (const [node, link] of links) if (isFor(node)) link.send(body);
+      },
       send(node, body) {
         const via = roll.all().find((entry) => entry.node === node)?.via ?? '';
         const link = links.get(node) ?? links.get(via);
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -23,6 +23,8 @@
     readonly version: string;
     readonly children: Children;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
+    readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
+    readonly roster: () => readonly string[];
   };
 }
 
@@ -57,6 +59,7 @@
         relays: [...needs.relays(hello.self)],
         version: needs.version,
       });
+      link.send({ kind: 'roster', proxies: [...needs.roster()] });
       if (Stamp.isNewer(feed.stamp(), hello.self.stamp)) sendNews();
       compare(hello.self.stamp);
       for await (const frame of frames)
@@ -74,6 +77,7 @@
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
           .with({ kind: 'tokens' }, needs.onTokens)
+          .with({ kind: 'cold' }, needs.onCold)
           .otherwise(({ kind }) => {
             throw Mishap.of('frame', `unexpected ${kind} from a child`, { node });
           });
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -33,6 +33,8 @@
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry) => void;
+    readonly onRoster?: (proxies: readonly string[]) => void;
+    readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
@@ -94,6 +96,8 @@
             throw Mishap.of('silence', 'no fresh word from the primary here');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
+        .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
+        .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'drop' }, ({ reason }) => {
           throw Mishap.of('link', `dropped by parent: ${reason}`);
         })
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -5,8 +5,10 @@
 import type { Busyness } from '../upstream/busyness.js';
 import type { Ejector } from '../upstream/ejector.js';
 import type { Pool } from '../upstream/pool.js';
+import type { Ramp } from '../upstream/ramp.js';
 import type { Call } from './call.js';
 import type { Meters } from './meters.js';
+import type { Shares } from './shares.js';
 import type { Stall } from './stall.js';
 
 export type Filter = MiddlewareHandler<Call.Env>;
@@ -21,6 +23,10 @@
     readonly ejector: Ejector;
     readonly budget: Budget;
     readonly stall: Stall;
+    readonly ramp: Ramp;
+    readonly dark: Set<string>;
+    readonly shares: Shares;
+    readonly onCold: (instance: string) => void;
     readonly meters: Meters;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -5,6 +5,7 @@
 import type { Pick } from '../../upstream/pick.js';
 import { Trial } from '../../upstream/trial.js';
 import { Tries } from '../../upstream/tries.js';
+import { Answers } from '../answers.js';
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
@@ -41,8 +42,17 @@
     );
   };
 
+const capacityOf = (compiled: Compiled, rule: Compiled.Rule): number =>
+  (rule.steps[0]?.groups ?? [])
+    .map((name) => compiled.groups.get(name))
+    .reduce((sum, group) => sum + (group ? group.servers.length * group.concurrent : 0), 0);
+
 const judge = (needs: Filter.Needs, trial: Trial) => {
   const { server, group } = trial.pick;
+  if (trial.kind === 'unsent' && trial.why === 'connect') needs.dark.add(server.instance);
+  if ((trial.kind === 'stream' || trial.kind === 'answer') && needs.dark.delete(server.instance))
+    needs.onCold(server.instance);
+  if (trial.kind === 'stream' || trial.kind === 'answer') needs.ramp.good(server.instance);
   if (trial.kind === 'stream' || (trial.kind === 'answer' && trial.status < 500)) needs.ejector.good(server);
   else if (trial.kind === 'answer') {
     if (!group.isNotRun(trial.status, trial.headers)) needs.ejector.bad(server, group);
@@ -59,6 +69,20 @@
       const timeouts = Call.need(call, 'timeouts');
       const deadline = Moment.after(timeouts.total, call.arrived);
       const isOpen = isStillOpen(needs, regions);
+      const compiled = Call.need(call, 'compiled');
+      const share = needs.shares.enter(
+        rule.steps[0]?.groups.join() ?? '',
+        Call.need(call, 'team').name,
+        capacityOf(compiled, rule),
+      );
+      if (!share)
+        return Answers.drop(context, {
+          status: 503,
+          code: 'crowded',
+          text: 'the servers are crowded and your team holds its part of them',
+          retryAfter: 1000,
+        });
+      context.env.outgoing.once('close', share);
       call.verdict = await Tries.run({
         rule,
         regions,
@@ -67,9 +91,10 @@
         signal: call.left,
         budget: needs.budget,
         pick: () => ({
-          compiled: needs.compiled() ?? Call.need(call, 'compiled'),
+          compiled: needs.compiled() ?? compiled,
           busyness: needs.busyness,
           ejector: needs.ejector,
+          allowance: needs.ramp.allowance,
           random: Math.random,
         }),
         run: (pick, tier) =>
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -19,8 +19,10 @@
 import { Busyness } from '../upstream/busyness.js';
 import { Ejector } from '../upstream/ejector.js';
 import { Pool } from '../upstream/pool.js';
+import { Ramp } from '../upstream/ramp.js';
 import { Meters } from './meters.js';
 import { ProxyServer } from './server.js';
+import { Shares } from './shares.js';
 import { Stall } from './stall.js';
 
 export type ProxyProgram = { readonly start: (startup: Settings['proxy'], ring: Ring) => Promise<Program> };
@@ -56,8 +58,24 @@
         });
       },
     });
+    let roster: readonly string[] = [];
+    const ramp = Ramp.of(startup.node, () => roster);
+    const dark = new Set<string>();
+    const onCold = (instance: string, age = 0) => {
+      if (ramp.begin(instance, age)) ring.note('fed gently', { instance });
+    };
+    const feedGently = (before: Compiled | undefined, after: Compiled) => {
+      for (const server of after.servers.values()) {
+        const isNew = server.isOpen && before?.servers.get(server.instance)?.isOpen !== true;
+        const hadServers = (before?.groups.get(server.group)?.servers.length ?? 0) > 0;
+        if (isNew && hadServers) onCold(server.instance);
+      }
+      ramp.retain((instance) => after.servers.has(instance));
+    };
     feed.watch((view) => {
+      const before = compiled;
       compiled = Compiled.of(view);
+      if (compiled) feedGently(before, compiled);
       ring.note('in force', { stamp: Stamp.text(view.stamp) });
       if (!compiled) return;
       pool.retain(compiled);
@@ -81,6 +99,13 @@
         ejector,
         budget,
         stall,
+        ramp,
+        dark,
+        shares: Shares.of(),
+        onCold(instance) {
+          onCold(instance);
+          uplink.send({ kind: 'cold', instance, age: 0 });
+        },
         meters,
         note: ring.note,
       },
@@ -124,6 +149,10 @@
       version: Version,
       isFixed: true,
       isUpward: true,
+      onRoster(proxies) {
+        roster = proxies;
+      },
+      onCold: ({ instance, age }) => onCold(instance, age),
       onTokens: ({ epoch, batches }) => budget.grant(epoch, batches),
       note: ring.note,
     });
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -18,6 +18,7 @@
     readonly compiled: Compiled;
     readonly busyness: Busyness;
     readonly ejector: Ejector;
+    readonly allowance: (instance: string) => number;
     readonly random: () => number;
   };
 }
@@ -53,7 +54,10 @@
   },
   choose(among: readonly Pick[], key: string | undefined, needs: Pick.Needs): Pick | undefined {
     const { busyness } = needs;
-    const free = among.filter(({ server, group }) => busyness.of(server.instance).jobs < group.concurrent);
+    const free = among.filter(
+      ({ server, group }) =>
+        busyness.of(server.instance).jobs < Math.min(group.concurrent, needs.allowance(server.instance)),
+    );
     if (free.length <= 1) return free[0];
     if (key === undefined) {
       const a = free[Math.floor(needs.random() * free.length)]!;
--- /dev/null
+++ b/src/upstream/ramp.ts
@@ -0,0 +1,59 @@
+// A server that is new, back after it was dark, or taken back after an evacuation is fed gently: over all
+// live proxies together it gets two requests at once, then twice as many every second and a half. Each
+// proxy's part follows from the roster of live proxies alone, by rank, so the parts add up to the limit
+// without any talk. A server that answered us a moment ago is not taken for cold, whatever a proxy that
+// was itself cut off may say.
+import { Moment } from '../kinds/moment.js';
+import { Pick } from './pick.js';
+
+export type Ramp = {
+  readonly begin: (instance: string, age?: number) => boolean;
+  readonly good: (instance: string) => void;
+  readonly allowance: (instance: string) => number;
+  readonly retain: (isHeld: (instance: string) => boolean) => void;
+};
+
+const first = 2;
+const doubling = 1500;
+const over = 7500;
+const freshlyGood = 2000;
+
+export const Ramp = {
+  of(own: string, roster: () => readonly string[]): Ramp {
+    const began = new Map<string, Moment>();
+    const lastGood = new Map<string, Moment>();
+    const rank = (instance: string, proxies: readonly string[]): number => {
+      const weigh = (proxy: string) => Pick.mix(Pick.mix(0x811c9dc5, instance), proxy);
+      const mine = weigh(own);
+      return proxies.filter((proxy) => proxy !== own && weigh(proxy) > mine).length;
+    };
+    return {
+      good: (instance) => void lastGood.set(instance, Moment.now()),
+      begin(instance, age = 0) {
+        const good = lastGood.get(instance);
+        if (good !== undefined && Moment.since(good) < freshlyGood) return false;
+        const known = began.get(instance);
+        if (age > over || (known !== undefined && Moment.since(known) < over)) return false;
+        began.set(instance, Moment.after(-age));
+        return true;
+      },
+      allowance(instance) {
+        const from = began.get(instance);
+        if (from === undefined) return Number.POSITIVE_INFINITY;
+        const span = Moment.since(from);
+        if (span >= over) {
+          began.delete(instance);
+          return Number.POSITIVE_INFINITY;
+        }
+        const limit = Math.floor(first * 2 ** (span / doubling));
+        const proxies = roster();
+        const count = Math.max(1, proxies.includes(own) ? proxies.length : proxies.length + 1);
+        return Math.floor(limit / count) + (rank(instance, proxies) < limit % count ? 1 : 0);
+      },
+      retain(isHeld) {
+        for (const kept of [began, lastGood])
+          for (const instance of kept.keys()) if (!isHeld(instance)) kept.delete(instance);
+      },
+    };
+  },
+};
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -38,6 +38,8 @@
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'drop'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
+    | { readonly kind: 'roster'; readonly proxies: readonly string[] }
+    | { readonly kind: 'cold'; readonly instance: string; readonly age: number }
     | {
         readonly kind: 'tokens';
         readonly node: string;
--- /dev/null
+++ b/test/crowd.test.ts
@@ -0,0 +1,98 @@
+// Cold and crowded: a server that comes back is fed gently by all proxies together, crowds beyond what
+// servers take are dropped early as not run, evenly between teams, and lookups go on beside them.
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import type { Document } from '../src/manifest/document.js';
+import { Bench } from './bench.js';
+
+const chat = '/v1/chat/completions';
+
+const manifest = {
+  ...Bench.manifest,
+  groups: {
+    ...Bench.manifest.groups,
+    llm: { ...Bench.manifest.groups.llm, concurrent: 8 },
+  },
+  homes: { ab: { regions: ['a'] }, c: { regions: ['a'] } },
+} as unknown as Document;
+
+describe('cold and crowded', () => {
+  let bench: Bench;
+  let old: Bench.BackEnd;
+  let plain: Bench.BackEnd;
+  const held: (() => void)[] = [];
+  const hold: Bench.Handle = (_request, response) => {
+    Bench.sse(response, ['one'], false);
+    held.push(() => response.end('data: [DONE]\n\n'));
+  };
+  const letGo = () => {
+    for (const end of held.splice(0)) end();
+  };
+
+  before(async () => {
+    bench = await Bench.start({ fronts: 3, manifest });
+    old = await bench.backEnd({ instance: 'a1', group: 'llm', region: 'a', handle: hold });
+    plain = await bench.backEnd({
+      instance: 'p1',
+      group: 'plain',
+      region: 'a',
+      handle: (_request, response) => void response.end('{"count":1}'),
+    });
+    await bench.list([old, plain]);
+  });
+  after(async () => {
+    letGo();
+    await bench.stop();
+  });
+
+  const callAt = (front: number, more: object = {}, headers: Record<string, string> = {}) =>
+    Bench.call(bench.kit.fronts[front % 3]!.listen, chat, { model: 'once', messages: [], ...more }, headers);
+  const reaches = async (server: Bench.BackEnd, count: number) => {
+    while (server.reached.length < count) await new Promise((resolve) => setImmediate(resolve));
+  };
+
+  it('drops a crowd early as not run, and serves lookups beside it', async () => {
+    const began = performance.now();
+    const flood = Array.from({ length: 20 }, () => callAt(0));
+    await reaches(old, 6);
+    const lookup = await bench.call('/stock/insulin');
+    assert.equal(lookup.status, 200);
+    const other = callAt(0, {}, { authorization: 'Bearer another-key' });
+    await reaches(old, 7);
+    letGo();
+    const answers = await Promise.all(flood);
+    const took = performance.now() - began;
+    assert.equal((await Promise.race([other, bench.call('/stock/insulin')])).status, 200);
+    const served = answers.filter((one) => one.status === 200).length;
+    const dropped = answers.filter((one) => one.status === 503);
+    assert.equal(served, 6, 'a team alone fills its servers to three quarters');
+    assert.equal(served + dropped.length, 20);
+    for (const one of dropped) {
+      assert.equal(one.headers['bramblebend-ran'], 'no');
+      assert.ok(one.headers['retry-after']);
+    }
+    assert.ok(took < 9000, 'nobody waited for the deadline');
+    letGo();
+    await other;
+  });
+
+  it('feeds a new server gently over all proxies together, then fully', async () => {
+    old.handle = (_request, response) => Bench.sse(response, ['one']);
+    const fresh = await bench.backEnd({ instance: 'a2', group: 'llm', region: 'a', handle: hold });
+    const began = performance.now();
+    await bench.list([old, plain, fresh]);
+    let completed = 0;
+    const first = Array.from({ length: 30 }, async (_none, index) => {
+      await callAt(index, { prompt_cache_key: `k${index}` });
+      completed += 1;
+    });
+    while (completed < 26 && fresh.reached.length < 5) await new Promise((resolve) => setImmediate(resolve));
+    const limit = 2 * 2 ** Math.floor((performance.now() - began) / 1500);
+    const reached = fresh.reached.length;
+    assert.ok(reached <= limit, `${reached} at once at a server just listed, where ${limit} may be`);
+    letGo();
+    await Promise.all(first);
+    const metrics = await (await fetch(`http://${bench.kit.fronts[0]!.ops}/log`)).text();
+    assert.match(metrics, /fed gently/);
+  });
+});
