--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -7,6 +7,8 @@
 import { Stamp } from '../kinds/stamp.js';
 import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
+import { Copies } from '../repair/copies.js';
+import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
 import type { Children } from './children.js';
@@ -40,9 +42,17 @@
     const { feed, roll } = needs;
     const node = hello.self.node;
     const isMate = hello.self.program === 'control';
-    const sendNews = () => link.send({ kind: 'news', view: View.encode(feed.view()) });
+    let held = new Set<string>();
+    const sendNews = () => {
+      const ranges = Copies.of(feed.view());
+      const patch = Ranges.patch(ranges, held);
+      const isWorthIt = patch.ranges.some(({ body }) => body === '');
+      if (isWorthIt) link.send({ kind: 'patch', ...patch });
+      else link.send({ kind: 'news', view: View.encode(feed.view()) });
+      held = new Set(Ranges.digests(ranges));
+    };
     const compare = (theirs: Stamp) => {
-      if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask' });
+      if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
     };
     const unwatch = feed.watch(sendNews);
     needs.children.add(node, link);
@@ -60,7 +70,6 @@
         version: needs.version,
       });
       link.send({ kind: 'roster', proxies: [...needs.roster()] });
-      if (Stamp.isNewer(feed.stamp(), hello.self.stamp)) sendNews();
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
@@ -71,7 +80,10 @@
               !isMate,
             );
           })
-          .with({ kind: 'ask' }, sendNews)
+          .with({ kind: 'ask' }, ({ digests }) => {
+            held = new Set(digests);
+            sendNews();
+          })
           .with({ kind: 'news' }, ({ view }) => {
             feed.offer(View.decode(view));
           })
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -11,6 +11,8 @@
 import { Stamp } from '../kinds/stamp.js';
 import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
+import { Copies } from '../repair/copies.js';
+import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import { Link } from '../wire/link.js';
 import { Places } from './places.js';
@@ -64,6 +66,7 @@
       if (!needs.isUpward) return;
       link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
     };
+    const ask = (link: Link) => link.send({ kind: 'ask', digests: Ranges.digests(Copies.of(feed.view())) });
     const goLower = (relays: readonly string[], link: Link): boolean => {
       if (needs.isFixed || !places.lower(relays, roll.self().wire)) return false;
       needs.note('going lower', { relays });
@@ -80,18 +83,26 @@
           parent = self.node;
           needs.onParent?.(self);
           tell(link);
-          if (Stamp.isNewer(stamp, feed.stamp())) link.send({ kind: 'ask' });
+          if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
         .with({ kind: 'news' }, ({ view }) => {
           feed.offer(View.decode(view));
         })
+        .with({ kind: 'patch' }, (patch) => {
+          try {
+            feed.offer(Ranges.mend(Copies.of(feed.view()), patch));
+          } catch (error) {
+            needs.note('asking for the whole view', { why: Mishap.text(error) });
+            link.send({ kind: 'ask', digests: [] });
+          }
+        })
         .with({ kind: 'ask' }, () => {
           link.send({ kind: 'news', view: View.encode(feed.view()) });
         })
         .with({ kind: 'ping' }, ({ age, stamp }) => {
           feed.hear(age);
-          if (Stamp.isNewer(stamp, feed.stamp())) link.send({ kind: 'ask' });
+          if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
           if (feed.age() > oldAfter && Moment.since(joinedAt) > oldAfter && places.count() > 1)
             throw Mishap.of('silence', 'no fresh word from the primary here');
         })
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -33,7 +33,12 @@
         readonly version: string;
       }
     | { readonly kind: 'ping'; readonly age: number }
-    | { readonly kind: 'ask' }
+    | { readonly kind: 'ask'; readonly digests: readonly string[] }
+    | {
+        readonly kind: 'patch';
+        readonly seal: string;
+        readonly ranges: readonly { readonly name: string; readonly digest: string; readonly body: string }[];
+      }
     | { readonly kind: 'news'; readonly view: Uint8Array }
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'drop'; readonly reason: string }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -10,8 +10,10 @@
 message Hello { Entry self = 1; string version = 2; string aim = 3; }
 message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; repeated string relays = 4; }
 message Ping { double age = 1; }
-message Ask {}
+message Ask { repeated string digests = 1; }
 message News { bytes view = 1; }
+message Range { string name = 1; string digest = 2; string body = 3; }
+message Patch { string seal = 1; repeated Range ranges = 2; }
 message Roll { repeated Entry entries = 1; }
 message Ballot { uint64 round = 1; string disk = 2; }
 message Core { string disk = 1; string node = 2; string wire = 3; string http = 4; }
@@ -37,7 +39,7 @@
   oneof body { Hello hello = 2; Welcome welcome = 3; Ping ping = 4; Ask ask = 5; News news = 6; Roll roll = 7;
     Drop drop = 8;
     Prepare prepare = 9; Accept accept = 10; Peek peek = 11; Vote vote = 12; Append append = 13;
-    Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; } }
+    Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; Patch patch = 22; } }
 `;
 
 export const Schema = { frame: protobuf.parse(source, { keepCase: true }).root.lookupType('Frame') };
--- /dev/null
+++ b/test/repair.test.ts
@@ -0,0 +1,70 @@
+// Copies compared by digests over ranges: only what differs is sent, what is put together is what was
+// meant, and a copy that cannot be mended is never taken.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Epoch } from '../src/kinds/epoch.js';
+import { Revision } from '../src/kinds/revision.js';
+import { Stamp } from '../src/kinds/stamp.js';
+import { View } from '../src/manifest/view.js';
+import { Ranges } from '../src/repair/ranges.js';
+import { Bench } from './bench.js';
+
+const makeView = (revision: number, names: readonly string[], servers = 70): View => ({
+  stamp: Stamp.of(3, revision),
+  manifest: {
+    revision: Revision.of(revision),
+    epoch: Epoch.of(3),
+    document: { ...Bench.manifest, rules: names.map((name) => ({ ...Bench.manifest.rules[0]!, name })) },
+  },
+  platform: {
+    revision: Revision.of(2),
+    epoch: Epoch.of(3),
+    serial: 9,
+    servers: Array.from({ length: servers }, (_none, index) => ({
+      instance: `i${index}`,
+      group: 'llm',
+      address: '127.0.0.1:9',
+      region: 'a',
+      zone: 'a-1',
+    })) as unknown as View.Platform['servers'],
+    leaving: ['i4'],
+  },
+});
+
+const names = Array.from({ length: 1000 }, (_none, index) => `rule-${index}`);
+const before = makeView(5, names);
+const held = Ranges.cut(before);
+const patchTo = (after: View, digests = Ranges.digests(held)) =>
+  Ranges.patch(Ranges.cut(after), new Set(digests));
+const bodies = (patch: Ranges.Patch) =>
+  patch.ranges.filter(({ body }) => body !== '').map(({ name }) => name);
+
+describe('repair', () => {
+  it('sends only the ranges that differ, and mends to the very view that was meant', () => {
+    for (const [after, wanted] of [
+      [makeView(6, names.with(700, 'changed')), ['meta', 'rules/21']],
+      [makeView(6, [...names, 'one-more']), ['meta', 'rules/31']],
+      [makeView(6, names, 71), ['meta', 'servers/2']],
+      [makeView(6, names.slice(0, 10)), ['meta', 'rules/0']],
+    ] as const) {
+      const patch = patchTo(after);
+      assert.deepEqual(bodies(patch), wanted);
+      assert.deepEqual(Ranges.mend(held, patch), after);
+      const whole = View.encode(after).length;
+      const sent = patch.ranges.reduce((sum, { body }) => sum + body.length, 0);
+      assert.ok(sent < whole / 3, `${sent} of ${whole} bytes`);
+    }
+  });
+  it('mends from nothing when the whole is sent', () => {
+    assert.deepEqual(Ranges.mend(Ranges.cut(View.empty), patchTo(before, [])), before);
+  });
+  it('takes no view that lacks a range, has a changed one, or has another seal', () => {
+    const patch = patchTo(makeView(6, names.with(700, 'changed')));
+    assert.throws(() => Ranges.mend(Ranges.cut(View.empty), patch), /cannot be mended/);
+    const forged = patch.ranges.map((range) =>
+      range.name === 'rules/21' ? { ...range, body: range.body.replace('changed', 'altered') } : range,
+    );
+    assert.throws(() => Ranges.mend(held, { ...patch, ranges: forged }), /cannot be mended/);
+    assert.throws(() => Ranges.mend(held, { ...patch, ranges: patch.ranges.slice(0, -1) }), /another seal/);
+  });
+});
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -164,6 +164,29 @@
     await everywhere();
   });
 
+  it('answers 503 and says what may have been taken when no majority is left, and serves callers on', async () => {
+    const note = await putNote();
+    const etag = (await bench.kit.operate('GET', '/v1/manifest')).etag!;
+    const [kept, ...lost] = bench.kit.cores;
+    await Promise.all(lost.map((core) => core.process?.end('SIGKILL')));
+    const headers = { authorization: `Bearer ${FleetKit.operatorToken}` };
+    const read = await readAt(kept!);
+    assert.equal(read.status, 503);
+    const body = { ...Bench.manifest, note: 'in the dark' };
+    const put = await FleetKit.call(kept!.http, 'PUT', '/v1/manifest', body, {
+      ...headers,
+      'if-match': etag,
+    });
+    assert.equal(put.status, 503);
+    assert.ok(['no', 'unknown'].includes((put.body.error as { taken: string }).taken));
+    assert.equal((await bench.chat('unheard-of')).status, 404);
+    await Promise.all(lost.map((core) => bench.kit.startCore(core)));
+    const now = await readNote();
+    const { taken } = put.body.error as { taken: string };
+    assert.ok(now === note || (taken === 'unknown' && now === 'in the dark'), String(now));
+    await everywhere();
+  });
+
   it('takes the newest manifest back from the nodes after all core disks are lost', async () => {
     const note = await putNote();
     await everywhere();
