--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -1,6 +1,6 @@
 // The agent as a program: its session with the control plane, the relay it is in the news tree, and the
 // feed of its proxy over loopback. What the proxy still holds refills an agent that came back empty.
-import { Gauge, Registry } from 'prom-client';
+import { Registry } from 'prom-client';
 import { Address } from '../kinds/address.js';
 import { Ident } from '../kinds/ident.js';
 import type { Ring } from '../log/ring.js';
@@ -9,6 +9,7 @@
 import { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
+import { Gauges } from '../startup/gauges.js';
 import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
@@ -77,15 +78,7 @@
       note: ring.note,
     });
     const registry = new Registry();
-    const gauge = (name: string, help: string, read: () => number) =>
-      new Gauge({
-        name: `bramblebend_${name}`,
-        help,
-        registers: [registry],
-        collect() {
-          this.set(read());
-        },
-      });
+    const gauge = Gauges.of(registry);
     gauge('epoch', 'epoch of the manifest held', () => feed.stamp().epoch);
     gauge('revision', 'revision of the state held', () => feed.stamp().revision);
     gauge('news_age_seconds', 'age of the last word from the primary', () => feed.age() / 1000);
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,6 +1,6 @@
 // A control node as a program: its disk, its part of the register, replication, sessions with agents,
 // and the HTTP interface.
-import { Gauge, Registry } from 'prom-client';
+import { Registry } from 'prom-client';
 import { BudgetDuty } from '../duty/budget-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
@@ -14,6 +14,7 @@
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
+import { Gauges } from '../startup/gauges.js';
 import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
@@ -154,15 +155,7 @@
     });
     const running = core;
     const registry = new Registry();
-    const gauge = (name: string, help: string, read: () => number) =>
-      new Gauge({
-        name: `bramblebend_${name}`,
-        help,
-        registers: [registry],
-        collect() {
-          this.set(read());
-        },
-      });
+    const gauge = Gauges.of(registry);
     gauge('epoch', 'epoch of the register', () => running.tenure()?.epoch ?? 0);
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
--- a/src/proxy/meters.ts
+++ b/src/proxy/meters.ts
@@ -1,6 +1,7 @@
 // What a proxy counts, as Prometheus metrics.
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Histogram, Registry } from 'prom-client';
 import type { Stamp } from '../kinds/stamp.js';
+import { Gauges } from '../startup/gauges.js';
 
 export type Meters = ReturnType<typeof Meters.of>;
 
@@ -10,15 +11,7 @@
   of(terms: { stamp: () => Stamp; held: () => number; active: () => number; age: () => number }) {
     const registers = [new Registry()];
     const registry = registers[0]!;
-    const gauge = (name: string, help: string, read: () => number) =>
-      new Gauge({
-        name: `bramblebend_${name}`,
-        help,
-        registers,
-        collect() {
-          this.set(read());
-        },
-      });
+    const gauge = Gauges.of(registry);
     gauge('epoch', 'epoch of the manifest in force', () => terms.stamp().epoch);
     gauge('revision', 'revision of the state in force', () => terms.stamp().revision);
     gauge('tokens', 'tokens for extra tries held here', terms.held);
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -13,6 +13,14 @@
 const run = (name: string, ...args: string[]) =>
   spawnSync(process.execPath, [bin(name), ...args], { encoding: 'utf8', timeout: 20_000 });
 
+const makeStart = () => {
+  let begin: () => void = () => {};
+  const begun = new Promise<void>((resolve) => {
+    begin = resolve;
+  });
+  return { begun, begin };
+};
+
 const isClosed = (address: string): Promise<boolean> =>
   new Promise((resolve) => {
     const [host, port] = address.split(':');
@@ -79,10 +87,7 @@
   });
 
   it('drain on SIGTERM: a running stream ends whole, then the program ends with 0', async () => {
-    let finish: () => void = () => {};
-    const begun = new Promise<void>((resolve) => {
-      finish = resolve;
-    });
+    const { begun, begin } = makeStart();
     let end: () => void = () => {};
     const server = await bench.backEnd({
       instance: 'slow',
@@ -91,7 +96,7 @@
       handle(_request, response) {
         Bench.sse(response, ['one'], false);
         end = () => response.end('data: [DONE]\n\n');
-        finish();
+        begin();
       },
     });
     await bench.list([server]);
@@ -107,10 +112,7 @@
   });
 
   it('end at once on a second SIGTERM', async () => {
-    let begin: () => void = () => {};
-    const begun = new Promise<void>((resolve) => {
-      begin = resolve;
-    });
+    const { begun, begin } = makeStart();
     const server = await bench.backEnd({
       instance: 'endless',
       group: 'llm',
--- a/tools/campaign/campaign.ts
+++ b/tools/campaign/campaign.ts
@@ -15,6 +15,7 @@
 import { FleetKit } from '../fleet-kit.js';
 import { InForce } from '../in-force.js';
 import { Journal } from '../journal.js';
+import { Main } from '../main.js';
 import { Random } from '../random.js';
 import { Report } from '../report.js';
 import { Actors } from './actors.js';
@@ -247,12 +248,6 @@
   .option('--small', 'one machine and one server of each kind a zone', false)
   .option('--keep', 'keep the journals of clean runs', false)
   .action((flags: Flags) => {
-    run(flags).then(
-      (code) => process.exit(code),
-      (error) => {
-        process.stderr.write(`${String((error as Error).stack)}\n`);
-        process.exit(1);
-      },
-    );
+    Main(run(flags));
   })
   .parse(process.argv);
--- a/tools/faults/faults.ts
+++ b/tools/faults/faults.ts
@@ -32,6 +32,14 @@
       writeFileSync(`${path}.new`, JSON.stringify(state));
       renameSync(`${path}.new`, path);
     };
+    const put = <T>(held: Map<string, T>, node: string, value: T) => {
+      held.set(node, value);
+      write();
+      return () => {
+        held.delete(node);
+        write();
+      };
+    };
     write();
     return {
       path,
@@ -50,22 +58,8 @@
           write();
         };
       },
-      disk(node, kind) {
-        disks.set(node, kind);
-        write();
-        return () => {
-          disks.delete(node);
-          write();
-        };
-      },
-      clock(node, by) {
-        clocks.set(node, by);
-        write();
-        return () => {
-          clocks.delete(node);
-          write();
-        };
-      },
+      disk: (node, kind) => put(disks, node, kind),
+      clock: (node, by) => put(clocks, node, by),
       healAll() {
         cuts.clear();
         disks.clear();
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -10,6 +10,7 @@
 import { FleetKit } from './fleet-kit.js';
 import { InForce } from './in-force.js';
 import { Journal } from './journal.js';
+import { Main } from './main.js';
 import { Random } from './random.js';
 import { Report } from './report.js';
 
@@ -75,12 +76,6 @@
   .option('--rate', 'times the deployment’s rate of requests', 1)
   .option('--affinity', 'on or off', 'on')
   .action((flags: Flags) => {
-    run(flags).then(
-      (code) => process.exit(code),
-      (error) => {
-        process.stderr.write(`${String((error as Error).stack)}\n`);
-        process.exit(1);
-      },
-    );
+    Main(run(flags));
   })
   .parse(process.argv);
--- a/tools/measure.ts
+++ b/tools/measure.ts
@@ -9,6 +9,7 @@
 import { Deployment } from './deployments/deployment.js';
 import { FleetKit } from './fleet-kit.js';
 import { InForce } from './in-force.js';
+import { Main } from './main.js';
 import { Report } from './report.js';
 
 type Flags = { rounds: number; requests: number; clients: string };
@@ -70,7 +71,7 @@
   return `${middle.toFixed(2)} (${sorted[0]?.toFixed(2)}–${sorted.at(-1)?.toFixed(2)})`;
 };
 
-const run = async (flags: Flags): Promise<void> => {
+const run = async (flags: Flags): Promise<number> => {
   const folder = mkdtempSync(join(tmpdir(), 'bramblebend-measure-'));
   const kit = await FleetKit.start({
     folder,
@@ -101,6 +102,7 @@
         );
       await agent.close();
     }
+    return 0;
   } finally {
     await kit.stop();
   }
@@ -111,12 +113,6 @@
   .option('--requests', 'requests a round', 1000)
   .option('--clients', 'clients at once, comma-separated', '1,8,32')
   .action((flags: Flags) => {
-    run(flags).then(
-      () => process.exit(0),
-      (error) => {
-        process.stderr.write(`${String((error as Error).stack)}\n`);
-        process.exit(1);
-      },
-    );
+    Main(run(flags));
   })
   .parse(process.argv);
