--- /dev/null
+++ b/test/rights.test.ts
@@ -0,0 +1,40 @@
+// Operators bound to teams: what they may change and what not.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Rights } from '../src/control/rights.js';
+import type { Document } from '../src/manifest/document.js';
+import { Bench } from './bench.js';
+
+const { manifest } = Bench;
+const [rule] = manifest.rules;
+const own = { ...rule, name: 'own', teams: ['testers'] } as unknown as Document.Rule;
+const foreign = { ...rule, name: 'foreign', teams: ['others'] } as unknown as Document.Rule;
+const person = { name: 'nurse', teams: ['testers'] };
+const denied = (after: Document, before: Document = manifest) =>
+  Rights.denied(person, Rights.touched(before, after));
+
+describe('rights', () => {
+  it('let a team’s operator change the team’s entry and its own rules', () => {
+    assert.equal(denied({ ...manifest, rules: [...manifest.rules, own] }), undefined);
+    const teams = { ...manifest.teams, testers: { ...manifest.teams.testers!, keys: [] } };
+    assert.equal(denied({ ...manifest, teams }), undefined);
+  });
+  it('keep the operator from other teams, common rules, their order, and all else', () => {
+    assert.match(denied({ ...manifest, rules: [...manifest.rules, foreign] })!, /others/);
+    assert.match(denied({ ...manifest, rules: manifest.rules.slice(1) })!, /rules of all teams/);
+    assert.match(denied({ ...manifest, rules: [...manifest.rules].reverse() })!, /rules of all teams/);
+    assert.match(denied({ ...manifest, evacuations: ['a-1'] as never })!, /evacuations/);
+    assert.match(denied({ ...manifest, homes: {} })!, /homes/);
+    const shared = { ...rule, name: 'shared', teams: ['testers', 'others'] } as unknown as Document.Rule;
+    assert.match(denied({ ...manifest, rules: [...manifest.rules, shared] })!, /others/);
+  });
+  it('let an operator without teams change everything', () => {
+    assert.equal(
+      Rights.denied(
+        { name: 'chief', teams: undefined },
+        Rights.touched(manifest, { ...manifest, homes: {} }),
+      ),
+      undefined,
+    );
+  });
+});
--- a/tools/campaign/campaign.ts
+++ b/tools/campaign/campaign.ts
@@ -79,10 +79,19 @@
 const recover = async (kit: FleetKit, world: World, tag: string): Promise<number> => {
   const began = performance.now();
   const left = () => Math.max(1, 3 * backWithin - (performance.now() - began));
+  const stages: Record<string, number> = {};
+  const mark = (name: string) => {
+    stages[name] = Math.round(performance.now() - began);
+  };
   await InForce.putWhenReady(kit, { ...kit.deployment.manifest, note: tag }, left());
+  mark('manifest');
   while (!(await Actors.putServers(world)) && left() > 1) await World.pause(50);
+  mark('servers');
   await InForce.everywhere(kit, kit.fronts, left());
+  mark('inForce');
   await serveEach(kit, tag, left());
+  mark('served');
+  process.stderr.write(`${tag} ${JSON.stringify(stages)}\n`);
   return performance.now() - began;
 };
 
