Let a backup that was asked take over try until the tenure moves; force two cores

Cause: a primary whose disk stalled asked the backup to take over, and then proposed itself again, for the register still named it. Its ballot made the backup's attempt fail, and the backup had already forgotten that it was asked; the primary's own step hung on its disk. Ruled out: the third core (it granted both), the links (downFor 0). A file whose write hangs for a second no longer counts as sound, an own vote is bounded in time, and a request to take over stands until the tenure changes.

Also: two cores may be forced to form by an explicit command.

--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -6,7 +6,14 @@
 import { ReadLog } from '../cli/read-log.js';
 import { Version } from '../startup/version.js';
 
-type Flags = { control?: string; token?: string; 'if-match'?: string; key?: string; within?: string };
+type Flags = {
+  control?: string;
+  token?: string;
+  'if-match'?: string;
+  key?: string;
+  within?: string;
+  lose?: string;
+};
 
 const clientOf = (flags: Flags): Client => {
   const places = (flags.control ?? process.env.BRAMBLEBEND_CONTROL ?? '')
@@ -77,6 +84,10 @@
   .action((file: string | undefined, flags: Flags) =>
     tell(Commands.trace(clientOf(flags), file, Number(flags.within ?? 5000))),
   );
+cli
+  .command('cores force', 'LOSES STATE: make two cores go on when the third is gone for good')
+  .option('--lose', 'must read: what only the missing core holds')
+  .action((flags: Flags) => tell(Commands.force(clientOf(flags), flags.lose)));
 cli
   .command('log <address>', 'Read the log ring of a program, by its operations address')
   .action((address: string) => tell(ReadLog.run(address).then((text) => ({ text, code: 0 }))));
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -115,6 +115,9 @@
   async status(client: Client): Promise<Commands> {
     return judge(await client.call('GET', '/v1/status'));
   },
+  async force(client: Client, lose: string | undefined): Promise<Commands> {
+    return judge(await client.call('POST', '/v1/cores/form', { lose }));
+  },
   async audit(client: Client): Promise<Commands> {
     return judge(await client.call('GET', '/v1/audit'));
   },
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -24,6 +24,7 @@
   readonly tenure: () => Tenure | undefined;
   readonly join: (core: Frame.Core) => Promise<string>;
   readonly yielded: () => void;
+  readonly force: () => Promise<string>;
   readonly begin: () => void;
   readonly stop: () => Promise<void>;
 };
@@ -50,6 +51,7 @@
 const readEvery = 700;
 const gatherFor = 2500;
 const formingCores = 3;
+const forcedCores = 2;
 
 const remembering = (votes: readonly Proposer.Vote[]) => votes.filter((vote) => !vote.isBlank);
 
@@ -74,8 +76,9 @@
     )
     .slice(0, formingCores);
 
-const makeTenure = (votes: readonly Proposer.Vote[]): Tenure | undefined => {
-  if (!mayForm(votes)) return undefined;
+const missing = (index: number) => ({ disk: `missing-${index}`, node: '', wire: '', http: '' });
+
+const makeTenure = (votes: readonly Proposer.Vote[]): Tenure => {
   const best = chosen(votes).sort(
     (a, b) =>
       Number(b.isAble) - Number(a.isAble) ||
@@ -89,7 +92,7 @@
     formed: epoch,
     primary: best.core.disk,
     inSync: [best.core.disk],
-    cores: chosen(votes).map((vote) => vote.core),
+    cores: [...chosen(votes).map((vote) => vote.core), missing(0)].slice(0, formingCores),
   };
 };
 
@@ -117,6 +120,7 @@
     const learn = (tenure: Tenure | null | undefined) => {
       if (!tenure || (known && tenure.epoch <= known.epoch)) return;
       known = tenure;
+      isAsked = false;
       if (primary && tenure.primary !== register.disk) primary.depose(`deposed by ${Tenure.text(tenure)}`);
     };
     register.watch((tenure) => {
@@ -196,7 +200,6 @@
       const courier = core && needs.courierTo(core);
       const isDark = !courier || courier.downFor() > takeOverAfter;
       if (isDark || isAsked) {
-        isAsked = false;
         needs.note('taking over', { from: core?.node, downFor: courier?.downFor() });
         await claim(tenure);
       }
@@ -204,7 +207,10 @@
     const form = async (votes: readonly Proposer.Vote[]) => {
       const first = chosen(votes).map((vote) => vote.core.disk);
       if (first[0] !== register.disk) return;
-      const formed = await proposer.form(makeTenure);
+      const formed = await proposer.form(
+        (grants) => (mayForm(grants) ? makeTenure(grants) : undefined),
+        formingCores,
+      );
       if (formed) needs.alert('the cores formed anew', { tenure: Tenure.text(formed) });
     };
     const blankStep = async () => {
@@ -259,6 +265,20 @@
       leading: () => (primary?.isLeading() ? primary : undefined),
       tenure: () => primary?.tenure() ?? known,
       join: async (core) => (primary ? primary.join(core) : 'this core does not lead'),
+      async force() {
+        const votes = await proposer.votes();
+        if (votes.length < forcedCores) return 'fewer than two cores answer';
+        if (votes.length >= formingCores) return 'all three cores answer: there is nothing to force';
+        const newest = remembering(votes).find((vote) => vote.tenure);
+        if (newest?.tenure && remembering(votes).length >= Tenure.majority(newest.tenure))
+          return 'a majority remembers: there is nothing to force';
+        const formed = await proposer.form(makeTenure, forcedCores);
+        if (!formed) return 'the cores did not agree; try again';
+        needs.alert('TWO CORES WERE FORCED TO FORM; what only the missing one held is lost', {
+          tenure: Tenure.text(formed),
+        });
+        return '';
+      },
       yielded() {
         isAsked = true;
         wake();
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -44,6 +44,7 @@
 
 const passedBy = 'bramblebend-passed';
 const passWithin = 7000;
+const losing = 'what only the missing core holds';
 const longestBody = 16 * 1024 * 1024;
 
 const isSame = (a: string, b: string): boolean => {
@@ -183,6 +184,20 @@
       '/v1/status',
       serve(operators, () => ReadStatus.run(office, { roll, core })),
     );
+    app.post(
+      '/v1/cores/form',
+      serve(
+        operators,
+        async (context) => {
+          const { lose } = (context.var.body ?? {}) as { lose?: unknown };
+          if (lose !== losing)
+            return Answer.fail(422, 'not_confirmed', `the body must read {"lose":"${losing}"}`);
+          const why = await core.force();
+          return why === '' ? { status: 200, body: { formed: true } } : Answer.fail(409, 'not_formed', why);
+        },
+        true,
+      ),
+    );
     app.get(
       '/v1/audit',
       serve(operators, () => ReadServers.run(office, { kind: 'audit' })),
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -1,6 +1,7 @@
 // Changing and reading the register. A change takes two phases: a majority of the cores promises a
 // ballot and tells what it has accepted, then the changed tenure is accepted by a majority of the cores
 // before and after it. A read is confirmed when a majority has accepted the same ballot.
+import { Alarm } from '../kinds/alarm.js';
 import type { Epoch } from '../kinds/epoch.js';
 import type { Stamp } from '../kinds/stamp.js';
 import type { Courier } from '../wire/courier.js';
@@ -17,6 +18,7 @@
   ) => Promise<{ readonly isDone: boolean; readonly tenure: Tenure | undefined }>;
   readonly form: (
     make: (votes: readonly Proposer.Vote[]) => Tenure | undefined,
+    atLeast: number,
   ) => Promise<Tenure | undefined>;
   readonly install: () => Promise<void>;
   readonly vote: (isGranted: boolean) => Proposer.Vote;
@@ -35,7 +37,12 @@
 }
 
 const within = 1000;
-const formingCores = 3;
+
+const bounded = (work: Promise<boolean>, span: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const alarm = Alarm.after(span, () => resolve(false));
+    work.then(resolve, () => resolve(false)).finally(() => alarm.stop());
+  });
 
 const highestOf = (votes: readonly Proposer.Vote[]): Proposer.Vote | undefined =>
   votes
@@ -65,7 +72,7 @@
       mine: () => Promise<boolean>,
     ): Promise<readonly Proposer.Vote[]> => {
       const others = needs.couriers().map((courier) => courier.ask(request, within));
-      const own = mine().then(vote);
+      const own = bounded(mine(), within).then(vote);
       const told = await Promise.allSettled([own, ...others]);
       const votes = told.flatMap((one) =>
         one.status === 'fulfilled' && 'isGranted' in one.value ? [one.value as Proposer.Vote] : [],
@@ -108,14 +115,15 @@
         const isDone = isMajority(accepts, base) && isMajority(accepts, wanted);
         return { isDone, tenure: isDone ? wanted : undefined };
       },
-      async form(make) {
+      async form(make, atLeast) {
         const ballot = nextBallot(await peek());
         const grants = granted(await prepare(ballot, true));
-        if (grants.length < formingCores) return undefined;
+        if (grants.length < atLeast) return undefined;
         const wanted = make(grants);
         if (!wanted) return undefined;
         const accepts = granted(await accept(ballot, wanted));
-        const isWhole = wanted.cores.every((core) => accepts.some((one) => one.core.disk === core.disk));
+        const asked = wanted.cores.filter((core) => grants.some((one) => one.core.disk === core.disk));
+        const isWhole = asked.every((core) => accepts.some((one) => one.core.disk === core.disk));
         return isWhole ? wanted : undefined;
       },
       async install() {
--- a/src/store/file.ts
+++ b/src/store/file.ts
@@ -1,9 +1,11 @@
 // One append-only file under the data folder. An append is done when it is synced; a whole rewrite
 // goes to a new file that is synced, renamed over the old one and made lasting by syncing the folder.
-// After a failed write the file is not written again by this process: what is on the disk is unknown.
+// After a failed write the file is not written again by this process: what is on the disk is unknown. A
+// file whose write has been under way for a second is not sound until it is done.
 import { type FileHandle, mkdir, open, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Mishap } from '../kinds/mishap.js';
+import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Turns } from '../kinds/turns.js';
 import { Records } from './records.js';
@@ -17,6 +19,8 @@
   readonly close: () => Promise<void>;
 };
 
+const stalledAfter = 1000;
+
 const syncFolder = async (folder: string): Promise<void> => {
   const handle = await open(folder, 'r');
   try {
@@ -58,22 +62,26 @@
     await handle.sync();
     await syncFolder(folder);
     let length = found.length;
+    let busySince: Moment | undefined;
     const phase = Phase.of('sound', { sound: ['broken', 'shut'], broken: ['shut'], shut: [] });
     const turns = Turns.of();
     const guarded = (work: () => Promise<void>) =>
       turns.take(async () => {
         if (!phase.is('sound')) throw Mishap.of('store', `${name} is ${phase.state}`);
+        busySince = Moment.now();
         try {
           await work();
         } catch (cause) {
           phase.become('broken');
           throw Mishap.of('store', `cannot write ${name}`, {}, cause);
+        } finally {
+          busySince = undefined;
         }
       });
     return {
       payloads: found.payloads,
       length: () => length,
-      isSound: () => phase.is('sound'),
+      isSound: () => phase.is('sound') && (busySince === undefined || Moment.since(busySince) < stalledAfter),
       append: (payload) =>
         guarded(async () => {
           const record = Records.encode(payload);
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -205,6 +205,30 @@
     assert.ok(performance.now() - began < backWithin);
   });
 
+  it('forms of two empty cores only by the explicit command, and takes a third in later', async () => {
+    await inSyncPair();
+    const [first, second, third] = bench.kit.cores as [Core, Core, Core];
+    await Promise.all(bench.kit.cores.map((core) => core.process?.end('SIGKILL')));
+    for (const core of [first, second]) rmSync(core.data, { recursive: true, force: true });
+    await Promise.all([first, second].map((core) => bench.kit.startCore(core)));
+    const headers = { authorization: `Bearer ${FleetKit.operatorToken}` };
+    const force = (body: object) => FleetKit.call(first.http, 'POST', '/v1/cores/form', body, headers);
+    assert.equal((await force({})).status, 422);
+    assert.equal((await readAt(first)).status, 503);
+    assert.equal((await health(first)).state, 'blank');
+    await until(async () =>
+      (await force({ lose: 'what only the missing core holds' })).status === 200 ? true : undefined,
+    );
+    const note = await putNote();
+    rmSync(third.data, { recursive: true, force: true });
+    await bench.kit.startCore(third);
+    await until(async () =>
+      (await health(await leader())).tenure?.cores.some((one) => one.node === third.node) ? true : undefined,
+    );
+    assert.equal(await readNote(), note);
+    await everywhere();
+  });
+
   it('takes a new manifest at once after everything was wiped', async () => {
     const all = [
       ...bench.kit.cores.map((core) => core.process),
