--- a/test/repair.test.ts
+++ b/test/repair.test.ts
@@ -6,6 +6,7 @@
 import { Revision } from '../src/kinds/revision.js';
 import { Stamp } from '../src/kinds/stamp.js';
 import { View } from '../src/manifest/view.js';
+import { Feed } from '../src/news/feed.js';
 import { Ranges } from '../src/repair/ranges.js';
 import { Bench } from './bench.js';
 
@@ -40,6 +41,21 @@
   patch.ranges.filter(({ body }) => body !== '').map(({ name }) => name);
 
 describe('repair', () => {
+  it('lets a feed take only what is newer, by epoch first, and no empty view in place of a manifest', () => {
+    const feed = Feed.of();
+    assert.equal(feed.offer(makeView(5, ['a'])), true);
+    for (const older of [
+      makeView(5, ['b']),
+      makeView(4, ['b']),
+      { ...makeView(9, ['b']), stamp: Stamp.of(2, 9) },
+    ])
+      assert.equal(feed.offer(older), false);
+    assert.equal(feed.offer({ ...makeView(6, []), manifest: null }), false);
+    assert.deepEqual(feed.stamp(), Stamp.of(3, 5));
+    assert.equal(feed.offer({ ...makeView(1, ['c']), stamp: Stamp.of(4, 1) }), true);
+    assert.deepEqual(feed.stamp(), Stamp.of(4, 1));
+  });
+
   it('sends only the ranges that differ, and mends to the very view that was meant', () => {
     for (const [after, wanted] of [
       [makeView(6, names.with(700, 'changed')), ['meta', 'rules/21']],
--- a/tools/process.ts
+++ b/tools/process.ts
@@ -20,6 +20,11 @@
   for (const child of started) child.kill('SIGKILL');
 });
 
+for (const signal of ['SIGTERM', 'SIGINT'] as const)
+  process.on(signal, () => {
+    if (process.listenerCount(signal) === 1) process.exit(1);
+  });
+
 export const Process = {
   async start(
     name: string,
