--- a/test/crowd.test.ts
+++ b/test/crowd.test.ts
@@ -11,7 +11,11 @@
   ...Bench.manifest,
   groups: {
     ...Bench.manifest.groups,
-    llm: { ...Bench.manifest.groups.llm, concurrent: 8 },
+    llm: {
+      ...Bench.manifest.groups.llm,
+      concurrent: 8,
+      ejection: { consecutive_5xx: 3, base_ejection_time: 60_000, max_ejection_percent: 50 },
+    },
   },
   homes: { ab: { regions: ['a'] }, c: { regions: ['a'] } },
 } as unknown as Document;
@@ -76,6 +80,29 @@
     await other;
   });
 
+  it('ejects a server after failures in a row, and never more than the share of its group', async () => {
+    const fail: Bench.Handle = (_request, response) => void response.writeHead(500).end('{}');
+    const bad = await bench.backEnd({ instance: 'e1', group: 'llm', region: 'a', handle: fail });
+    const good = await bench.backEnd({
+      instance: 'e2',
+      group: 'llm',
+      region: 'a',
+      handle: (_request, response) => Bench.sse(response, ['one']),
+    });
+    await bench.list([plain]);
+    await bench.list([bad, good, plain]);
+    for (let index = 0; bad.reached.length < 3; index += 1)
+      await callAt(0, { prompt_cache_key: `e${index}` });
+    for (let index = 0; index < 20; index += 1)
+      assert.equal((await callAt(0, { prompt_cache_key: `f${index}` })).status, 200);
+    assert.equal(bad.reached.length, 3);
+    good.handle = fail;
+    const before = good.reached.length;
+    for (let index = 0; index < 6; index += 1) await callAt(0, { prompt_cache_key: `g${index}` });
+    assert.equal(good.reached.length, before + 6);
+    await bench.list([old, plain]);
+  });
+
   it('feeds a new server gently over all proxies together, then fully', async () => {
     old.handle = (_request, response) => Bench.sse(response, ['one']);
     const fresh = await bench.backEnd({ instance: 'a2', group: 'llm', region: 'a', handle: hold });
--- a/test/tries.test.ts
+++ b/test/tries.test.ts
@@ -2,6 +2,7 @@
 // and that nothing is tried again from the commit on.
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, it } from 'node:test';
+import { request } from 'undici';
 import { Bench } from './bench.js';
 
 type Handle = Bench.Handle;
@@ -81,6 +82,49 @@
     assert.deepEqual(runs(), [1, 0]);
   });
 
+  it('holds the timeouts that a caller asks for within the rule’s bounds', async () => {
+    a.handle = stall;
+    const longer = await bench.chat(
+      'once',
+      {},
+      { 'bramblebend-timeouts': 'first_byte=60000, per_try=60000' },
+    );
+    assert.equal(JSON.parse(longer.text).error.code, 'first_byte');
+    const shorter = await bench.chat('once', {}, { 'bramblebend-timeouts': 'per_try=100' });
+    assert.equal(JSON.parse(shorter.text).error.code, 'per_try');
+  });
+
+  it('holds the server back while the client does not read, and loses nothing', async () => {
+    const piece = Buffer.alloc(64 * 1024, 'x');
+    const count = 1024;
+    let taken = 0;
+    a.handle = async (_request, response) => {
+      response.writeHead(200);
+      for (let index = 0; index < count; index += 1) {
+        taken += 1;
+        if (!response.write(piece)) await new Promise<void>((resolve) => response.once('drain', resolve));
+      }
+      response.end();
+    };
+    const front = bench.kit.fronts[0]!;
+    const answer = await request(`http://${front.listen}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${Bench.key}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ model: 'again', messages: [] }),
+    });
+    for (let still = 0, last = -1; still < 10; last = taken) {
+      still = taken === last ? still + 1 : 0;
+      await fetch(`http://${front.ops}/health`);
+    }
+    assert.ok(
+      taken < count / 2,
+      `${taken} of ${count} pieces left the server for a client that reads nothing`,
+    );
+    let length = 0;
+    for await (const chunk of answer.body) length += (chunk as Buffer).length;
+    assert.equal(length, count * piece.length);
+  });
+
   it('tries a repeatable request elsewhere when no first byte comes', async () => {
     a.handle = stall;
     const answer = await bench.chat('again');
