Tell an emptied core at an old address from the one that was there

Cause: a core that lost its disk and came back at its address within a second was taken for the core in sync: the primary's link to it was up, it took what was sent and the primary counted it, while the register still named the old disk; it never joined, and once the primary was lost nobody in sync was left. Ruled out: the register (all cores agreed on it) and the links (all up). A blank core takes nothing as a backup, and an address that another disk answers at counts as dark.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -114,6 +114,7 @@
     let known: Tenure | undefined = register.tenure() ?? undefined;
     let lastRead: Moment = 0 as Moment;
     let isAsked = false;
+    const disksAt = new Map<string, string>();
     let ledSince = Moment.now();
     let wake: () => void = () => {};
 
@@ -191,6 +192,7 @@
         lastRead = Moment.now();
         const votes = await proposer.votes();
         for (const vote of votes) learn(vote.tenure);
+        for (const { core } of votes) disksAt.set(core.wire, core.disk);
         if (mayForm(votes)) return form(votes);
       }
       const tenure = known;
@@ -198,7 +200,8 @@
       if (tenure.primary === register.disk) return claim(tenure);
       const core = Tenure.core(tenure, tenure.primary);
       const courier = core && needs.courierTo(core);
-      const isDark = !courier || courier.downFor() > takeOverAfter;
+      const isOther = core !== undefined && (disksAt.get(core.wire) ?? core.disk) !== core.disk;
+      const isDark = isOther || !courier || courier.downFor() > takeOverAfter;
       if (isDark || isAsked) {
         needs.note('taking over', { from: core?.node, downFor: courier?.downFor() });
         await claim(tenure);
--- a/src/replica/backup.ts
+++ b/src/replica/backup.ts
@@ -34,6 +34,7 @@
           });
           const epoch = Epoch.of(frame.epoch);
           if (epoch < register.floor()) return reply(false, 'below the epoch promised');
+          if (register.isBlank()) return reply(false, 'this core is blank');
           if (needs.isLeading()) return reply(false, 'this core leads');
           register.raise(epoch);
           if (!frame.whole && !Stamp.isSame(frame.previous, store.state().stamp))
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -205,6 +205,43 @@
     assert.ok(performance.now() - began < backWithin);
   });
 
+  it('takes over from a primary whose emptied machine is back before its backup woke', async () => {
+    await inSyncPair();
+    const first = await leader();
+    const { tenure } = await health(first);
+    const disk = tenure?.inSync.find((one) => one !== tenure.primary);
+    const node = tenure?.cores.find((one) => one.disk === disk)?.node;
+    const backup = bench.kit.cores.find((core) => core.node === node)!;
+    const note = await putNote();
+    backup.process?.signal('SIGSTOP');
+    await first.process?.end('SIGKILL');
+    rmSync(first.data, { recursive: true, force: true });
+    await bench.kit.startCore(first);
+    backup.process?.signal('SIGCONT');
+    const began = performance.now();
+    assert.equal(await readNote(), note);
+    await putNote();
+    assert.ok(performance.now() - began < backWithin);
+    await inSyncPair();
+  });
+
+  it('does not count an emptied backup at the old address as the one in sync', async () => {
+    await inSyncPair();
+    const first = await leader();
+    const { tenure } = await health(first);
+    const disk = tenure?.inSync.find((one) => one !== tenure.primary);
+    const node = tenure?.cores.find((one) => one.disk === disk)?.node;
+    const backup = bench.kit.cores.find((core) => core.node === node)!;
+    await backup.process?.end('SIGKILL');
+    rmSync(backup.data, { recursive: true, force: true });
+    await bench.kit.startCore(backup);
+    const note = await putNote();
+    const now = (await health(await leader())).tenure;
+    assert.equal(now?.inSync.includes(disk!), false);
+    await inSyncPair();
+    assert.equal(await readNote(), note);
+  });
+
   it('forms of two empty cores only by the explicit command, and takes a third in later', async () => {
     await inSyncPair();
     const [first, second, third] = bench.kit.cores as [Core, Core, Core];
