--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -23,6 +23,7 @@
   readonly leading: () => Primary | undefined;
   readonly tenure: () => Tenure | undefined;
   readonly join: (core: Frame.Core) => Promise<string>;
+  readonly isRetired: () => boolean;
   readonly yielded: () => void;
   readonly force: () => Promise<string>;
   readonly begin: () => void;
@@ -114,6 +115,7 @@
     let known: Tenure | undefined = register.tenure() ?? undefined;
     let lastRead: Moment = 0 as Moment;
     let isAsked = false;
+    let isTold = false;
     const disksAt = new Map<string, string>();
     let ledSince = Moment.now();
     let wake: () => void = () => {};
@@ -237,7 +239,14 @@
       await mine.tend();
       await settle(mine);
     };
+    const isRetired = () => known !== undefined && !register.isBlank() && !Tenure.has(known, register.disk);
+    const tellRetired = () => {
+      if (isTold || !isRetired()) return;
+      isTold = true;
+      needs.alert('this core’s slot was given to another disk; it takes no part until its folder is emptied');
+    };
     const step = async () => {
+      tellRetired();
       if (phase.is('blank') && !register.isBlank()) phase.become('following');
       needs.tend([...(known?.cores.map((core) => core.wire) ?? []), ...needs.places()]);
       if (phase.is('blank')) await blankStep();
@@ -282,6 +291,7 @@
         });
         return '';
       },
+      isRetired,
       yielded() {
         isAsked = true;
         wake();
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -166,7 +166,12 @@
     const ops = Ops.of({
       registry,
       ring,
-      isReady: () => (running.tenure() ? undefined : 'no tenure is known yet'),
+      isReady: () =>
+        running.isRetired()
+          ? 'the slot of this core was given to another disk'
+          : running.tenure()
+            ? undefined
+            : 'no tenure is known yet',
       describe: () => ({
         node: startup.node,
         state: running.state(),
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -158,6 +158,12 @@
     const cores = (await health(await leader())).tenure?.cores.map((one) => one.node);
     assert.equal(cores?.includes(lost.node), false);
     assert.notEqual((await health(lost)).state, 'leading');
+    await until(async () =>
+      /slot was given to another disk/.test(await (await fetch(`http://${lost.http}/log`)).text())
+        ? true
+        : undefined,
+    );
+    assert.equal((await fetch(`http://${lost.http}/ready`)).status, 503);
     await lost.process?.end('SIGKILL');
     await bench.kit.startCore(first);
     await putNote();
