Make one of three listens, address readings and rounds of votes

One listen serves both kinds of port, one reading of checked addresses all programs, one look at the votes each state of a core, and one round of votes each beat of a primary instead of two. Unused parts are gone; the takeover test finds the backup in one place.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -3,6 +3,7 @@
 import { Registry } from 'prom-client';
 import { Address } from '../kinds/address.js';
 import { Ident } from '../kinds/ident.js';
+import { Listen } from '../kinds/listen.js';
 import type { Ring } from '../log/ring.js';
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
@@ -10,7 +11,6 @@
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
 import { Gauges } from '../startup/gauges.js';
-import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Settings } from '../startup/settings.js';
@@ -19,8 +19,6 @@
 
 export type Agent = { readonly start: (startup: Settings['agent'], ring: Ring) => Promise<Program> };
 
-const parse = (text: string): Address => Address.parse(text)!;
-
 export const Agent: Agent = {
   async start(startup, ring) {
     const feed = Feed.of();
@@ -57,9 +55,9 @@
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
     const terms = { stamp: feed.stamp, age: feed.age, serve, note: ring.note };
-    const doorway = await Doorway.open({ ...terms, address: parse(startup.wire) });
+    const doorway = await Doorway.open({ ...terms, address: Address.checked(startup.wire) });
     wire = Doorway.text(doorway);
-    const inner = await Doorway.open({ ...terms, address: parse(startup.feed) });
+    const inner = await Doorway.open({ ...terms, address: Address.checked(startup.feed) });
     const uplink: Uplink = Uplink.run({
       feed,
       roll,
@@ -98,7 +96,7 @@
         version: Version,
       }),
     }).server();
-    opsText = Address.text(await Listen(ops, parse(startup.ops)));
+    opsText = Address.text(await Listen(ops, Address.checked(startup.ops)));
     return {
       ready: { wire, feed: Doorway.text(inner), ops: opsText },
       async drain() {
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -77,7 +77,7 @@
     )
     .slice(0, formingCores);
 
-const missing = (index: number) => ({ disk: `missing-${index}`, node: '', wire: '', http: '' });
+const missing: Frame.Core = { disk: 'missing', node: '', wire: '', http: '' };
 
 const makeTenure = (votes: readonly Proposer.Vote[]): Tenure => {
   const best = chosen(votes).sort(
@@ -93,7 +93,7 @@
     formed: epoch,
     primary: best.core.disk,
     inSync: [best.core.disk],
-    cores: [...chosen(votes).map((vote) => vote.core), missing(0)].slice(0, formingCores),
+    cores: [...chosen(votes).map((vote) => vote.core), missing].slice(0, formingCores),
   };
 };
 
@@ -131,6 +131,14 @@
       wake();
     });
 
+    const look = async () => {
+      const votes = await proposer.votes();
+      for (const { tenure, core } of votes) {
+        learn(tenure);
+        disksAt.set(core.wire, core.disk);
+      }
+      return votes;
+    };
     const lead = async (tenure: Tenure) => {
       phase.become('leading');
       ledSince = Moment.now();
@@ -192,9 +200,7 @@
     const followStep = async () => {
       if (Moment.since(lastRead) > readEvery) {
         lastRead = Moment.now();
-        const votes = await proposer.votes();
-        for (const vote of votes) learn(vote.tenure);
-        for (const { core } of votes) disksAt.set(core.wire, core.disk);
+        const votes = await look();
         if (mayForm(votes)) return form(votes);
       }
       const tenure = known;
@@ -210,8 +216,7 @@
       }
     };
     const form = async (votes: readonly Proposer.Vote[]) => {
-      const first = chosen(votes).map((vote) => vote.core.disk);
-      if (first[0] !== register.disk) return;
+      if (chosen(votes)[0]?.core.disk !== register.disk) return;
       const formed = await proposer.form(
         (grants) => (mayForm(grants) ? makeTenure(grants) : undefined),
         formingCores,
@@ -219,8 +224,7 @@
       if (formed) needs.alert('the cores formed anew', { tenure: Tenure.text(formed) });
     };
     const blankStep = async () => {
-      const votes = await proposer.votes();
-      for (const vote of votes) learn(vote.tenure);
+      const votes = await look();
       if (mayForm(votes)) return form(votes);
       const tenure = known;
       const core = tenure && Tenure.core(tenure, tenure.primary);
@@ -234,7 +238,7 @@
       if (!mine) return;
       if (Moment.since(lastRead) > readEvery) {
         lastRead = Moment.now();
-        for (const vote of await proposer.votes()) learn(vote.tenure);
+        await look();
       }
       await mine.tend();
       await settle(mine);
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -7,6 +7,7 @@
 import { Alarm } from '../kinds/alarm.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Ident } from '../kinds/ident.js';
+import { Listen } from '../kinds/listen.js';
 import type { Ring } from '../log/ring.js';
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
@@ -15,7 +16,6 @@
 import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
 import { Gauges } from '../startup/gauges.js';
-import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Settings } from '../startup/settings.js';
@@ -30,8 +30,6 @@
 
 export type Control = { readonly start: (startup: Settings['control'], ring: Ring) => Promise<Program> };
 
-const parse = (text: string): Address => Address.parse(text)!;
-
 export const Control: Control = {
   async start(startup, ring) {
     const { register, store } = await Folder.open(startup.data, ring.alert);
@@ -114,7 +112,7 @@
       ...new Set([...(core?.tenure()?.cores.map((one) => one.wire) ?? []), ...startup.seeds]),
     ];
     const doorway = await Doorway.open({
-      address: parse(startup.wire),
+      address: Address.checked(startup.wire),
       stamp: feed.stamp,
       age,
       note: ring.note,
@@ -190,7 +188,7 @@
       operations: ops.app,
       note: ring.note,
     });
-    http = Address.text(await Listen(server, parse(startup.http)));
+    http = Address.text(await Listen(server, Address.checked(startup.http)));
     running.begin();
     return {
       ready: { wire, http },
--- a/src/kinds/address.ts
+++ b/src/kinds/address.ts
@@ -11,6 +11,7 @@
     if (cut < 1 || isIP(host) === 0 || !/^\d{1,5}$/.test(port) || Number(port) > 65535) return undefined;
     return { host, port: Number(port) };
   },
+  checked: (text: string): Address => Address.parse(text)!,
   text: (address: Address): string =>
     isIP(address.host) === 6 ? `[${address.host}]:${address.port}` : `${address.host}:${address.port}`,
   origin: (address: Address): string => `http://${Address.text(address)}`,
--- a/src/startup/listen.ts
+++ b/src/kinds/listen.ts
@@ -1,6 +1,6 @@
-// Opens an HTTP server on an address and tells the address it got.
-import type { Server } from 'node:http';
-import type { Address } from '../kinds/address.js';
+// Opens a server on an address and tells the address it got.
+import type { Server } from 'node:net';
+import type { Address } from './address.js';
 
 export type Listen = (server: Server, address: Address) => Promise<Address>;
 
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -74,11 +74,7 @@
       for await (const frame of frames)
         match(frame)
           .with({ kind: 'roll' }, ({ entries }) => {
-            roll.note(
-              entries.map((entry) => ({ ...entry })),
-              node,
-              !isMate,
-            );
+            roll.note(entries, node, !isMate);
           })
           .with({ kind: 'ask' }, ({ digests }) => {
             held = new Set(digests);
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -3,6 +3,7 @@
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
 import { Ident } from '../kinds/ident.js';
+import { Listen } from '../kinds/listen.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
 import type { Ring } from '../log/ring.js';
@@ -10,7 +11,6 @@
 import { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
-import { Listen } from '../startup/listen.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Settings } from '../startup/settings.js';
@@ -27,8 +27,6 @@
 
 export type ProxyProgram = { readonly start: (startup: Settings['proxy'], ring: Ring) => Promise<Program> };
 
-const parse = (text: string): Address => Address.parse(text)!;
-
 export const ProxyProgram: ProxyProgram = {
   async start(startup, ring) {
     const feed = Feed.of();
@@ -116,7 +114,7 @@
         },
       },
     );
-    const listening = await Listen(server, parse(startup.listen));
+    const listening = await Listen(server, Address.checked(startup.listen));
     const ops = Ops.of({
       isReady,
       registry: meters.registry,
@@ -129,7 +127,7 @@
         version: Version,
       }),
     }).server();
-    const opsAt = await Listen(ops, parse(startup.ops));
+    const opsAt = await Listen(ops, Address.checked(startup.ops));
     const roll = Roll.of(() => ({
       node: startup.node,
       program: 'proxy',
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -62,7 +62,7 @@
     const deposed = new Promise<string>((resolve) => {
       tellDeposed = resolve;
     });
-    const phase = Phase.of('leading', { leading: ['deposed'], deposed: [] }, () => {});
+    const phase = Phase.of('leading', { leading: ['deposed'], deposed: [] });
     const depose = (why: string) => {
       if (phase.is('deposed')) return;
       phase.become('deposed');
@@ -164,8 +164,7 @@
       const courier = needs.courierTo(core);
       return courier ? courier.downFor() : Number.POSITIVE_INFINITY;
     };
-    const recruit = async (): Promise<void> => {
-      const votes = await proposer.votes();
+    const recruit = async (votes: readonly Proposer.Vote[]): Promise<void> => {
       const able = votes.find(
         (vote) =>
           vote.core.disk !== disk && Tenure.has(tenure, vote.core.disk) && !vote.isBlank && vote.isAble,
@@ -211,8 +210,8 @@
           await turns.take(() => handOver(new Error('the store is broken'))).catch(() => {});
         const dead = others().filter((core) => courierDown(core) > deadAfter);
         if (dead.length > 0) await turns.take(shrink);
-        if (others().length === 0) await recruit();
         const votes = await proposer.votes();
+        if (others().length === 0) await recruit(votes);
         if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk)))
           await proposer.install();
       },
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -2,7 +2,6 @@
 // same changes in the same order give the same state on every copy.
 import { produce } from 'immer';
 import { Epoch } from '../kinds/epoch.js';
-import type { Guard } from '../kinds/guard.js';
 import { Revision } from '../kinds/revision.js';
 import { Stamp } from '../kinds/stamp.js';
 import type { Document } from '../manifest/document.js';
@@ -54,7 +53,6 @@
     | { readonly kind: 'opened' }
     | { readonly kind: 'settled'; readonly formed: Epoch; readonly view: View }
   );
-  type Finding = Guard.Finding;
 }
 
 const keptManifests = 32;
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -1,8 +1,9 @@
 // The doorway is a listening port for links. Each link gets one task; a link that does not say hello
 // in time or sends what cannot be read is closed and counted, and never ends the process.
-import { createServer, type Server } from 'node:net';
+import { createServer } from 'node:net';
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
+import { Listen } from '../kinds/listen.js';
 import { Mishap } from '../kinds/mishap.js';
 import type { Stamp } from '../kinds/stamp.js';
 import type { Frame } from './frame.js';
@@ -37,15 +38,6 @@
   }
 };
 
-const listen = (server: Server, address: Address): Promise<Address> =>
-  new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () => {
-      const bound = server.address();
-      resolve({ host: address.host, port: typeof bound === 'object' && bound ? bound.port : address.port });
-    });
-  });
-
 export const Doorway = {
   async open(needs: Doorway.Needs): Promise<Doorway> {
     const links = new Set<Link>();
@@ -76,7 +68,7 @@
       links.add(link);
       void attend(link);
     });
-    const address = await listen(server, needs.address);
+    const address = await Listen(server, needs.address);
     server.on('error', (error) => needs.note('doorway mishap', { why: Mishap.text(error) }));
     return {
       address,
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -63,15 +63,18 @@
     FleetKit.call(core.http, 'GET', '/v1/manifest', undefined, {
       authorization: `Bearer ${FleetKit.operatorToken}`,
     });
+  const backupOf = async (first: Core) => {
+    const { tenure } = await health(first);
+    const disk = tenure?.inSync.find((one) => one !== tenure.primary);
+    const node = tenure?.cores.find((one) => one.disk === disk)?.node;
+    return { disk, backup: bench.kit.cores.find((core) => core.node === node)! };
+  };
   const everywhere = () => InForce.everywhere(bench.kit);
 
   it('goes on after its backup is killed, and again after it is back', async () => {
     await inSyncPair();
     const first = await leader();
-    const { tenure } = await health(first);
-    const backupDisk = tenure?.inSync.find((disk) => disk !== tenure.primary);
-    const node = tenure?.cores.find((one) => one.disk === backupDisk)?.node;
-    const backup = bench.kit.cores.find((core) => core.node === node)!;
+    const { backup } = await backupOf(first);
     await backup.process?.end('SIGKILL');
     const note = await putNote();
     assert.equal(await readNote(), note);
@@ -214,10 +217,7 @@
   it('takes over from a primary whose emptied machine is back before its backup woke', async () => {
     await inSyncPair();
     const first = await leader();
-    const { tenure } = await health(first);
-    const disk = tenure?.inSync.find((one) => one !== tenure.primary);
-    const node = tenure?.cores.find((one) => one.disk === disk)?.node;
-    const backup = bench.kit.cores.find((core) => core.node === node)!;
+    const { backup } = await backupOf(first);
     const note = await putNote();
     backup.process?.signal('SIGSTOP');
     await first.process?.end('SIGKILL');
@@ -234,10 +234,7 @@
   it('does not count an emptied backup at the old address as the one in sync', async () => {
     await inSyncPair();
     const first = await leader();
-    const { tenure } = await health(first);
-    const disk = tenure?.inSync.find((one) => one !== tenure.primary);
-    const node = tenure?.cores.find((one) => one.disk === disk)?.node;
-    const backup = bench.kit.cores.find((core) => core.node === node)!;
+    const { backup, disk } = await backupOf(first);
     await backup.process?.end('SIGKILL');
     rmSync(backup.data, { recursive: true, force: true });
     await bench.kit.startCore(backup);
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -59,7 +59,6 @@
   type Terms = {
     readonly folder: string;
     readonly deployment: Deployment;
-    readonly seed?: number;
     readonly stand?: { readonly pace?: number; readonly prefill?: number; readonly slots?: number };
     readonly faults?: Faults;
   };
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -33,7 +33,7 @@
       : chosen.manifest;
   const deployment = { ...chosen, manifest };
   const folder = mkdtempSync(join(tmpdir(), `bramblebend-${flags.deployment}-`));
-  const kit = await FleetKit.start({ folder, deployment, seed: flags.seed });
+  const kit = await FleetKit.start({ folder, deployment });
   try {
     const began = performance.now();
     const first = await InForce.putWhenReady(kit, manifest);
