--- a/tools/in-force.ts
+++ b/tools/in-force.ts
@@ -7,6 +7,8 @@
 
 type Health = { readonly stamp: { readonly epoch: number; readonly revision: number } };
 
+const unconfirmedWithin = 10_000;
+
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
 const readHealth = async (address: string): Promise<Health | undefined> => {
@@ -30,9 +32,13 @@
     }
   },
   async stamp(kit: FleetKit): Promise<Health['stamp']> {
-    const status = await kit.operate('GET', '/v1/status');
-    if (status.status !== 200) throw new Error(`status answered ${status.status}`);
-    return status.body.stamp as Health['stamp'];
+    const began = performance.now();
+    for (;;) {
+      const status = await kit.operate('GET', '/v1/status');
+      if (status.status === 200) return status.body.stamp as Health['stamp'];
+      if (performance.now() - began > unconfirmedWithin) throw new Error(`status answered ${status.status}`);
+      await pause(20);
+    }
   },
   async everywhere(kit: FleetKit, among = kit.fronts, within = 20_000): Promise<number> {
     const began = performance.now();
