--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -88,10 +88,12 @@
           headersTimeout: passWithin,
           bodyTimeout: passWithin,
         });
-        const kept = ['content-type', 'etag', 'bramblebend-by', 'bramblebend-at'].flatMap((name) => {
-          const value = answer.headers[name];
-          return value === undefined ? [] : [[name, String(value)] as const];
-        });
+        const kept = ['content-type', 'etag', 'bramblebend-by', 'bramblebend-at', 'bramblebend-node'].flatMap(
+          (name) => {
+            const value = answer.headers[name];
+            return value === undefined ? [] : [[name, String(value)] as const];
+          },
+        );
         return context.body(await answer.body.text(), answer.statusCode as 200, Object.fromEntries(kept));
       } catch (error) {
         const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
@@ -122,6 +124,7 @@
           }
         }
         try {
+          context.header('bramblebend-node', startup.node);
           return give(context, await handle(context));
         } catch (error) {
           needs.note('unconfirmed answer', { path: context.req.path, why: Mishap.text(error) });
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -93,7 +93,7 @@
     const stale = coreOf(now.inSync.find((disk) => disk !== now.primary)!);
     const emptied = bench.kit.cores.find((core) => core !== first && core !== stale)!;
     const ip = (core: FleetKit.Core) => core.wire.split(':')[0]!;
-    const heal = bench.faults!.cut([ip(stale)], [ip(first), ip(emptied)], false);
+    const heal = bench.faults!.cut([ip(stale)], [ip(first), ip(emptied)], 'both');
     const isMoved = async () => {
       const told = await fetch(`http://${first.http}/health`);
       const { tenure: at } = (await told.json()) as { tenure: typeof now };
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -51,7 +51,7 @@
     await Promise.all([changes(), ...Array.from({ length: 8 }, work)]);
     const report = Report.of(kit);
     assert.equal(report.requests, 120);
-    for (const [name, breaches] of Object.entries(report.breaches)) assert.deepEqual(breaches, [], name);
+    for (const [name, { breaches }] of Object.entries(report.verdicts)) assert.deepEqual(breaches, [], name);
     const unserved = Report.read(kit).ended.filter((entry) => entry.outcome !== 'whole');
     assert.deepEqual(unserved, []);
   } finally {
@@ -92,22 +92,33 @@
     ended: Array.from({ length: 10 }, (_none, index) => entry(`c${index}`)),
     runs: Array.from({ length: 10 }, (_none, index) => run(`c${index}`)),
     regionOf: (instance) => (instance === 'far' ? 'elsewhere' : 'here'),
-    homes: { h: ['here'] },
+    homes: { h: ['here'], others: ['here', 'elsewhere'] },
   };
   const planted: Record<keyof typeof Checkers, Checkers.Journals> = {
-    runsOnce: { ...clean, runs: [...clean.runs, run('c1', { instance: 'a2' })] },
+    runsOnce: {
+      ...clean,
+      ended: [...clean.ended, entry('c1', { tries: 2 })],
+      runs: [...clean.runs, run('c1', { instance: 'a2' })],
+    },
     streamsWhole: {
       ...clean,
       ended: [...clean.ended, entry('c10', { outcome: 'wrong', fault: 'two runs joined' })],
     },
     notRunIsFinal: { ...clean, ended: [entry('c1', { outcome: 'dropped', status: 503, ran: 'no' })] },
     homesKept: { ...clean, runs: [...clean.runs, run('c2', { instance: 'far' })] },
-    extraTriesFew: { ...clean, runs: [...clean.runs, ...['c1', 'c2', 'c3', 'c4'].map((id) => run(id))] },
+    extraTriesFew: {
+      ...clean,
+      runs: [...clean.runs, ...clean.runs, ...['c1', 'c2', 'c3', 'c4'].map((id) => run(id))].map((one) => ({
+        ...one,
+        event: 'arrived',
+      })),
+    },
   };
   for (const [name, check] of Object.entries(Checkers))
     it(`has a checker ${name} that catches a planted breach and passes a clean run`, () => {
-      assert.deepEqual(check(clean), []);
-      assert.notDeepEqual(check(planted[name as keyof typeof Checkers]), []);
+      assert.deepEqual(check(clean).breaches, []);
+      const verdict = check(planted[name as keyof typeof Checkers]);
+      assert.ok(verdict.breaches.length > 0 && verdict.occasions > 0);
     });
   it('tells a skipped, repeated or joined token from a whole stream', () => {
     const text = (tokens: readonly string[]) => tokens.map((token) => `{"content":"${token} "}`).join('');
--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -89,7 +89,7 @@
     const others = bench.kit.fronts.filter((front) => front !== relay);
     let heal: () => void = () => {};
     await changeWhile(() => {
-      heal = bench.faults!.cut([ip(relay.wire)], cores, false);
+      heal = bench.faults!.cut([ip(relay.wire)], cores, 'both');
     }, others);
     heal();
     await InForce.everywhere(bench.kit);
--- a/tools/caller.ts
+++ b/tools/caller.ts
@@ -9,7 +9,8 @@
 export type Caller = { readonly stop: () => Promise<void>; readonly sent: () => number };
 
 export declare namespace Caller {
-  type Outcome = 'whole' | 'dropped' | 'broken' | 'unreached' | 'wrong';
+  type Outcome = 'whole' | 'dropped' | 'broken' | 'unreached' | 'wrong' | 'left';
+  type Manner = 'patient' | 'leaves' | 'slow';
   type Entry = {
     readonly at: number;
     readonly id: string;
@@ -33,6 +34,8 @@
     readonly random: Random;
     readonly journal: Journal;
     readonly rate?: number;
+    readonly tag?: string;
+    readonly ill?: number;
   };
 }
 
@@ -49,15 +52,20 @@
   return undefined;
 };
 
+const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
+
 const filler = (name: string, length: number): string => name.padEnd(length, ` ${name}`);
 
 export const Caller = {
   judgeTokens,
   async once(
     kind: Deployment.Kind,
-    terms: { id: string; proxy: string; home: string; prefix: number; agent?: Agent },
+    terms: { id: string; proxy: string; home: string; prefix: number; agent?: Agent; manner?: Caller.Manner },
   ): Promise<Omit<Caller.Entry, 'at'>> {
-    const { id, proxy, home } = terms;
+    const { id, proxy, home, manner = 'patient' } = terms;
+    const leave = new AbortController();
+    const leaving =
+      manner === 'leaves' ? setTimeout(() => leave.abort(), 5 + Math.random() * 400) : undefined;
     const began = performance.now();
     const body =
       kind.method === 'GET'
@@ -100,6 +108,7 @@
         body,
         headersTimeout: 20_000,
         bodyTimeout: 20_000,
+        signal: leave.signal,
         ...(terms.agent ? { dispatcher: terms.agent } : {}),
       });
       status = answer.statusCode;
@@ -107,12 +116,15 @@
       for await (const chunk of answer.body) {
         if (firstToken < 0) firstToken = performance.now() - began;
         text += String(chunk);
+        if (manner === 'slow') await pause(25);
       }
     } catch (error) {
       const fault = judgeTokens(text, kind.tokens);
       if (fault) return tell('wrong', fault);
+      if (leave.signal.aborted) return tell('left');
       return tell(status === 0 ? 'unreached' : 'broken', String((error as Error).message));
     }
+    clearTimeout(leaving);
     if (status !== 200) return tell('dropped');
     if (kind.method === 'GET') return tell('whole');
     const fault = judgeTokens(text, kind.tokens) ?? (text.includes('[DONE]') ? undefined : 'no [DONE]');
@@ -132,12 +144,14 @@
           () => {
             if (isStopped) return;
             sent += 1;
-            const id = `${kind.name}-${sent}`;
+            const id = `${terms.tag ?? ''}${kind.name}-${sent}`;
             const proxy = random.pick(terms.proxies());
             const home = random.pick(kind.homes);
             const prefix = random.below(kind.prefixes);
+            const isIll = random.next() < (terms.ill ?? 0);
+            const manner = isIll ? random.pick(['leaves', 'slow'] as const) : 'patient';
             journal.write({ event: 'sent', id, kind: kind.name, runs: kind.runs, home, proxy });
-            const work = Caller.once(kind, { id, proxy, home, prefix, agent }).then((entry) => {
+            const work = Caller.once(kind, { id, proxy, home, prefix, agent, manner }).then((entry) => {
               journal.write({ event: 'ended', ...entry });
               pending.delete(work);
             });
--- a/tools/campaign/actors.ts
+++ b/tools/campaign/actors.ts
@@ -51,6 +51,7 @@
         'if-match': read.etag ?? '"0"',
       },
     );
+    if (put?.status === 200) for (const see of [...world.acks]) see(put.by ?? '');
     world.operators.write({
       event: 'answer',
       note,
@@ -159,6 +160,7 @@
 
 export const Actors = {
   putServers,
+  look,
   async run(world: World, seed: (salt: number) => Random): Promise<void> {
     const platform = async () => {
       const random = seed(4);
--- a/tools/campaign/world.ts
+++ b/tools/campaign/world.ts
@@ -1,5 +1,5 @@
-// What a campaign works on: the fleet, its faults, the journals, and the record of each fault made, with
-// the machines that it touched and when.
+// What a campaign works on: the fleet, its faults, the journals, and the record of each fault made: which
+// processes it kept down, which links it cut, whose disk it spoilt, and when.
 
 import type { Faults } from '../faults/faults.js';
 import type { FleetKit } from '../fleet-kit.js';
@@ -15,22 +15,25 @@
   readonly monitor: Journal;
   readonly list: { serial: number; evacuated: string[] };
   readonly busy: Set<object>;
+  readonly acks: Set<(core: string) => void>;
+  readonly strangers: Map<string, FleetKit.Server>;
+  readonly callers: Journal;
   readonly stop: AbortSignal;
 };
 
 export declare namespace World {
-  type Made = {
-    readonly kind: string;
-    readonly touches: readonly string[];
-    readonly from: number;
-    to: number;
+  type Marks = {
+    readonly down?: readonly string[];
+    readonly cuts?: readonly string[];
+    readonly disks?: readonly string[];
   };
+  type Made = Marks & { readonly kind: string; readonly from: number; to: number };
 }
 
 export const World = {
   ip: (address: string): string => address.split(':')[0]!,
-  begin(world: World, kind: string, touches: readonly string[]): () => void {
-    const made: World.Made = { kind, touches, from: Journal.now(), to: Number.POSITIVE_INFINITY };
+  begin(world: World, kind: string, marks: World.Marks): () => void {
+    const made: World.Made = { kind, ...marks, from: Journal.now(), to: Number.POSITIVE_INFINITY };
     world.made.push(made);
     return () => {
       made.to = Journal.now();
--- a/tools/faults/faults.ts
+++ b/tools/faults/faults.ts
@@ -3,13 +3,14 @@
 
 export type Faults = {
   readonly path: string;
-  readonly cut: (from: readonly string[], to: readonly string[], isOneWay: boolean) => () => void;
+  readonly cut: (from: readonly string[], to: readonly string[], way: Faults.Way) => () => void;
   readonly disk: (node: string, kind: Faults.Disk) => () => void;
   readonly clock: (node: string, by: number) => () => void;
   readonly healAll: () => void;
 };
 
 export declare namespace Faults {
+  type Way = 'one' | 'both';
   type Disk = 'slow' | 'stall' | 'full' | 'gone';
   type State = {
     readonly cuts: readonly string[];
@@ -19,6 +20,10 @@
 }
 
 export const Faults = {
+  pairs: (from: readonly string[], to: readonly string[], way: Faults.Way): readonly string[] =>
+    from.flatMap((a) =>
+      to.flatMap((b) => (a === b ? [] : way === 'one' ? [`${a}>${b}`] : [`${a}>${b}`, `${b}>${a}`])),
+    ),
   open(path: string): Faults {
     const cuts = new Map<string, number>();
     const disks = new Map<string, Faults.Disk>();
@@ -43,10 +48,8 @@
     write();
     return {
       path,
-      cut(from, to, isOneWay) {
-        const pairs = from.flatMap((a) =>
-          to.flatMap((b) => (a === b ? [] : isOneWay ? [`${a}>${b}`] : [`${a}>${b}`, `${b}>${a}`])),
-        );
+      cut(from, to, way) {
+        const pairs = Faults.pairs(from, to, way);
         for (const pair of pairs) cuts.set(pair, (cuts.get(pair) ?? 0) + 1);
         write();
         return () => {
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -14,6 +14,7 @@
   readonly cores: FleetKit.Core[];
   readonly fronts: FleetKit.Front[];
   readonly servers: FleetKit.Server[];
+  readonly newAddress: () => string;
   readonly startCore: (core: FleetKit.Core) => Promise<void>;
   readonly startAgent: (front: FleetKit.Front) => Promise<void>;
   readonly startProxy: (front: FleetKit.Front) => Promise<void>;
@@ -54,6 +55,7 @@
   type Answer = {
     readonly status: number;
     readonly etag: string | undefined;
+    readonly by: string | undefined;
     readonly body: Record<string, unknown>;
   };
   type Terms = {
@@ -89,31 +91,33 @@
   return {
     status: answer.statusCode,
     etag: typeof etag === 'string' ? etag : undefined,
+    by: answer.headers['bramblebend-node'] as string | undefined,
     body: text === '' ? {} : (JSON.parse(text) as Record<string, unknown>),
   };
 };
 
 let machines = 0;
 
+const newAddress = (): string => {
+  machines = (machines % 250) + 1;
+  return `${network()}.${machines}`;
+};
+
 export const FleetKit = {
   operatorToken,
   platformToken,
   call,
   lay(terms: FleetKit.Terms): Pick<FleetKit, 'cores' | 'fronts' | 'servers'> {
     const { folder, deployment } = terms;
-    const address = () => {
-      machines = (machines % 250) + 1;
-      return `${network()}.${machines}`;
-    };
     const cores = [0, 1, 2].map((index) => {
-      const ip = address();
+      const ip = newAddress();
       const { zone } = deployment.zones[index % deployment.zones.length]!;
       const node = `core-${index + 1}`;
       return { node, zone, wire: `${ip}:7000`, http: `${ip}:7080`, data: join(folder, node) };
     });
     const fronts = deployment.zones.flatMap(({ zone, fronts: count }) =>
       Array.from({ length: count }, (_none, index) => {
-        const ip = address();
+        const ip = newAddress();
         return {
           node: `${zone}-front-${index + 1}`,
           zone,
@@ -131,7 +135,7 @@
         return {
           instance,
           backEnd,
-          address: `${address()}:9000`,
+          address: `${newAddress()}:9000`,
           journal: join(folder, `${instance}.journal`),
         };
       }),
@@ -229,6 +233,7 @@
       cores,
       fronts,
       servers,
+      newAddress,
       startCore,
       startAgent,
       startProxy,
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -62,7 +62,7 @@
     process.stdout.write(
       `${JSON.stringify({ deployment: deployment.name, seed: flags.seed, processes: kit.fronts.length * 2 + 3 + kit.servers.length, firstRevision: first, startedIn, inForceMs: changes.map(Math.round), ...report, unserved: unserved.slice(0, 10), folder }, null, 2)}\n`,
     );
-    const isClean = Object.values(report.breaches).every((list) => list.length === 0);
+    const isClean = Object.values(report.verdicts).every(({ breaches }) => breaches.length === 0);
     return isClean && report.requests > 0 && unserved.length === 0 ? 0 : 1;
   } finally {
     await kit.stop();
--- a/tools/report.ts
+++ b/tools/report.ts
@@ -9,7 +9,7 @@
   readonly requests: number;
   readonly kinds: Readonly<Record<string, object>>;
   readonly warmShare: number;
-  readonly breaches: Readonly<Record<string, readonly string[]>>;
+  readonly verdicts: Readonly<Record<string, Checkers.Verdict>>;
 };
 
 const quantile = (values: readonly number[], part: number): number => {
@@ -68,8 +68,11 @@
       kinds,
       warmShare:
         Math.round((prompts.filter((run) => run.warm).length / Math.max(1, prompts.length)) * 1000) / 1000,
-      breaches: Object.fromEntries(
-        Object.entries(Checkers).map(([name, check]) => [name, check(journals).slice(0, 20)]),
+      verdicts: Object.fromEntries(
+        Object.entries(Checkers).map(([name, check]) => {
+          const { occasions, breaches } = check(journals);
+          return [name, { occasions, breaches: breaches.slice(0, 20) }];
+        }),
       ),
     };
   },
--- a/tools/standin.ts
+++ b/tools/standin.ts
@@ -224,7 +224,20 @@
     if (flags.kind === 'ordering') return lookUp(request, response);
     return complete(request, response, text, now);
   };
+  const note = (request: IncomingMessage, response: ServerResponse) => {
+    const path = request.url ?? '/';
+    if (path === '/_fault') return;
+    const entry = {
+      instance: flags.instance,
+      request: request.headers['bramblebend-request-id'],
+      caller: request.headers['x-request-id'],
+    };
+    const isQuestion = path === '/v1/models' || path === '/identity';
+    journal.write({ event: isQuestion ? 'asked' : 'arrived', ...entry });
+    if (!isQuestion) response.once('close', () => journal.write({ event: 'gone', ...entry }));
+  };
   const server = createServer((request, response) => {
+    note(request, response);
     if (fault.kind === 'refuse' && request.url !== '/_fault') return void request.socket.resetAndDestroy();
     attend(request, response).catch(() => response.destroy());
   });
@@ -232,6 +245,7 @@
   server.listen(Number(flags.listen.slice(cut + 1)), flags.listen.slice(0, cut), () => {
     const bound = server.address();
     const port = typeof bound === 'object' && bound ? bound.port : 0;
+    journal.write({ event: 'up', instance: flags.instance });
     process.stdout.write(
       `${JSON.stringify({ ready: true, program: 'standin', listen: `${flags.listen.slice(0, cut)}:${port}` })}\n`,
     );
