Serve only views that are vouched for, find ways through mates, keep dark servers apart

Nodes knew only control nodes and the relays of their zone, so one cut off from the cores had no way although other agents reached it. Ages of word now count from the last confirmation by a majority, so a deposed primary's word grows old. Reads and changes of the register wait for a majority only, and a read looks again while the register moves.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -10,6 +10,7 @@
 import { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
+import { Voucher } from '../news/voucher.js';
 import { Gauges } from '../startup/gauges.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
@@ -22,6 +23,7 @@
 export const Agent: Agent = {
   async start(startup, ring) {
     const feed = Feed.of();
+    const voucher = Voucher.of(feed, () => ring.note('vouched for', { stamp: feed.stamp() }));
     const boot = Ident.boot();
     let wire = '';
     let depth = 1;
@@ -38,8 +40,9 @@
       ops: opsText,
       depth,
       ready: !isDraining,
+      vouched: voucher.isVouched(),
     }));
-    const mates = () => startup.seeds;
+    const mates = () => uplink.places();
     const children = Children.of(roll);
     let roster: readonly string[] = [];
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
@@ -52,18 +55,27 @@
         roster: () => roster,
         onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
         version: Version,
+        age: feed.age,
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
     const terms = { stamp: feed.stamp, age: feed.age, serve, note: ring.note };
     const doorway = await Doorway.open({ ...terms, address: Address.checked(startup.wire) });
     wire = Doorway.text(doorway);
-    const inner = await Doorway.open({ ...terms, address: Address.checked(startup.feed) });
+    const inner = await Doorway.open({
+      ...terms,
+      address: Address.checked(startup.feed),
+      serve(link, hello, frames) {
+        if (hello.self.vouched) voucher.promise(hello.stamp);
+        return serve(link, hello, frames);
+      },
+    });
     const uplink: Uplink = Uplink.run({
       feed,
       roll,
       seeds: startup.seeds,
       version: Version,
       isUpward: true,
+      onWord: voucher.look,
       onRoster(proxies) {
         roster = proxies;
         children.broadcast({ kind: 'roster', proxies });
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -24,6 +24,7 @@
   readonly tenure: () => Tenure | undefined;
   readonly join: (core: Frame.Core) => Promise<string>;
   readonly isRetired: () => boolean;
+  readonly confirmedFor: () => number | undefined;
   readonly yielded: () => void;
   readonly force: () => Promise<string>;
   readonly begin: () => void;
@@ -296,6 +297,10 @@
         return '';
       },
       isRetired,
+      confirmedFor() {
+        const isSettled = primary && State.isSettled(primary.state(), primary.tenure().formed);
+        return primary && isSettled && primary.isLeading() ? Moment.since(primary.confirmedAt()) : undefined;
+      },
       yielded() {
         isAsked = true;
         wake();
--- a/src/control/office.ts
+++ b/src/control/office.ts
@@ -4,6 +4,7 @@
 import type { Proposer } from '../epoch/proposer.js';
 import { Alarm } from '../kinds/alarm.js';
 import { Mishap } from '../kinds/mishap.js';
+import { Moment } from '../kinds/moment.js';
 import type { Stamp } from '../kinds/stamp.js';
 import type { Primary } from '../replica/primary.js';
 import { State } from '../store/state.js';
@@ -19,6 +20,8 @@
 };
 
 const answerWithin = 5000;
+const lookAgainFor = 1500;
+const lookAgainEvery = 50;
 
 export const Office = {
   of(needs: { readonly leading: () => Primary | undefined; readonly proposer: Proposer }): Office {
@@ -32,18 +35,21 @@
       return State.isSettled(primary.state(), primary.tenure().formed);
     };
     const confirm = async (): Promise<State> => {
-      const primary = mustLead();
-      const state = primary.state();
-      const mine = primary.tenure();
-      const tenure = await needs.proposer.read();
-      if (!tenure) throw Mishap.of('unconfirmed', 'no majority confirms the epoch', { taken: 'no' });
-      if (tenure.primary !== mine.primary || tenure.epoch > primary.tenure().epoch) {
-        if (tenure.primary !== mine.primary) primary.depose('a majority names another primary');
-        throw Mishap.of('unconfirmed', 'the epoch has moved on', { taken: 'no' });
+      const began = Moment.now();
+      for (;;) {
+        const primary = mustLead();
+        const state = primary.state();
+        if (await primary.confirm()) {
+          if (isSettled()) return state;
+          throw Mishap.of('unconfirmed', 'the cores formed anew and ask the nodes', { taken: 'no' });
+        }
+        const tenure = await needs.proposer.read();
+        if (tenure && tenure.primary !== primary.tenure().primary)
+          primary.depose('a majority names another primary');
+        if (Moment.since(began) > lookAgainFor)
+          throw Mishap.of('unconfirmed', 'no majority confirms the epoch', { taken: 'no' });
+        await Alarm.pause(lookAgainEvery);
       }
-      if (!isSettled())
-        throw Mishap.of('unconfirmed', 'the cores formed anew and ask the nodes', { taken: 'no' });
-      return state;
     };
     return {
       confirm,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -11,6 +11,7 @@
 import type { Ring } from '../log/ring.js';
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
+import { Places } from '../membership/places.js';
 import { Roll } from '../membership/roll.js';
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
@@ -21,6 +22,7 @@
 import type { Settings } from '../startup/settings.js';
 import { Version } from '../startup/version.js';
 import { Doorway } from '../wire/doorway.js';
+import type { Frame } from '../wire/frame.js';
 import { Core } from './core.js';
 import { Desk } from './desk.js';
 import { Folder } from './folder.js';
@@ -28,6 +30,8 @@
 import { Mates } from './mates.js';
 import { Office } from './office.js';
 
+const nearbyAgents = 6;
+
 export type Control = { readonly start: (startup: Settings['control'], ring: Ring) => Promise<Program> };
 
 export const Control: Control = {
@@ -50,9 +54,9 @@
       ops: http,
       depth: 0,
       ready: core?.tenure() !== undefined,
+      vouched: false,
     }));
-    const age = (): number =>
-      core?.leading() && mates.couriers().some((courier) => courier.isUp()) ? 0 : feed.age();
+    const age = (): number => core?.confirmedFor() ?? feed.age();
     const children = Children.of(roll);
     const isBelow = (node: string) =>
       roll.all().some((entry) => entry.node === node && entry.program !== 'control');
@@ -111,6 +115,15 @@
     const places = () => [
       ...new Set([...(core?.tenure()?.cores.map((one) => one.wire) ?? []), ...startup.seeds]),
     ];
+    const nearby = (child: Frame.Entry) => {
+      const agents = roll.all().filter((one) => one.program === 'agent' && one.node !== child.node);
+      const far = agents.filter((one) => one.zone !== child.zone);
+      const near = agents.filter((one) => one.zone === child.zone);
+      const start = Places.hash(child.node) % Math.max(1, far.length);
+      return [...near.slice(0, 2), ...far.slice(start), ...far.slice(0, start)]
+        .slice(0, nearbyAgents)
+        .map((one) => one.wire);
+    };
     const doorway = await Doorway.open({
       address: Address.checked(startup.wire),
       stamp: feed.stamp,
@@ -123,9 +136,10 @@
               feed,
               roll,
               children,
-              mates: places,
+              mates: () => [...places(), ...nearby(hello.self)],
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
+              age,
               roster,
               onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
               onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame),
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -13,6 +13,7 @@
 export type Proposer = {
   readonly votes: () => Promise<readonly Proposer.Vote[]>;
   readonly read: () => Promise<Tenure | undefined>;
+  readonly confirm: (tenure: Tenure) => Promise<boolean>;
   readonly change: (
     next: (tenure: Tenure) => Tenure | undefined,
   ) => Promise<{ readonly isDone: boolean; readonly tenure: Tenure | undefined }>;
@@ -37,6 +38,7 @@
 }
 
 const within = 1000;
+const grace = 60;
 
 const bounded = (work: Promise<boolean>, span: number): Promise<boolean> =>
   new Promise((resolve) => {
@@ -70,13 +72,24 @@
     const askAll = async (
       request: Parameters<Courier['ask']>[0],
       mine: () => Promise<boolean>,
+      isEnough: (votes: readonly Proposer.Vote[]) => boolean = () => false,
     ): Promise<readonly Proposer.Vote[]> => {
-      const others = needs.couriers().map((courier) => courier.ask(request, within));
-      const own = bounded(mine(), within).then(vote);
-      const told = await Promise.allSettled([own, ...others]);
-      const votes = told.flatMap((one) =>
-        one.status === 'fulfilled' && 'isGranted' in one.value ? [one.value as Proposer.Vote] : [],
-      );
+      const votes: Proposer.Vote[] = [];
+      await new Promise<void>((resolve) => {
+        let late: Alarm | undefined;
+        const finish = () => {
+          late?.stop();
+          resolve();
+        };
+        const take = (told: Frame.Reply | Proposer.Vote) => {
+          if (!('isGranted' in told)) return;
+          votes.push(told as Proposer.Vote);
+          if (isEnough(votes)) late ??= Alarm.after(grace, finish);
+        };
+        const others = needs.couriers().map((courier) => courier.ask(request, within).then(take));
+        const own = bounded(mine(), within).then(vote).then(take);
+        void Promise.allSettled([own, ...others]).then(finish);
+      });
       return votes.filter(
         (one, index) => votes.findIndex((other) => other.core.disk === one.core.disk) === index,
       );
@@ -87,11 +100,23 @@
         Math.max(register.promised().round, ...votes.map((one) => one.promised?.round ?? 0)),
         register.disk,
       );
+    const isQuorum = (votes: readonly Proposer.Vote[]): boolean => {
+      const base = highestOf(granted(votes))?.tenure;
+      return base !== null && base !== undefined && isMajority(granted(votes), base);
+    };
     const peek = () => askAll({ kind: 'peek' }, async () => true);
     const prepare = (ballot: Ballot, isForming: boolean) =>
-      askAll({ kind: 'prepare', ballot, isForming }, () => register.prepare(ballot, isForming));
-    const accept = (ballot: Ballot, tenure: Tenure) =>
-      askAll({ kind: 'accept', ballot, tenure }, () => register.accept(ballot, tenure));
+      askAll(
+        { kind: 'prepare', ballot, isForming },
+        () => register.prepare(ballot, isForming),
+        isForming ? undefined : isQuorum,
+      );
+    const accept = (ballot: Ballot, tenure: Tenure, isForming = false) =>
+      askAll(
+        { kind: 'accept', ballot, tenure },
+        () => register.accept(ballot, tenure),
+        isForming ? undefined : (votes) => isMajority(granted(votes), tenure),
+      );
     return {
       vote,
       votes: peek,
@@ -104,8 +129,22 @@
         );
         return isMajority(agreeing, top.tenure) ? top.tenure : undefined;
       },
+      confirm: (tenure) =>
+        new Promise((resolve) => {
+          const agreeing = new Set<string>();
+          const count = ({ core, tenure: told }: Proposer.Vote) => {
+            if (told?.epoch === tenure.epoch && Tenure.has(tenure, core.disk)) agreeing.add(core.disk);
+            if (agreeing.size >= Tenure.majority(tenure)) resolve(true);
+          };
+          const asked = needs.couriers().map(async (courier) => {
+            const reply = await courier.ask({ kind: 'peek' }, within);
+            if (reply.kind === 'vote') count(reply);
+          });
+          count(vote(true));
+          void Promise.allSettled(asked).then(() => resolve(false));
+        }),
       async change(next) {
-        const ballot = nextBallot(await peek());
+        const ballot = nextBallot(await askAll({ kind: 'peek' }, async () => true, isQuorum));
         const grants = granted(await prepare(ballot, false));
         const base = highestOf(grants)?.tenure;
         if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined };
@@ -121,7 +160,7 @@
         if (grants.length < atLeast) return undefined;
         const wanted = make(grants);
         if (!wanted) return undefined;
-        const accepts = granted(await accept(ballot, wanted));
+        const accepts = granted(await accept(ballot, wanted, true));
         const asked = wanted.cores.filter((core) => grants.some((one) => one.core.disk === core.disk));
         const isWhole = asked.every((core) => accepts.some((one) => one.core.disk === core.disk));
         return isWhole ? wanted : undefined;
--- a/src/kinds/moment.ts
+++ b/src/kinds/moment.ts
@@ -10,4 +10,5 @@
   isPast: (until: Moment): boolean => performance.now() >= until,
   earliest: (a: Moment, b: Moment): Moment => (a < b ? a : b),
   never: Number.POSITIVE_INFINITY as Moment,
+  past: Number.NEGATIVE_INFINITY as Moment,
 };
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -23,6 +23,7 @@
     readonly mates: () => readonly string[];
     readonly relays: (child: Frame.Entry) => readonly string[];
     readonly version: string;
+    readonly age: () => number;
     readonly children: Children;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
@@ -50,6 +51,7 @@
       if (isWorthIt) link.send({ kind: 'patch', ...patch });
       else link.send({ kind: 'news', view: View.encode(feed.view()) });
       held = new Set(Ranges.digests(ranges));
+      link.send({ kind: 'ping', age: needs.age() });
     };
     const compare = (theirs: Stamp) => {
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
@@ -68,6 +70,7 @@
         mates: [...needs.mates()],
         relays: [...needs.relays(hello.self)],
         version: needs.version,
+        age: needs.age(),
       });
       link.send({ kind: 'roster', proxies: [...needs.roster()] });
       compare(hello.self.stamp);
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -1,7 +1,8 @@
 // The lower end of a session: one task that keeps this node a member. It seeks a parent among the
 // seeds and the mates learned since, joins, takes news, and passes up what it and the nodes below
 // hold. It leaves a parent that is silent, or whose word from the primary has grown old while others
-// may have a newer one, and seeks the next at once.
+// may have a newer one, and seeks the next at once: a few places are dialled one after another in quick
+// succession, and the first that takes the call is asked.
 import { match } from 'ts-pattern';
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -21,6 +22,7 @@
 export type Uplink = {
   readonly state: () => string;
   readonly parent: () => string;
+  readonly places: () => readonly string[];
   readonly send: (body: Frame.Body) => boolean;
   readonly stop: () => void;
   readonly done: Promise<void>;
@@ -34,7 +36,8 @@
     readonly version: string;
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
-    readonly onParent?: (parent: Frame.Entry) => void;
+    readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
+    readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
     readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
@@ -46,6 +49,8 @@
 const rollEvery = 500;
 const pingEvery = 200;
 const silence = 1200;
+const nextAfter = 150;
+const stayFar = 15_000;
 
 export const Uplink = {
   run(needs: Uplink.Needs): Uplink {
@@ -61,7 +66,10 @@
     let joinedAt = Moment.now();
     let parent = '';
     let current: Link | undefined;
+    let isBelowAgent = false;
+    let isFar = false;
 
+    const isFree = () => places.all().length > 1;
     const tell = (link: Link) => {
       if (!needs.isUpward) return;
       link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
@@ -75,13 +83,17 @@
     };
     const take = (frame: Frame, link: Link) =>
       match(frame)
-        .with({ kind: 'welcome' }, ({ self, mates, relays, stamp }) => {
+        .with({ kind: 'welcome' }, ({ self, mates, relays, stamp, age }) => {
           places.learn(mates);
           if (goLower(relays, link)) return;
+          isBelowAgent = self.program === 'agent';
+          if (isBelowAgent && age > oldAfter && isFree())
+            throw Mishap.of('silence', 'no fresh word from the primary there');
           phase.become('joined');
           joinedAt = Moment.now();
           parent = self.node;
-          needs.onParent?.(self);
+          isFar = isBelowAgent && self.zone !== roll.self().zone;
+          needs.onParent?.(self, stamp);
           tell(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
@@ -101,10 +113,13 @@
           link.send({ kind: 'news', view: View.encode(feed.view()) });
         })
         .with({ kind: 'ping' }, ({ age, stamp }) => {
-          feed.hear(age);
+          feed.hear(age, stamp);
+          needs.onWord?.();
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
-          if (feed.age() > oldAfter && Moment.since(joinedAt) > oldAfter && places.count() > 1)
-            throw Mishap.of('silence', 'no fresh word from the primary here');
+          const isOld = feed.age() > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
+          if (isOld && isFree()) throw Mishap.of('silence', 'no fresh word from the primary here');
+          if (isFar && Moment.since(joinedAt) > stayFar)
+            throw Mishap.of('silence', 'time to look for a nearer parent');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
@@ -115,14 +130,27 @@
         .otherwise(({ kind }) => {
           throw Mishap.of('frame', `unexpected ${kind} from a parent`);
         });
-    const attend = async (place: string): Promise<void> => {
-      const address = Address.parse(place);
-      if (!address) return;
-      const link = await Link.open(
-        address,
-        { stamp: feed.stamp, age: feed.age, pingEvery, silence },
-        stop.signal,
-      );
+    const dial = (): Promise<{ readonly place: string; readonly link: Link }> => {
+      const terms = { stamp: feed.stamp, age: feed.age, pingEvery, silence };
+      const below = new Set([roll.self().wire, ...roll.below().map((entry) => entry.wire)]);
+      const list = places.next().filter((place) => !below.has(place) && Address.parse(place) !== undefined);
+      const hasOne = new AbortController();
+      const dials = list.map(async (place, index) => {
+        await Alarm.pause(index * nextAfter, hasOne.signal);
+        if (hasOne.signal.aborted) throw Mishap.of('link', 'another place took the call');
+        const either = AbortSignal.any([stop.signal, hasOne.signal]);
+        const link = await Link.open(Address.checked(place), terms, either).catch((error: unknown) => {
+          if (!hasOne.signal.aborted) places.failed(place);
+          throw error;
+        });
+        if (hasOne.signal.aborted) link.close();
+        hasOne.abort();
+        return { place, link };
+      });
+      return Promise.any(dials);
+    };
+    const attend = async (): Promise<void> => {
+      const { place, link } = await dial();
       const onStop = () => link.close();
       stop.signal.addEventListener('abort', onStop, { once: true });
       const unwatch = [feed.watch(() => tell(link)), roll.watch(() => tell(link))];
@@ -131,7 +159,10 @@
         current = link;
         link.send({ kind: 'hello', self: roll.self(), version: needs.version, aim: 'session' });
         for await (const frame of link.frames()) take(frame, link);
+      } catch (error) {
+        if (phase.is('joined')) needs.note('session ended', { place, why: Mishap.text(error) });
       } finally {
+        places.failed(place);
         current = undefined;
         rolls.stop();
         for (const end of unwatch) end();
@@ -141,16 +172,9 @@
     };
     const run = async () => {
       for (let round = 0; !stop.signal.aborted; round += 1) {
-        const place = places.next();
         phase.become('joining');
-        let wasJoined = false;
-        try {
-          await attend(place);
-          wasJoined = phase.is('joined');
-        } catch (error) {
-          wasJoined = phase.is('joined');
-          if (wasJoined) needs.note('session ended', { place, why: Mishap.text(error) });
-        }
+        await attend().catch(() => undefined);
+        const wasJoined = phase.is('joined');
         parent = '';
         if (stop.signal.aborted) break;
         phase.become('seeking');
@@ -162,6 +186,7 @@
     return {
       state: () => phase.state,
       parent: () => parent,
+      places: places.all,
       send: (body) => (phase.is('joined') && current?.send(body)) || false,
       stop: () => stop.abort(),
       done: run(),
--- a/src/news/feed.ts
+++ b/src/news/feed.ts
@@ -1,7 +1,8 @@
 // The feed holds the newest view this process knows and tells its watchers when a newer one comes. It
-// takes nothing with a lower or equal stamp, and no empty view in place of a manifest. It also knows how old the last word from the primary is:
-// ages travel with pings down the tree, so that a node behind a cut-off relay notices and looks
-// elsewhere.
+// takes nothing with a lower or equal stamp, and no empty view in place of a manifest. It also knows how old
+// the last word from the primary is: ages travel with pings down the tree, so that a node behind a cut-off
+// relay notices and looks elsewhere. Word that names a newer view than the one held does not count, and
+// word that names the very view held vouches for it: it was the newest when that word left the primary.
 import { Moment } from '../kinds/moment.js';
 import { Stamp } from '../kinds/stamp.js';
 import { View } from '../manifest/view.js';
@@ -11,15 +12,17 @@
   readonly stamp: () => Stamp;
   readonly offer: (view: View) => boolean;
   readonly watch: (see: (view: View) => void) => () => void;
-  readonly hear: (age: number) => void;
+  readonly hear: (age: number, stamp: Stamp) => void;
   readonly age: () => number;
+  readonly vouchedAt: () => Moment;
   readonly dropped: () => number;
 };
 
 export const Feed = {
   of(first: View = View.empty): Feed {
     let view = first;
-    let heard: Moment = Moment.now();
+    let heard = Moment.past;
+    let vouched = Moment.past;
     let dropped = 0;
     const watchers = new Set<(view: View) => void>();
     return {
@@ -40,11 +43,14 @@
         watchers.add(see);
         return () => void watchers.delete(see);
       },
-      hear(age) {
+      hear(age, stamp) {
+        if (Stamp.isNewer(stamp, view.stamp)) return;
         const at = Moment.after(-age);
         if (at > heard) heard = at;
+        if (at > vouched && view.manifest && Stamp.isSame(stamp, view.stamp)) vouched = at;
       },
       age: () => Moment.since(heard),
+      vouchedAt: () => vouched,
     };
   },
 };
--- /dev/null
+++ b/src/news/voucher.ts
@@ -0,0 +1,36 @@
+// May the view held be put in force? A node that starts empty could be handed an older view than it served
+// under before, by a relay that lags or a mate that is cut off. So it serves only once its view is vouched
+// for: by word that left the primary after this start and names that very view, or by the other half of its
+// own machine, which holds at least what this half ever had. What came to be vouched for stays so.
+import { Moment } from '../kinds/moment.js';
+import { Phase } from '../kinds/phase.js';
+import { Stamp } from '../kinds/stamp.js';
+import type { Feed } from './feed.js';
+
+export type Voucher = {
+  readonly isVouched: () => boolean;
+  readonly look: () => void;
+  readonly promise: (stamp: Stamp) => void;
+};
+
+export const Voucher = {
+  of(feed: Feed, onVouched: () => void): Voucher {
+    const began = Moment.now();
+    const phase = Phase.of('waiting', { waiting: ['vouched'], vouched: [] }, onVouched);
+    let promised: Stamp | undefined;
+    const look = () => {
+      if (phase.is('vouched') || !feed.view().manifest) return;
+      const isKept = promised !== undefined && !Stamp.isNewer(promised, feed.stamp());
+      if (isKept || feed.vouchedAt() > began) phase.become('vouched');
+    };
+    feed.watch(look);
+    return {
+      isVouched: () => phase.is('vouched'),
+      look,
+      promise(stamp) {
+        promised ??= stamp;
+        look();
+      },
+    };
+  },
+};
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -5,6 +5,7 @@
 import type { Busyness } from '../upstream/busyness.js';
 import type { Ejector } from '../upstream/ejector.js';
 import type { Pool } from '../upstream/pool.js';
+import type { Prover } from '../upstream/prover.js';
 import type { Ramp } from '../upstream/ramp.js';
 import type { Call } from './call.js';
 import type { Meters } from './meters.js';
@@ -24,9 +25,8 @@
     readonly budget: Budget;
     readonly stall: Stall;
     readonly ramp: Ramp;
-    readonly dark: Set<string>;
+    readonly prover: Prover;
     readonly shares: Shares;
-    readonly onCold: (instance: string) => void;
     readonly meters: Meters;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -49,9 +49,9 @@
 
 const judge = (needs: Filter.Needs, trial: Trial) => {
   const { server, group } = trial.pick;
-  if (trial.kind === 'unsent' && trial.why === 'connect') needs.dark.add(server.instance);
-  if ((trial.kind === 'stream' || trial.kind === 'answer') && needs.dark.delete(server.instance))
-    needs.onCold(server.instance);
+  if (trial.kind === 'unsent' && (trial.why === 'connect' || trial.why === 'identity'))
+    needs.prover.lost(server);
+  if (trial.kind === 'lost' && trial.why !== 'left') needs.prover.suspect(server);
   if (trial.kind === 'stream' || trial.kind === 'answer') needs.ramp.good(server.instance);
   if (trial.kind === 'stream' || (trial.kind === 'answer' && trial.status < 500)) needs.ejector.good(server);
   else if (trial.kind === 'answer') {
@@ -95,6 +95,7 @@
           busyness: needs.busyness,
           ejector: needs.ejector,
           allowance: needs.ramp.allowance,
+          isDark: needs.prover.isDark,
           random: Math.random,
         }),
         run: (pick, tier) =>
@@ -108,6 +109,7 @@
             signal: call.left,
             isStillOpen: isOpen,
             settle: needs.stall.settle,
+            onWait: () => needs.prover.suspect(pick.server),
           }),
         note: (trial, isExtra) => {
           judge(needs, trial);
--- a/src/proxy/meters.ts
+++ b/src/proxy/meters.ts
@@ -37,6 +37,12 @@
         labelNames: ['code'] as const,
         registers,
       }),
+      dark: new Counter({
+        name: 'bramblebend_servers_dark_total',
+        help: 'times a server went dark to this proxy, by group',
+        labelNames: ['group'] as const,
+        registers,
+      }),
       ejections: new Counter({
         name: 'bramblebend_ejections_total',
         help: 'ejections by group',
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -11,6 +11,7 @@
 import { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
+import { Voucher } from '../news/voucher.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Settings } from '../startup/settings.js';
@@ -19,6 +20,7 @@
 import { Busyness } from '../upstream/busyness.js';
 import { Ejector } from '../upstream/ejector.js';
 import { Pool } from '../upstream/pool.js';
+import { Prover } from '../upstream/prover.js';
 import { Ramp } from '../upstream/ramp.js';
 import { Meters } from './meters.js';
 import { ProxyServer } from './server.js';
@@ -40,7 +42,12 @@
     let active = 0;
     let isDraining = false;
     let compiled: Compiled | undefined;
-    const meters = Meters.of({ stamp: feed.stamp, held: budget.held, active: () => active, age: feed.age });
+    const meters = Meters.of({
+      stamp: () => inForce(),
+      held: budget.held,
+      active: () => active,
+      age: feed.age,
+    });
     const ejector = Ejector.of((server, span) => {
       meters.ejections.inc({ group: server.group });
       ring.note('ejected', { instance: server.instance, span });
@@ -49,16 +56,29 @@
       newest: () => compiled,
       onWrong(server, cause) {
         meters.wrong.inc({ group: server.group });
-        ring.alert('wrong identity', {
-          instance: server.instance,
-          why: Mishap.text(cause),
-          ...Mishap.info(cause),
-        });
+        const facts = { instance: server.instance, why: Mishap.text(cause), ...Mishap.info(cause) };
+        if (prover.isDark(server.instance)) ring.note('wrong identity still', facts);
+        else ring.alert('wrong identity', facts);
       },
+      onEnded: (server) => prover.suspect(server),
     });
     let roster: readonly string[] = [];
     const ramp = Ramp.of(startup.node, () => roster);
-    const dark = new Set<string>();
+    const prover: Prover = Prover.of({
+      pool,
+      newest: () => compiled,
+      isFresh: ramp.isFresh,
+      onDark({ instance, group }) {
+        meters.dark.inc({ group });
+        ring.note('dark', { instance });
+        uplink.send({ kind: 'cold', instance, age: 0, dark: true });
+      },
+      onBack({ instance }) {
+        ring.note('back from the dark', { instance });
+        onCold(instance);
+        uplink.send({ kind: 'cold', instance, age: 0, dark: false });
+      },
+    });
     const onCold = (instance: string, age = 0) => {
       if (ramp.begin(instance, age)) ring.note('fed gently', { instance });
     };
@@ -70,15 +90,20 @@
       }
       ramp.retain((instance) => after.servers.has(instance));
     };
-    feed.watch((view) => {
+    const inForce = () => compiled?.stamp ?? Stamp.none;
+    const enforce = () => {
+      if (!voucher.isVouched()) return;
       const before = compiled;
-      compiled = Compiled.of(view);
-      if (compiled) feedGently(before, compiled);
-      ring.note('in force', { stamp: Stamp.text(view.stamp) });
+      compiled = Compiled.of(feed.view());
       if (!compiled) return;
+      feedGently(before, compiled);
+      ring.note('in force', { stamp: Stamp.text(compiled.stamp) });
       pool.retain(compiled);
       ejector.retain(compiled);
-    });
+      prover.retain(compiled);
+    };
+    const voucher = Voucher.of(feed, enforce);
+    feed.watch(enforce);
     const isReady = () =>
       isDraining
         ? 'draining'
@@ -98,12 +123,8 @@
         budget,
         stall,
         ramp,
-        dark,
+        prover,
         shares: Shares.of(),
-        onCold(instance) {
-          onCold(instance);
-          uplink.send({ kind: 'cold', instance, age: 0 });
-        },
         meters,
         note: ring.note,
       },
@@ -122,8 +143,9 @@
       describe: () => ({
         node: startup.node,
         boot,
-        stamp: feed.stamp(),
+        stamp: inForce(),
         out: ejector.out(),
+        dark: prover.dark(),
         version: Version,
       }),
     }).server();
@@ -133,12 +155,13 @@
       program: 'proxy',
       zone: startup.zone,
       boot,
-      stamp: feed.stamp(),
+      stamp: inForce(),
       http: Address.text(listening),
       wire: '',
       ops: Address.text(opsAt),
       depth: 0,
       ready: isReady() === undefined,
+      vouched: voucher.isVouched(),
     }));
     const uplink: Uplink = Uplink.run({
       feed,
@@ -147,10 +170,17 @@
       version: Version,
       isFixed: true,
       isUpward: true,
+      onWord: voucher.look,
+      onParent(agent, stamp) {
+        if (agent.vouched) voucher.promise(stamp);
+      },
       onRoster(proxies) {
         roster = proxies;
       },
-      onCold: ({ instance, age }) => onCold(instance, age),
+      onCold({ instance, age, dark }) {
+        if (dark) prover.hear(instance);
+        else onCold(instance, age);
+      },
       onTokens: ({ epoch, batches }) => budget.grant(epoch, batches),
       note: ring.note,
     });
@@ -166,6 +196,7 @@
         late.stop();
         uplink.stop();
         await uplink.done;
+        prover.stop();
         await pool.close();
         stall.stop();
         tending.stop();
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -8,6 +8,7 @@
 import { Alarm } from '../kinds/alarm.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Mishap } from '../kinds/mishap.js';
+import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Revision } from '../kinds/revision.js';
 import type { Stamp } from '../kinds/stamp.js';
@@ -21,6 +22,8 @@
   readonly tenure: () => Tenure;
   readonly state: () => State;
   readonly isLeading: () => boolean;
+  readonly confirmedAt: () => Moment;
+  readonly confirm: () => Promise<boolean>;
   readonly commit: (make: (state: State, stamp: Stamp) => State.Change | undefined) => Promise<State>;
   readonly tend: () => Promise<void>;
   readonly join: (core: Frame.Core) => Promise<string>;
@@ -45,6 +48,7 @@
 const diskWithin = 1500;
 const deadAfter = 1500;
 const replaceAfter = 2000;
+const confirmEvery = 200;
 
 const bounded = <T>(work: Promise<T>, span: number, what: string): Promise<T> =>
   new Promise((resolve, reject) => {
@@ -58,6 +62,7 @@
     const turns = Turns.of();
     let tenure = needs.tenure;
     let acknowledged = store.state();
+    let confirmedAt = Moment.past;
     let tellDeposed: (why: string) => void = () => {};
     const deposed = new Promise<string>((resolve) => {
       tellDeposed = resolve;
@@ -178,10 +183,22 @@
         await alter((base) => Tenure.next(base, { inSync: [disk, able.core.disk] }));
       });
     };
+    const confirm = async (): Promise<boolean> => {
+      const asked = Moment.now();
+      const mine = tenure;
+      const isConfirmed = await proposer.confirm(mine);
+      if (isConfirmed && phase.is('leading') && asked > confirmedAt) confirmedAt = asked;
+      return isConfirmed;
+    };
+    const confirms = Alarm.every(confirmEvery, () => void confirm());
+    void confirm();
+    void deposed.then(confirms.stop);
     return {
       tenure: () => tenure,
       state: () => acknowledged,
       isLeading: () => phase.is('leading'),
+      confirmedAt: () => confirmedAt,
+      confirm,
       depose,
       deposed,
       commit: (make) =>
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -1,5 +1,5 @@
 // Which server next? Eligible ones are allowed by rule, home, catalogue, platform list, evacuations
-// and ejection. Among them a prompt goes by rendezvous hashing on its prefix key, so that proxies agree
+// and ejection, and not dark. Among them a prompt goes by rendezvous hashing on its prefix key, so that proxies agree
 // without talking, skipping servers that this node keeps busier than a bound over the mean; other
 // requests go to the less busy of two drawn at random.
 import type { Ident } from '../kinds/ident.js';
@@ -19,6 +19,7 @@
     readonly busyness: Busyness;
     readonly ejector: Ejector;
     readonly allowance: (instance: string) => number;
+    readonly isDark: (instance: string) => boolean;
     readonly random: () => number;
   };
 }
@@ -48,7 +49,13 @@
       const group = needs.compiled.groups.get(name);
       if (!group) return [];
       return group.servers
-        .filter((server) => server.isOpen && server.region === tier.region && !needs.ejector.isOut(server))
+        .filter(
+          (server) =>
+            server.isOpen &&
+            server.region === tier.region &&
+            !needs.ejector.isOut(server) &&
+            !needs.isDark(server.instance),
+        )
         .map((server) => ({ server, group }));
     });
   },
--- /dev/null
+++ b/src/upstream/prover.ts
@@ -0,0 +1,100 @@
+// Which servers are dark to this proxy: a connect or a proof of identity failed, or another proxy said so.
+// A dark server gets no request. One task for each dark server proves it again in the background, with
+// back-off, and what it proved is kept as a connection; only then may requests go there. A server that makes
+// a request wait, or that ended a connection just used, is asked beside the requests before one fails there.
+import { Alarm } from '../kinds/alarm.js';
+import { Moment } from '../kinds/moment.js';
+import type { Compiled } from '../manifest/compiled.js';
+import type { Connection } from './connection.js';
+import type { Pool } from './pool.js';
+
+export type Prover = {
+  readonly isDark: (instance: string) => boolean;
+  readonly lost: (server: Compiled.Server) => void;
+  readonly suspect: (server: Compiled.Server) => void;
+  readonly hear: (instance: string) => void;
+  readonly dark: () => readonly string[];
+  readonly retain: (compiled: Compiled) => void;
+  readonly stop: () => void;
+};
+
+export declare namespace Prover {
+  type Needs = {
+    readonly pool: Pool;
+    readonly newest: () => Compiled | undefined;
+    readonly isFresh: (instance: string) => boolean;
+    readonly onDark: (server: Compiled.Server) => void;
+    readonly onBack: (server: Compiled.Server) => void;
+  };
+}
+
+const proveWithin = 1000;
+const first = 150;
+const longest = 1500;
+const askAgainAfter = 1000;
+
+export const Prover = {
+  of(needs: Prover.Needs): Prover {
+    const dark = new Map<string, AbortController>();
+    const askedAt = new Map<string, Moment>();
+    const find = (instance: string): Compiled.Server | undefined => needs.newest()?.servers.get(instance);
+    const prove = async (server: Compiled.Server, stop: AbortSignal): Promise<Connection | undefined> => {
+      const group = needs.newest()?.groups.get(server.group);
+      if (!group) return undefined;
+      const limit = AbortSignal.any([stop, AbortSignal.timeout(proveWithin)]);
+      return needs.pool.open(server, group, limit).catch(() => undefined);
+    };
+    const attend = async (instance: string, isHearsay: boolean, stop: AbortController) => {
+      let span = isHearsay ? 0 : first;
+      for (let count = 0; !stop.signal.aborted; count += 1) {
+        await Alarm.pause(span * (0.75 + Math.random() / 2), stop.signal);
+        const server = find(instance);
+        if (!server || stop.signal.aborted) break;
+        const connection = await prove(server, stop.signal);
+        if (connection) {
+          needs.pool.give(connection);
+          dark.delete(instance);
+          if (!isHearsay || count > 0) needs.onBack(server);
+          return;
+        }
+        if (isHearsay && count === 0) needs.onDark(server);
+        span = Math.min(longest, Math.max(first, span * 2));
+      }
+      if (dark.get(instance) === stop) dark.delete(instance);
+    };
+    const begin = (instance: string, isHearsay: boolean) => {
+      const stop = new AbortController();
+      dark.set(instance, stop);
+      void attend(instance, isHearsay, stop);
+    };
+    const lost = (server: Compiled.Server) => {
+      if (dark.has(server.instance)) return;
+      needs.onDark(server);
+      begin(server.instance, false);
+    };
+    return {
+      isDark: (instance) => dark.has(instance),
+      dark: () => [...dark.keys()],
+      lost,
+      suspect(server) {
+        const asked = askedAt.get(server.instance) ?? Moment.past;
+        if (dark.has(server.instance) || Moment.since(asked) < askAgainAfter) return;
+        askedAt.set(server.instance, Moment.now());
+        void prove(server, new AbortController().signal).then((connection) => {
+          if (connection) needs.pool.give(connection);
+          else if (find(server.instance)) lost(server);
+        });
+      },
+      hear(instance) {
+        if (!dark.has(instance) && find(instance) && !needs.isFresh(instance)) begin(instance, true);
+      },
+      retain(compiled) {
+        for (const [instance, stop] of dark) if (!compiled.servers.has(instance)) stop.abort();
+        for (const instance of askedAt.keys()) if (!compiled.servers.has(instance)) askedAt.delete(instance);
+      },
+      stop() {
+        for (const stop of dark.values()) stop.abort();
+      },
+    };
+  },
+};
--- a/src/upstream/ramp.ts
+++ b/src/upstream/ramp.ts
@@ -9,6 +9,7 @@
 export type Ramp = {
   readonly begin: (instance: string, age?: number) => boolean;
   readonly good: (instance: string) => void;
+  readonly isFresh: (instance: string) => boolean;
   readonly allowance: (instance: string) => number;
   readonly retain: (isHeld: (instance: string) => boolean) => void;
 };
@@ -22,6 +23,7 @@
   of(own: string, roster: () => readonly string[]): Ramp {
     const began = new Map<string, Moment>();
     const lastGood = new Map<string, Moment>();
+    const isFresh = (instance: string) => Moment.since(lastGood.get(instance) ?? Moment.past) < freshlyGood;
     const rank = (instance: string, proxies: readonly string[]): number => {
       const weigh = (proxy: string) => Pick.mix(Pick.mix(0x811c9dc5, instance), proxy);
       const mine = weigh(own);
@@ -29,9 +31,9 @@
     };
     return {
       good: (instance) => void lastGood.set(instance, Moment.now()),
+      isFresh,
       begin(instance, age = 0) {
-        const good = lastGood.get(instance);
-        if (good !== undefined && Moment.since(good) < freshlyGood) return false;
+        if (isFresh(instance)) return false;
         const known = began.get(instance);
         if (age > over || (known !== undefined && Moment.since(known) < over)) return false;
         began.set(instance, Moment.after(-age));
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -43,10 +43,12 @@
     readonly signal: AbortSignal;
     readonly isStillOpen: (pick: Pick) => boolean;
     readonly settle: () => Promise<void>;
+    readonly onWait: () => void;
   };
 }
 
 const longestAnswer = 256 * 1024;
+const suspectAfter = 1000;
 
 const limit = (spans: readonly (readonly [Trial.Why, number])[]): readonly [Trial.Why, number] =>
   spans.reduce((least, one) => (one[1] < least[1] ? one : least));
@@ -88,6 +90,7 @@
     await needs.settle();
     [why, span] = limit([['first_byte', timeouts.first_byte], ...bounds()]);
     alarm.move(span);
+    const wait = Alarm.after(suspectAfter, needs.onWait);
     const result = await connection.run(needs.request, {
       signal: cut.signal,
       maySend: () =>
@@ -96,6 +99,7 @@
         !needs.signal.aborted &&
         needs.isStillOpen(pick),
     });
+    wait.stop();
     if (result.kind === 'mishap') {
       finish();
       await connection.destroy();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -22,6 +22,7 @@
     readonly ready: boolean;
     readonly ops: string;
     readonly depth: number;
+    readonly vouched: boolean;
   };
   type Body =
     | { readonly kind: 'hello'; readonly self: Entry; readonly version: string; readonly aim: string }
@@ -31,6 +32,7 @@
         readonly mates: readonly string[];
         readonly relays: readonly string[];
         readonly version: string;
+        readonly age: number;
       }
     | { readonly kind: 'ping'; readonly age: number }
     | { readonly kind: 'ask'; readonly digests: readonly string[] }
@@ -44,7 +46,7 @@
     | { readonly kind: 'drop'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
     | { readonly kind: 'roster'; readonly proxies: readonly string[] }
-    | { readonly kind: 'cold'; readonly instance: string; readonly age: number }
+    | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
         readonly kind: 'tokens';
         readonly node: string;
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -6,9 +6,11 @@
 syntax = "proto3";
 message Stamp { uint64 epoch = 1; uint64 revision = 2; }
 message Entry { string node = 1; string program = 2; string zone = 3; string boot = 4; Stamp stamp = 5;
-  string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; uint32 depth = 13; }
+  string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; uint32 depth = 13;
+  bool vouched = 14; }
 message Hello { Entry self = 1; string version = 2; string aim = 3; }
-message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; repeated string relays = 4; }
+message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; repeated string relays = 4;
+  double age = 5; }
 message Ping { double age = 1; }
 message Ask { repeated string digests = 1; }
 message News { bytes view = 1; }
@@ -34,7 +36,7 @@
 message Tokens { string node = 1; uint64 epoch = 2; repeated Batch batches = 3; uint64 wanted = 4; }
 message Lower { repeated string relays = 1; }
 message Roster { repeated string proxies = 1; }
-message Cold { string instance = 1; double age = 2; }
+message Cold { string instance = 1; double age = 2; bool dark = 3; }
 message Frame { Stamp stamp = 1;
   oneof body { Hello hello = 2; Welcome welcome = 3; Ping ping = 4; Ask ask = 5; News news = 6; Roll roll = 7;
     Drop drop = 8;
--- a/tools/campaign/breakers.ts
+++ b/tools/campaign/breakers.ts
@@ -275,14 +275,14 @@
     ]);
   },
   frontBesideStale: async (world) => {
-    const [stale, fresh] = Places.two(world, world.kit.fronts);
+    const stale = pickCore(world);
+    const fresh = pickFront(world);
     const island = wireIps([stale, fresh]);
-    const outside = (of: string[]) => allIps(world).filter((one) => !of.includes(one));
-    const aside = cut(world, 'front-cut', [island[0]!], outside([island[0]!]), 'both', 4000);
-    await World.pause(2500, world.stop);
-    const both = cut(world, 'front-cut', [island[1]!], outside(island), 'both', 5000);
-    await killFront(world, 'front-killed-beside-stale', fresh, 300, 'both');
-    await Promise.all([aside, both]);
+    const outside = allIps(world).filter((one) => !island.includes(one));
+    const aside = cut(world, 'island-cut', island, outside, 'both', 8000);
+    await World.pause(5000, world.stop);
+    await killFront(world, 'front-killed-beside-stale', fresh, 100, 'both');
+    await aside;
   },
   proxyFrozen: (world, span) => {
     const one = pickFront(world);
--- a/tools/campaign/campaign.ts
+++ b/tools/campaign/campaign.ts
@@ -1,5 +1,5 @@
 // The seeded campaign: one line of JSON a seed, and one over all of them with the occasions of each judge.
-// Exit code 1 when a judge found a breach, or when one had no occasion over the whole set of seeds.
+// Exit code 1 when a judge found a breach, or when one had no occasion over a set of ten seeds or more.
 import sade from 'sade';
 import { Main } from '../main.js';
 import { Season } from './season.js';
@@ -17,6 +17,8 @@
   judge: string;
 };
 
+const setFrom = 10;
+
 const tell = (line: object) => process.stdout.write(`${JSON.stringify(line)}\n`);
 
 const brief = ({ verdicts, figures }: Verdicts) => ({
@@ -57,7 +59,7 @@
   }
   const idle = Object.keys(occasions).filter((name) => occasions[name] === 0);
   tell({ seeds: Number(flags.seeds), occasions, breaches, idle });
-  const isWhole = only.length > 0 || idle.length === 0;
+  const isWhole = only.length > 0 || Number(flags.seeds) < setFrom || idle.length === 0;
   return isWhole && Object.values(breaches).every((count) => count === 0) ? 0 : 1;
 };
 
--- a/tools/campaign/recovery.ts
+++ b/tools/campaign/recovery.ts
@@ -56,6 +56,7 @@
   };
   if (isKept) await readBack(world, tag, left);
   mark('read');
+  world.operators.write({ event: 'put', note: tag, evacuations: [] });
   await InForce.putWhenReady(kit, { ...kit.deployment.manifest, note: tag }, left());
   mark('manifest');
   while (!(await Actors.putServers(world)) && left() > 1) await World.pause(50);
--- a/tools/campaign/season.ts
+++ b/tools/campaign/season.ts
@@ -129,6 +129,7 @@
       const finalAt = Journal.now();
       const final = terms.final === 'drawn' ? salted(7).pick(Recovery.kinds) : terms.final;
       const watch = new AbortController();
+      setMaxListeners(0, watch.signal);
       const watching = Actors.look({ ...world, stop: watch.signal });
       const back = final === 'off' ? 'off' : await settled(Recovery.afterFinal(world, final));
       watch.abort();
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -24,8 +24,9 @@
     path: string,
     body?: unknown,
     headers?: Record<string, string>,
+    among?: readonly FleetKit.Core[],
   ) => Promise<FleetKit.Answer>;
-  readonly putManifest: (document: Document) => Promise<FleetKit.Answer>;
+  readonly putManifest: (document: Document, among?: readonly FleetKit.Core[]) => Promise<FleetKit.Answer>;
   readonly putServers: (serial: number) => Promise<FleetKit.Answer>;
   readonly stop: () => Promise<void>;
 };
@@ -211,9 +212,9 @@
       );
     };
     const headers = { authorization: `Bearer ${operatorToken}` };
-    const operate: FleetKit['operate'] = async (method, path, body, more = {}) => {
+    const operate: FleetKit['operate'] = async (method, path, body, more = {}, among = cores) => {
       let failure: unknown;
-      for (const core of cores)
+      for (const core of among)
         try {
           return await call(core.http, method, path, body, { ...headers, ...more });
         } catch (error) {
@@ -239,9 +240,9 @@
       startProxy,
       startServer,
       operate,
-      async putManifest(document) {
-        const now = await operate('GET', '/v1/manifest');
-        return operate('PUT', '/v1/manifest', document, { 'if-match': now.etag ?? '"0"' });
+      async putManifest(document, among = cores) {
+        const now = await operate('GET', '/v1/manifest', undefined, {}, among);
+        return operate('PUT', '/v1/manifest', document, { 'if-match': now.etag ?? '"0"' }, among);
       },
       putServers: (serial) =>
         operate(
--- a/tools/in-force.ts
+++ b/tools/in-force.ts
@@ -31,18 +31,18 @@
       await pause(50);
     }
   },
-  async stamp(kit: FleetKit): Promise<Health['stamp']> {
+  async stamp(kit: FleetKit, among = kit.cores): Promise<Health['stamp']> {
     const began = performance.now();
     for (;;) {
-      const status = await kit.operate('GET', '/v1/status');
+      const status = await kit.operate('GET', '/v1/status', undefined, {}, among);
       if (status.status === 200) return status.body.stamp as Health['stamp'];
       if (performance.now() - began > unconfirmedWithin) throw new Error(`status answered ${status.status}`);
       await pause(20);
     }
   },
-  async everywhere(kit: FleetKit, among = kit.fronts, within = 20_000): Promise<number> {
+  async everywhere(kit: FleetKit, among = kit.fronts, within = 20_000, cores = kit.cores): Promise<number> {
     const began = performance.now();
-    const wanted = await InForce.stamp(kit);
+    const wanted = await InForce.stamp(kit, cores);
     for (;;) {
       const told = await Promise.all(among.map((front) => readHealth(front.ops)));
       const isEverywhere = told.every(
