Speak our words in identifiers and tags, and test that they hold

Operators see bramblebend_links_dropped, callers the code dropped. The state file keeps the field answers, which disks of earlier programs hold.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -14,12 +14,12 @@
 import { Gauges } from '../startup/gauges.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
-import type { Settings } from '../startup/settings.js';
+import type { Startup } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
 import { Doorway } from '../wire/doorway.js';
 import { Frame } from '../wire/frame.js';
 
-export type Agent = { readonly start: (startup: Settings['agent'], ring: Ring) => Promise<Program> };
+export type Agent = { readonly start: (startup: Startup['agent'], ring: Ring) => Promise<Program> };
 
 export const Agent: Agent = {
   async start(startup, ring) {
@@ -93,7 +93,7 @@
     gauge('epoch', 'epoch of the manifest held', () => feed.stamp().epoch);
     gauge('revision', 'revision of the state held', () => feed.stamp().revision);
     gauge('news_age_seconds', 'age of the last word from the primary', () => feed.age() / 1000);
-    gauge('links_refused', 'links closed for what they sent', () => doorway.refused() + inner.refused());
+    gauge('links_dropped', 'links closed for what they sent', () => doorway.dropped() + inner.dropped());
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
     gauge('news_dropped', 'news dropped as not newer', feed.dropped);
     const ops = Ops.of({
--- a/src/bin/agent.ts
+++ b/src/bin/agent.ts
@@ -2,12 +2,12 @@
 // The agent, beside each proxy: keeps the link to the control plane and feeds the proxy.
 import { Agent } from '../agent/program.js';
 import { Program } from '../startup/program.js';
-import { Settings } from '../startup/settings.js';
+import { Startup } from '../startup/startup.js';
 
 Program.main({
   name: 'bramblebend-agent',
   about: 'Keeps a session with the control plane, relays news and feeds its proxy.',
-  guard: Settings.agent,
+  guard: Startup.agent,
   flags: {
     node: 'name of this node',
     zone: 'zone this machine stands in',
--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -2,12 +2,12 @@
 // A control node, on a core machine with a disk.
 import { Control } from '../control/program.js';
 import { Program } from '../startup/program.js';
-import { Settings } from '../startup/settings.js';
+import { Startup } from '../startup/startup.js';
 
 Program.main({
   name: 'bramblebend-control',
   about: 'Keeps the manifest and the platform’s list, and brings them to all nodes.',
-  guard: Settings.control,
+  guard: Startup.control,
   flags: {
     node: 'name of this node',
     zone: 'zone this machine stands in',
--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -2,12 +2,12 @@
 // The proxy, on a front machine: where callers' prompts enter.
 import { ProxyProgram } from '../proxy/program.js';
 import { Program } from '../startup/program.js';
-import { Settings } from '../startup/settings.js';
+import { Startup } from '../startup/startup.js';
 
 Program.main({
   name: 'bramblebend-proxy',
   about: 'Serves callers: matches rules, picks servers, tries, commits and streams.',
-  guard: Settings.proxy,
+  guard: Startup.proxy,
   flags: {
     node: 'name of this node',
     zone: 'zone this machine stands in',
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -7,11 +7,11 @@
     path: string,
     body?: unknown,
     headers?: Readonly<Record<string, string>>,
-  ) => Promise<Client.Answer>;
+  ) => Promise<Client.Response>;
 };
 
 export declare namespace Client {
-  type Answer = {
+  type Response = {
     readonly status: number;
     readonly headers: Readonly<Record<string, unknown>>;
     readonly body: unknown;
@@ -30,16 +30,16 @@
         let last: unknown = new Error('no address of the control plane is given');
         for (const place of places) {
           try {
-            const answer = await request(`http://${place}${path}`, {
+            const response = await request(`http://${place}${path}`, {
               method,
               headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json', ...headers },
               body: body === undefined ? null : JSON.stringify(body),
               headersTimeout: 12_000,
             });
-            const text = await answer.body.text();
+            const text = await response.body.text();
             return {
-              status: answer.statusCode,
-              headers: answer.headers,
+              status: response.statusCode,
+              headers: response.headers,
               body: text === '' ? {} : JSON.parse(text),
             };
           } catch (error) {
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -15,19 +15,19 @@
 
 const show = (value: unknown): string => JSON.stringify(value, null, 2);
 
-const judge = (answer: Client.Answer): Commands => ({
-  text: show(answer.body),
-  code: answer.status < 300 ? 0 : answer.status === 503 ? 3 : 1,
+const judge = (response: Client.Response): Commands => ({
+  text: show(response.body),
+  code: response.status < 300 ? 0 : response.status === 503 ? 3 : 1,
 });
 
 const readFile = (path: string): unknown => JSON.parse(readFileSync(path === '-' ? 0 : path, 'utf8'));
 
 const getManifest = async (
   client: Client,
-): Promise<{ document: Manifest | undefined; tag: string; answer: Client.Answer }> => {
-  const answer = await client.call('GET', '/v1/manifest');
-  const tag = String(answer.headers.etag ?? '"0"');
-  return { document: answer.status === 200 ? (answer.body as Manifest) : undefined, tag, answer };
+): Promise<{ document: Manifest | undefined; tag: string; response: Client.Response }> => {
+  const response = await client.call('GET', '/v1/manifest');
+  const tag = String(response.headers.etag ?? '"0"');
+  return { document: response.status === 200 ? (response.body as Manifest) : undefined, tag, response };
 };
 
 const table = (rows: readonly (readonly string[])[]): string => {
@@ -46,14 +46,14 @@
 const stampText = ({ epoch, revision }: Trace.Stamp): string => `${epoch}.${revision}`;
 
 const listNodes = async (client: Client): Promise<readonly Entry[]> => {
-  const answer = await client.call('GET', '/v1/nodes');
-  if (answer.status !== 200) throw new Error(show(answer.body));
-  return (answer.body as { nodes: Entry[] }).nodes;
+  const response = await client.call('GET', '/v1/nodes');
+  if (response.status !== 200) throw new Error(show(response.body));
+  return (response.body as { nodes: Entry[] }).nodes;
 };
 
 const changeZone = async (client: Client, zone: string, isEvacuated: boolean): Promise<Commands> => {
-  const { document, tag, answer } = await getManifest(client);
-  if (!document) return judge(answer);
+  const { document, tag, response } = await getManifest(client);
+  if (!document) return judge(response);
   if (!Object.hasOwn(document.zones, zone)) return { text: `the manifest has no zone ${zone}`, code: 1 };
   const others = (document.evacuations ?? []).filter((one) => one !== zone);
   const evacuations = isEvacuated ? [...others, zone] : others;
@@ -65,11 +65,11 @@
 
 export const Commands = {
   async get(client: Client, revision?: string): Promise<Commands> {
-    const answer = await client.call(
+    const response = await client.call(
       'GET',
       revision === undefined ? '/v1/manifest' : `/v1/manifest/${revision}`,
     );
-    return judge(answer);
+    return judge(response);
   },
   async put(
     client: Client,
@@ -88,8 +88,8 @@
       : { text: checked.findings.map((one) => `${one.place} ${one.text}`).join('\n'), code: 1 };
   },
   async diff(client: Client, path: string): Promise<Commands> {
-    const { document, answer } = await getManifest(client);
-    if (!document && answer.status !== 404) return judge(answer);
+    const { document, response } = await getManifest(client);
+    if (!document && response.status !== 404) return judge(response);
     const diffs = Diff.of(document ?? {}, readFile(path));
     return { text: diffs.length === 0 ? 'no difference' : Diff.text(diffs), code: 0 };
   },
@@ -121,9 +121,9 @@
     return judge(await client.call('POST', '/v1/cores/form', { lose }));
   },
   async usage(client: Client): Promise<Commands> {
-    const answer = await client.call('GET', '/v1/usage');
-    if (answer.status !== 200) return judge(answer);
-    const { teams } = answer.body as { teams: Readonly<Record<string, Usage>> };
+    const response = await client.call('GET', '/v1/usage');
+    if (response.status !== 200) return judge(response);
+    const { teams } = response.body as { teams: Readonly<Record<string, Usage>> };
     const of = (used: number, quota: number | undefined) => `${used} of ${quota ?? 'any'}`;
     const rows = Object.entries(teams).map(([team, { used, quota }]) => [
       team,
--- a/src/cli/read-log.ts
+++ b/src/cli/read-log.ts
@@ -8,7 +8,7 @@
 
 export const ReadLog = {
   async run(address: string): Promise<string> {
-    const answer = await request(`http://${address}/log`, { headersTimeout: 5000 });
-    return ((await answer.body.json()) as ReadLog[]).map(text).join('\n');
+    const response = await request(`http://${address}/log`, { headersTimeout: 5000 });
+    return ((await response.body.json()) as ReadLog[]).map(text).join('\n');
   },
 };
--- a/src/cli/trace.ts
+++ b/src/cli/trace.ts
@@ -28,8 +28,8 @@
 const readStamp = async (node: Trace.Node): Promise<Trace.Stamp | undefined> => {
   if (node.ops === '') return undefined;
   try {
-    const answer = await request(`http://${node.ops}/health`, { headersTimeout: 800, bodyTimeout: 800 });
-    return ((await answer.body.json()) as { stamp: Trace.Stamp }).stamp;
+    const response = await request(`http://${node.ops}/health`, { headersTimeout: 800, bodyTimeout: 800 });
+    return ((await response.body.json()) as { stamp: Trace.Stamp }).stamp;
   } catch {
     return undefined;
   }
--- a/src/control/commands/leave.ts
+++ b/src/control/commands/leave.ts
@@ -1,22 +1,22 @@
 // A notice that an instance is leaving. It holds until the platform's list no longer names the instance.
 import type { Guard } from '../../kinds/guard.js';
 import { Document } from '../../manifest/document.js';
-import { Answer } from '../answer.js';
 import type { Office } from '../office.js';
+import { Responses } from '../responses.js';
 
 export type Leave = { readonly body: unknown };
 
 export const Leave = {
-  async run(office: Office, { body }: Leave): Promise<Answer> {
+  async run(office: Office, { body }: Leave): Promise<Responses> {
     const findings: Guard.Finding[] = [];
     if (!Document.leaving(body, '', findings))
-      return Answer.fail(422, 'invalid_notice', 'the notice was not taken', { findings });
+      return Responses.fail(422, 'invalid_notice', 'the notice was not taken', { findings });
     const { instance } = body;
     const at = new Date().toISOString();
     return office.change(
       ({ platform }, stamp) => {
         if (!platform.servers.some((server) => server.instance === instance))
-          return Answer.fail(404, 'unknown_instance', `the list names no ${instance}`);
+          return Responses.fail(404, 'unknown_instance', `the list names no ${instance}`);
         if (platform.leaving.includes(instance))
           return { status: 200, body: { instance, revision: platform.revision } };
         return { kind: 'leaving', stamp, instance, at };
--- a/src/control/commands/put-manifest.ts
+++ b/src/control/commands/put-manifest.ts
@@ -4,8 +4,8 @@
 import type { Revision } from '../../kinds/revision.js';
 import { Check } from '../../manifest/check.js';
 import { State } from '../../store/state.js';
-import { Answer } from '../answer.js';
 import type { Office } from '../office.js';
+import { Responses } from '../responses.js';
 import { Rights } from '../rights.js';
 
 export type PutManifest = {
@@ -15,7 +15,7 @@
   readonly by: Rights.Person;
 };
 
-const taken = (revision: Revision): Answer => ({
+const taken = (revision: Revision): Responses => ({
   status: 200,
   body: { revision },
   headers: { etag: `"${revision}"` },
@@ -23,14 +23,14 @@
 
 export const PutManifest = {
   taken,
-  async run(office: Office, put: PutManifest): Promise<Answer> {
+  async run(office: Office, put: PutManifest): Promise<Responses> {
     const checked = Check.manifest(put.body);
     if (checked.kind === 'bad')
-      return Answer.fail(422, 'invalid_manifest', 'the manifest was not taken', {
+      return Responses.fail(422, 'invalid_manifest', 'the manifest was not taken', {
         findings: checked.findings,
       });
     if (put.ifMatch === undefined)
-      return Answer.fail(428, 'if_match_missing', 'If-Match must name the revision that is replaced');
+      return Responses.fail(428, 'if_match_missing', 'If-Match must name the revision that is replaced');
     const { document } = checked;
     const digest = createHash('sha256').update(JSON.stringify(document)).digest('hex');
     const at = new Date().toISOString();
@@ -40,16 +40,20 @@
         if (known)
           return known.digest === digest
             ? taken(known.revision)
-            : Answer.fail(409, 'key_reused', 'the idempotency key came with another manifest before');
+            : Responses.fail(409, 'key_reused', 'the idempotency key came with another manifest before');
         const newest = State.newest(state);
         const current = newest?.revision ?? 0;
         if (put.ifMatch !== 0 && !office.isSettled())
-          return Answer.fail(503, 'unconfirmed', 'the cores formed anew and ask the nodes', { taken: 'no' });
+          return Responses.fail(503, 'unconfirmed', 'the cores formed anew and ask the nodes', {
+            taken: 'no',
+          });
         if (current !== put.ifMatch && (put.ifMatch !== 0 || office.isSettled()))
-          return Answer.fail(412, 'stale', `the manifest is at revision ${current}`, { revision: current });
+          return Responses.fail(412, 'stale', `the manifest is at revision ${current}`, {
+            revision: current,
+          });
         const touched = Rights.touched(newest?.document, document);
         const denied = Rights.denied(put.by, touched);
-        if (denied) return Answer.fail(403, 'not_yours', denied);
+        if (denied) return Responses.fail(403, 'not_yours', denied);
         return {
           kind: 'manifest',
           stamp,
--- a/src/control/desk.ts
+++ b/src/control/desk.ts
@@ -38,7 +38,7 @@
       isDone: why === '',
       why,
     });
-    const answer = (frame: Frame): Promise<Frame.Reply> =>
+    const response = (frame: Frame): Promise<Frame.Reply> =>
       match(frame)
         .with({ kind: 'peek' }, async ({ serial }) => vote(serial, true))
         .with({ kind: 'prepare' }, async ({ serial, ballot, isForming }) =>
@@ -58,7 +58,7 @@
       async serve(link, frames) {
         for await (const frame of frames) {
           if (frame.kind === 'ping') continue;
-          answer(frame).then(
+          response(frame).then(
             (reply) => void link.send(reply),
             (error) => {
               needs.note('core request failed', { kind: frame.kind, why: Mishap.text(error) });
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -12,8 +12,7 @@
 import { Revision } from '../kinds/revision.js';
 import { Check } from '../manifest/check.js';
 import type { Roll } from '../membership/roll.js';
-import type { Settings } from '../startup/settings.js';
-import { Answer } from './answer.js';
+import type { Startup } from '../startup/startup.js';
 import { Leave } from './commands/leave.js';
 import { PutManifest } from './commands/put-manifest.js';
 import { PutServers } from './commands/put-servers.js';
@@ -23,13 +22,14 @@
 import { ReadManifest } from './queries/read-manifest.js';
 import { ReadServers } from './queries/read-servers.js';
 import { ReadStatus } from './queries/read-status.js';
+import { Responses } from './responses.js';
 import type { Rights } from './rights.js';
 
 export type ControlHttp = { readonly server: Server };
 
 export declare namespace ControlHttp {
   type Needs = {
-    readonly startup: Settings['control'];
+    readonly startup: Startup['control'];
     readonly office: Office;
     readonly core: Core;
     readonly roll: Roll;
@@ -41,7 +41,7 @@
 }
 
 type Env = { Variables: { person: Rights.Person; body: unknown } };
-type Handle = (context: Context<Env>) => Promise<Answer> | Answer;
+type Handle = (context: Context<Env>) => Promise<Responses> | Responses;
 
 const passedBy = 'bramblebend-passed';
 const passWithin = 7000;
@@ -56,11 +56,11 @@
 const readTag = (text: string | undefined): Revision | undefined =>
   text === undefined ? undefined : Revision.parse(text.replace(/^W\//, '').replace(/^"(.*)"$/, '$1'));
 
-const give = (context: Context<Env>, answer: Answer): Response =>
-  context.json(answer.body, answer.status, { ...answer.headers });
+const give = (context: Context<Env>, response: Responses): Response =>
+  context.json(response.body, response.status, { ...response.headers });
 
-const fromMishap = (error: unknown): Answer =>
-  Answer.fail(503, 'unconfirmed', Mishap.text(error), { taken: Mishap.info(error).taken ?? 'unknown' });
+const fromMishap = (error: unknown): Responses =>
+  Responses.fail(503, 'unconfirmed', Mishap.text(error), { taken: Mishap.info(error).taken ?? 'unknown' });
 
 export const ControlHttp = {
   of(needs: ControlHttp.Needs): ControlHttp {
@@ -72,7 +72,10 @@
       const tenure = core.tenure();
       const primary = tenure && Tenure.core(tenure, tenure.primary);
       if (!primary || primary.http === needs.ownHttp() || context.req.header(passedBy) !== undefined)
-        return give(context, Answer.fail(503, 'no_primary', 'no primary is known just now', { taken: 'no' }));
+        return give(
+          context,
+          Responses.fail(503, 'no_primary', 'no primary is known just now', { taken: 'no' }),
+        );
       const names = ['authorization', 'content-type', 'if-match', 'idempotency-key'];
       const headers = Object.fromEntries(
         names.flatMap((name) => {
@@ -82,7 +85,7 @@
       );
       try {
         const body = context.req.method === 'GET' ? null : Buffer.from(await context.req.arrayBuffer());
-        const answer = await request(`http://${primary.http}${context.req.path}`, {
+        const response = await request(`http://${primary.http}${context.req.path}`, {
           method: context.req.method as 'GET',
           headers: { ...headers, [passedBy]: startup.node },
           body,
@@ -91,17 +94,17 @@
         });
         const kept = ['content-type', 'etag', 'bramblebend-by', 'bramblebend-at', 'bramblebend-node'].flatMap(
           (name) => {
-            const value = answer.headers[name];
+            const value = response.headers[name];
             return value === undefined ? [] : [[name, String(value)] as const];
           },
         );
-        return context.body(await answer.body.text(), answer.statusCode as 200, Object.fromEntries(kept));
+        return context.body(await response.body.text(), response.statusCode as 200, Object.fromEntries(kept));
       } catch (error) {
-        const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-        const taken = isRefused || context.req.method === 'GET' ? 'no' : 'unknown';
+        const isDropped = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+        const taken = isDropped || context.req.method === 'GET' ? 'no' : 'unknown';
         return give(
           context,
-          Answer.fail(503, 'no_primary', `the primary did not answer: ${Mishap.text(error)}`, { taken }),
+          Responses.fail(503, 'no_primary', `the primary did not answer: ${Mishap.text(error)}`, { taken }),
         );
       }
     };
@@ -114,14 +117,15 @@
       async (context: Context<Env>): Promise<Response> => {
         const token = /^Bearer +(\S+)$/i.exec(context.req.header('authorization') ?? '')?.[1] ?? '';
         const person = people.find((one) => isSame(one.token, token));
-        if (!person) return give(context, Answer.fail(401, 'bad_token', 'the token is missing or unknown'));
+        if (!person)
+          return give(context, Responses.fail(401, 'bad_token', 'the token is missing or unknown'));
         context.set('person', { name: person.name, teams: person.teams });
         if (!isLocal && !core.leading()) return pass(context);
         if (context.req.method !== 'GET') {
           try {
             context.set('body', await context.req.json());
           } catch {
-            return give(context, Answer.fail(400, 'bad_json', 'the body is no JSON'));
+            return give(context, Responses.fail(400, 'bad_json', 'the body is no JSON'));
           }
         }
         try {
@@ -145,7 +149,7 @@
       bodyLimit({
         maxSize: longestBody,
         onError: (context) =>
-          context.json(Answer.fail(413, 'body_too_long', 'the body is too long').body, 413),
+          context.json(Responses.fail(413, 'body_too_long', 'the body is too long').body, 413),
       }),
     );
     app.get(
@@ -195,9 +199,11 @@
         async (context) => {
           const { lose } = (context.var.body ?? {}) as { lose?: unknown };
           if (lose !== losing)
-            return Answer.fail(422, 'not_confirmed', `the body must read {"lose":"${losing}"}`);
+            return Responses.fail(422, 'not_confirmed', `the body must read {"lose":"${losing}"}`);
           const why = await core.force();
-          return why === '' ? { status: 200, body: { formed: true } } : Answer.fail(409, 'not_formed', why);
+          return why === ''
+            ? { status: 200, body: { formed: true } }
+            : Responses.fail(409, 'not_formed', why);
         },
         true,
       ),
@@ -223,7 +229,7 @@
       serve(platform, (context) => Leave.run(office, { body: context.var.body })),
     );
     app.notFound((context) =>
-      give(context as Context<Env>, Answer.fail(404, 'no_path', 'there is nothing here')),
+      give(context as Context<Env>, Responses.fail(404, 'no_path', 'there is nothing here')),
     );
     const server = createAdaptorServer({
       fetch: app.fetch,
--- a/src/control/office.ts
+++ b/src/control/office.ts
@@ -8,18 +8,18 @@
 import type { Stamp } from '../kinds/stamp.js';
 import type { Primary } from '../replica/primary.js';
 import { State } from '../store/state.js';
-import type { Answer } from './answer.js';
+import type { Responses } from './responses.js';
 
 export type Office = {
   readonly confirm: () => Promise<State>;
   readonly isSettled: () => boolean;
   readonly change: (
-    make: (state: State, stamp: Stamp) => State.Change | Answer,
-    tell: (state: State, change: State.Change) => Answer,
-  ) => Promise<Answer>;
+    make: (state: State, stamp: Stamp) => State.Change | Responses,
+    tell: (state: State, change: State.Change) => Responses,
+  ) => Promise<Responses>;
 };
 
-const answerWithin = 5000;
+const responseWithin = 5000;
 const lookAgainFor = 1500;
 const lookAgainEvery = 50;
 
@@ -58,7 +58,7 @@
         const primary = mustLead();
         let isBegun = false;
         let isExpired = false;
-        let refusal: Answer | undefined;
+        let drop: Responses | undefined;
         let change: State.Change | undefined;
         const work = primary.commit((state, stamp) => {
           if (isExpired) return undefined;
@@ -68,22 +68,22 @@
             change = made;
             return made;
           }
-          refusal = made;
+          drop = made;
           return undefined;
         });
         work.catch(() => undefined);
         let alarm: Alarm | undefined;
         const late = new Promise<never>((_resolve, reject) => {
-          alarm = Alarm.after(answerWithin, () => {
+          alarm = Alarm.after(responseWithin, () => {
             isExpired = true;
             reject(Mishap.of('unconfirmed', 'not confirmed in time', { taken: isBegun ? 'unknown' : 'no' }));
           });
         });
         try {
           const state = await Promise.race([work, late]);
-          if (refusal) {
+          if (drop) {
             await confirm();
-            return refusal;
+            return drop;
           }
           return tell(state, change!);
         } catch (error) {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -20,7 +20,7 @@
 import { Gauges } from '../startup/gauges.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
-import type { Settings } from '../startup/settings.js';
+import type { Startup } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
 import { Doorway } from '../wire/doorway.js';
 import { Frame } from '../wire/frame.js';
@@ -33,7 +33,7 @@
 
 const nearbyAgents = 6;
 
-export type Control = { readonly start: (startup: Settings['control'], ring: Ring) => Promise<Program> };
+export type Control = { readonly start: (startup: Startup['control'], ring: Ring) => Promise<Program> };
 
 export const Control: Control = {
   async start(startup, ring) {
@@ -181,7 +181,7 @@
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
     gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
     gauge('members', 'nodes on the roll', () => roll.all().length);
-    gauge('links_refused', 'links closed for what they sent', doorway.refused);
+    gauge('links_dropped', 'links closed for what they sent', doorway.dropped);
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
     gauge('news_dropped', 'news dropped as not newer', feed.dropped);
     const ops = Ops.of({
--- a/src/control/queries/read-manifest.ts
+++ b/src/control/queries/read-manifest.ts
@@ -2,13 +2,13 @@
 // confirmed the epoch, so the newest acknowledged one is what is read.
 import { Revision } from '../../kinds/revision.js';
 import { State } from '../../store/state.js';
-import { Answer } from '../answer.js';
 import type { Office } from '../office.js';
+import { Responses } from '../responses.js';
 
 export type ReadManifest = { readonly revision?: string };
 
 export const ReadManifest = {
-  async run(office: Office, query: ReadManifest): Promise<Answer> {
+  async run(office: Office, query: ReadManifest): Promise<Responses> {
     const state = await office.confirm();
     const wanted = query.revision === undefined ? undefined : Revision.parse(query.revision);
     const found =
@@ -17,7 +17,7 @@
         : state.manifests.find((one) => one.revision === wanted);
     if (!found)
       return {
-        ...Answer.fail(404, 'no_manifest', 'there is no such manifest', {
+        ...Responses.fail(404, 'no_manifest', 'there is no such manifest', {
           kept: state.manifests.map((one) => one.revision),
         }),
         ...(query.revision === undefined ? { headers: { etag: '"0"' } } : {}),
--- a/src/control/queries/read-status.ts
+++ b/src/control/queries/read-status.ts
@@ -2,9 +2,9 @@
 import { Stamp } from '../../kinds/stamp.js';
 import type { Roll } from '../../membership/roll.js';
 import type { Frame } from '../../wire/frame.js';
-import type { Answer } from '../answer.js';
 import type { Core } from '../core.js';
 import type { Office } from '../office.js';
+import type { Responses } from '../responses.js';
 
 export type ReadStatus = { readonly roll: Roll; readonly core: Core };
 
@@ -22,8 +22,8 @@
 });
 
 export const ReadStatus = {
-  nodes: ({ roll }: ReadStatus): Answer => ({ status: 200, body: { nodes: roll.all().map(describe) } }),
-  async run(office: Office, { roll, core }: ReadStatus): Promise<Answer> {
+  nodes: ({ roll }: ReadStatus): Responses => ({ status: 200, body: { nodes: roll.all().map(describe) } }),
+  async run(office: Office, { roll, core }: ReadStatus): Promise<Responses> {
     const state = await office.confirm();
     const proxies = roll.all().filter((entry) => entry.program === 'proxy');
     const behind = proxies.filter((entry) => Stamp.isNewer(state.stamp, entry.stamp));
--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -44,8 +44,8 @@
         if (!tenure || who === undefined) return;
         if (who !== needs.own) return needs.passUp(who, frame);
         if (frame.uses.length > 0) {
-          const answer = needs.quotas.take(frame, tenure.epoch);
-          if (answer) needs.sendDown(answer);
+          const response = needs.quotas.take(frame, tenure.epoch);
+          if (response) needs.sendDown(response);
           return;
         }
         hold(tenure);
--- a/src/kinds/alarm.ts
+++ b/src/kinds/alarm.ts
@@ -4,22 +4,22 @@
 
 export const Alarm = {
   after(span: number, ring: () => void): Alarm {
-    let timer = setTimeout(ring, Math.max(0, span));
+    let alarm = setTimeout(ring, Math.max(0, span));
     return {
-      stop: () => clearTimeout(timer),
+      stop: () => clearTimeout(alarm),
       move(next) {
-        clearTimeout(timer);
-        timer = setTimeout(ring, Math.max(0, next));
+        clearTimeout(alarm);
+        alarm = setTimeout(ring, Math.max(0, next));
       },
     };
   },
   every(span: number, ring: () => void): Alarm {
-    let timer = setInterval(ring, span);
+    let alarm = setInterval(ring, span);
     return {
-      stop: () => clearInterval(timer),
+      stop: () => clearInterval(alarm),
       move(next) {
-        clearInterval(timer);
-        timer = setInterval(ring, next);
+        clearInterval(alarm);
+        alarm = setInterval(ring, next);
       },
     };
   },
@@ -27,11 +27,11 @@
     new Promise((resolve) => {
       if (signal?.aborted) return resolve();
       const finish = () => {
-        clearTimeout(timer);
+        clearTimeout(alarm);
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, Math.max(0, span));
+      const alarm = setTimeout(finish, Math.max(0, span));
       signal?.addEventListener('abort', finish, { once: true });
     }),
 };
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -5,9 +5,9 @@
 import { Alarm } from '../../kinds/alarm.js';
 import { Moment } from '../../kinds/moment.js';
 import type { Compiled } from '../../manifest/compiled.js';
-import { Answers } from '../answers.js';
 import type { Filter } from '../filter.js';
 import { Prompt } from '../prompt.js';
+import { Responses } from '../responses.js';
 
 export type Admit = { readonly mayMatch: (rule: Compiled.Rule) => boolean };
 
@@ -53,14 +53,14 @@
       const { incoming } = context.env;
       const compiled = needs.compiled();
       if (!compiled)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 503,
           code: 'no_manifest',
           text: 'no manifest is in force here yet',
           retryAfter: 1000,
         });
       if (needs.active() > needs.concurrent)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 503,
           code: 'crowded',
           text: 'this proxy serves as many requests as it may',
@@ -69,7 +69,7 @@
       const key = readKey(incoming.headers);
       const team = key === undefined ? undefined : compiled.findTeam(key);
       if (!team)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 401,
           code: 'invalid_api_key',
           text: 'the key is missing or unknown',
@@ -83,13 +83,13 @@
       const total = Math.max(...like.map((rule) => rule.timeouts.total));
       const body = await readBody(incoming, longest, Moment.after(total, call.arrived));
       if (body === 'late' || body === 'left')
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 408,
           code: 'body_too_slow',
           text: 'the body did not come in the time that the whole request has',
         });
       if (body === 'long')
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 413,
           code: 'body_too_long',
           text: `the body is longer than ${longest} bytes`,
@@ -106,7 +106,7 @@
           const prompt = Prompt.read(body);
           if (!prompt)
             return Promise.resolve(
-              Answers.drop(context, { status: 400, code: 'bad_json', text: 'the body is no JSON object' }),
+              Responses.drop(context, { status: 400, code: 'bad_json', text: 'the body is no JSON object' }),
             );
           call.prompt = prompt;
           return next();
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -5,10 +5,10 @@
 import type { Pick } from '../../upstream/pick.js';
 import { Trial } from '../../upstream/trial.js';
 import { Tries } from '../../upstream/tries.js';
-import { Answers } from '../answers.js';
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
+import { Responses } from '../responses.js';
 
 export type Attempt = { readonly verdict: Tries };
 
@@ -59,9 +59,10 @@
   if (trial.kind === 'unsent' && (trial.why === 'connect' || trial.why === 'identity'))
     needs.prover.lost(server);
   if (trial.kind === 'lost' && trial.why !== 'left') needs.prover.suspect(server);
-  if (trial.kind === 'stream' || trial.kind === 'answer') needs.ramp.good(server.instance);
-  if (trial.kind === 'stream' || (trial.kind === 'answer' && trial.status < 500)) needs.ejector.good(server);
-  else if (trial.kind === 'answer') {
+  if (trial.kind === 'stream' || trial.kind === 'response') needs.ramp.good(server.instance);
+  if (trial.kind === 'stream' || (trial.kind === 'response' && trial.status < 500))
+    needs.ejector.good(server);
+  else if (trial.kind === 'response') {
     if (!group.isNotRun(trial.status, trial.headers)) needs.ejector.bad(server, group);
   } else if (!['left', 'late', 'total'].includes(trial.why)) needs.ejector.bad(server, group);
 };
@@ -83,7 +84,7 @@
         capacityOf(compiled, rule),
       );
       if (!share)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 503,
           code: 'crowded',
           text: 'the servers are crowded and your team holds its part of them',
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -11,10 +11,10 @@
 import { Stamp } from '../../kinds/stamp.js';
 import type { Trial } from '../../upstream/trial.js';
 import type { Tries } from '../../upstream/tries.js';
-import { Answers } from '../answers.js';
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
+import { Responses } from '../responses.js';
 
 export type Commit = 'done' | 'server' | 'client';
 
@@ -70,7 +70,7 @@
 const why: Partial<Record<Tries.Why, string>> = {
   no_server: 'no server may run this request just now',
   budget: 'the share of extra tries is used up',
-  refused: 'the servers tried refused',
+  dropped: 'the servers tried dropped it',
   total: 'the request ran out of time',
 };
 
@@ -87,7 +87,7 @@
         .with({ kind: 'drop' }, ({ status, why: cause, retryAfter, tries }) => {
           count(`drop_${status}`);
           needs.meters.drops.inc({ code: cause });
-          return Answers.drop(context, {
+          return Responses.drop(context, {
             status,
             code: cause,
             text: why[cause] ?? `no server answered: ${cause}`,
@@ -96,8 +96,8 @@
             tries,
           });
         })
-        .with({ kind: 'answer' }, ({ trial, tries }) => {
-          count(`answer_${trial.status}`);
+        .with({ kind: 'response' }, ({ trial, tries }) => {
+          count(`response_${trial.status}`);
           outgoing.writeHead(trial.status, {
             ...Hygiene.down(trial.headers),
             ...nameServer(call, trial, tries),
--- a/src/proxy/filters/home.ts
+++ b/src/proxy/filters/home.ts
@@ -1,8 +1,9 @@
 // Home: the regions this call is bound to. They come from the rule's declared header or else the
 // team's default; a home that is not known, or not among the team's, is dropped and never guessed.
-import { Answers } from '../answers.js';
+
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
+import { Responses } from '../responses.js';
 
 export type Home = { readonly name: string };
 
@@ -17,14 +18,14 @@
       const name = told === undefined ? team.home : String(told);
       const regions = name === undefined ? undefined : Call.need(call, 'compiled').homes.get(name);
       if (!regions)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 400,
           code: 'unknown_home',
           text:
             name === undefined ? 'neither the request nor its team names a home' : 'the home is not known',
         });
       if (team.homes && !team.homes.some((one) => one === name))
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 403,
           code: 'forbidden_home',
           text: 'the home is not among those of the team',
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -2,9 +2,9 @@
 // The timeouts a caller asks for are taken within the rule's bounds.
 import type { Compiled } from '../../manifest/compiled.js';
 import type { Document } from '../../manifest/document.js';
-import { Answers } from '../answers.js';
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
+import { Responses } from '../responses.js';
 import { Admit } from './admit.js';
 
 export type MatchRule = { readonly timeouts: Document.Timeouts };
@@ -39,13 +39,13 @@
           (one.teams === undefined || one.teams.includes(team.name)),
       );
       if (!rule)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 404,
           code: 'no_rule',
           text: 'no rule takes this path, method, model and team',
         });
       if ((call.body?.length ?? 0) > rule.body)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 413,
           code: 'body_too_long',
           text: `the body is longer than ${rule.body} bytes`,
@@ -53,7 +53,7 @@
       const asked = headers[overrides];
       const timeouts = asked === undefined ? rule.timeouts : readOverrides(String(asked), rule);
       if (!timeouts)
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 400,
           code: 'bad_timeouts',
           text: `${overrides} must read name=milliseconds, with names out of ${Object.keys(rule.timeouts).join(', ')}`,
--- a/src/proxy/filters/quota.ts
+++ b/src/proxy/filters/quota.ts
@@ -1,9 +1,10 @@
 // Quota: a team that has used up what the manifest lets it ask for in a span is dropped as not run. A
 // request is charged once, when it is let in, however many tries it takes and whether or not its caller
 // stays; only one that certainly was not run is given back.
-import { Answers } from '../answers.js';
+
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
+import { Responses } from '../responses.js';
 
 export type Quota = { readonly team: string };
 
@@ -16,7 +17,7 @@
       const admitted = await needs.quotas.admit(team, call.body?.length ?? 0);
       if (admitted.kind === 'over') {
         needs.meters.drops.inc({ code: 'over_quota' });
-        return Answers.drop(context, {
+        return Responses.drop(context, {
           status: 429,
           code: 'over_quota',
           text: 'your team has used up its quota for now',
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -14,7 +14,7 @@
 import { Voucher } from '../news/voucher.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
-import type { Settings } from '../startup/settings.js';
+import type { Startup } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
 import { Budget } from '../upstream/budget.js';
 import { Busyness } from '../upstream/busyness.js';
@@ -29,7 +29,7 @@
 import { Shares } from './shares.js';
 import { Stall } from './stall.js';
 
-export type ProxyProgram = { readonly start: (startup: Settings['proxy'], ring: Ring) => Promise<Program> };
+export type ProxyProgram = { readonly start: (startup: Startup['proxy'], ring: Ring) => Promise<Program> };
 
 export const ProxyProgram: ProxyProgram = {
   async start(startup, ring) {
--- a/src/proxy/quotas.ts
+++ b/src/proxy/quotas.ts
@@ -41,7 +41,7 @@
 };
 
 const grantFor = 2000;
-const answerWithin = 400;
+const responseWithin = 400;
 const waitWhileYoung = 2500;
 const youngFor = 5000;
 
@@ -94,7 +94,7 @@
         must: extra?.team === team ? extra.work : Ledger.none,
       }));
       for (const account of accounts.values()) account.lately = Ledger.none;
-      const late = Alarm.after(answerWithin, () => made.settle(false));
+      const late = Alarm.after(responseWithin, () => made.settle(false));
       void made.answered.then(() => {
         late.stop();
         if (open === made) open = undefined;
--- a/src/proxy/answers.ts
+++ b/src/proxy/responses.ts
@@ -5,7 +5,7 @@
 import { RetryAfter } from '../upstream/retry-after.js';
 import type { Call } from './call.js';
 
-export type Answers = {
+export type Responses = {
   readonly status: 400 | 401 | 403 | 404 | 408 | 413 | 429 | 500 | 502 | 503 | 504;
   readonly code: string;
   readonly text: string;
@@ -14,29 +14,29 @@
   readonly tries?: number;
 };
 
-const types: Partial<Record<Answers['status'], string>> = {
+const types: Partial<Record<Responses['status'], string>> = {
   401: 'authentication_error',
   403: 'permission_error',
   404: 'not_found_error',
   429: 'rate_limit_error',
 };
 
-export const Answers = {
-  drop(context: Context<Call.Env>, answer: Answers): Response {
+export const Responses = {
+  drop(context: Context<Call.Env>, response: Responses): Response {
     const { id } = context.var.call;
-    const ran = answer.ran ?? 'no';
+    const ran = response.ran ?? 'no';
     context.header('bramblebend-request-id', id);
     context.header('bramblebend-ran', ran);
     const { compiled } = context.var.call;
     if (compiled) context.header('bramblebend-stamp', Stamp.text(compiled.stamp));
-    if (answer.tries !== undefined) context.header('bramblebend-tries', String(answer.tries));
-    if (answer.retryAfter !== undefined)
-      context.header('retry-after', RetryAfter.write(answer.retryAfter, Math.random));
+    if (response.tries !== undefined) context.header('bramblebend-tries', String(response.tries));
+    if (response.retryAfter !== undefined)
+      context.header('retry-after', RetryAfter.write(response.retryAfter, Math.random));
     if (!context.env.incoming.complete) context.header('connection', 'close');
-    const type = types[answer.status] ?? (answer.status < 500 ? 'invalid_request_error' : 'api_error');
+    const type = types[response.status] ?? (response.status < 500 ? 'invalid_request_error' : 'api_error');
     return context.json(
-      { error: { message: answer.text, type, code: answer.code, param: null, ran, request_id: id } },
-      answer.status,
+      { error: { message: response.text, type, code: response.code, param: null, ran, request_id: id } },
+      response.status,
     );
   },
 };
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -6,7 +6,6 @@
 import { Ident } from '../kinds/ident.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Moment } from '../kinds/moment.js';
-import { Answers } from './answers.js';
 import type { Call } from './call.js';
 import type { Filter } from './filter.js';
 import { Admit } from './filters/admit.js';
@@ -15,6 +14,7 @@
 import { Home } from './filters/home.js';
 import { MatchRule } from './filters/match-rule.js';
 import { Quota } from './filters/quota.js';
+import { Responses } from './responses.js';
 
 export type ProxyServer = { readonly server: Server };
 
@@ -73,7 +73,7 @@
       needs.note('mishap in a filter', { why: Mishap.text(error) });
       const { call } = context.var;
       const mayHaveRun = call?.verdict !== undefined;
-      return Answers.drop(context, {
+      return Responses.drop(context, {
         status: mayHaveRun ? 502 : 500,
         code: 'internal',
         text: 'something went wrong here',
--- a/src/startup/settings.ts
+++ b/src/startup/startup.ts
@@ -35,10 +35,10 @@
   platform: Guard.list(Guard.record({ name, token }), { min: 1, max: 100 }),
 });
 
-export type Settings = {
+export type Startup = {
   readonly proxy: Guard.Of<typeof proxy>;
   readonly agent: Guard.Of<typeof agent>;
   readonly control: Guard.Of<typeof control>;
 };
 
-export const Settings = { proxy, agent, control };
+export const Startup = { proxy, agent, control };
--- a/src/upstream/busyness.ts
+++ b/src/upstream/busyness.ts
@@ -1,33 +1,33 @@
 // How busy this node keeps each server. Prefill work (bytes of prompts whose response has not begun)
 // and decode work (responses being streamed) load a server differently, so they are counted apart.
 export type Busyness = {
-  readonly of: (instance: string) => Busyness.Load;
+  readonly of: (instance: string) => Busyness.Level;
   readonly begin: (instance: string, prompt: number) => Busyness.Job;
 };
 
 export declare namespace Busyness {
-  type Load = { readonly prefill: number; readonly decode: number; readonly jobs: number };
+  type Level = { readonly prefill: number; readonly decode: number; readonly jobs: number };
   type Job = { readonly toDecode: () => void; readonly end: () => void };
 }
 
-const none: Busyness.Load = { prefill: 0, decode: 0, jobs: 0 };
+const none: Busyness.Level = { prefill: 0, decode: 0, jobs: 0 };
 
 export const Busyness = {
   none,
   of(): Busyness {
-    const loads = new Map<string, Busyness.Load>();
+    const levels = new Map<string, Busyness.Level>();
     const add = (instance: string, prefill: number, decode: number, jobs: number) => {
-      const load = loads.get(instance) ?? none;
+      const level = levels.get(instance) ?? none;
       const next = {
-        prefill: load.prefill + prefill,
-        decode: load.decode + decode,
-        jobs: load.jobs + jobs,
+        prefill: level.prefill + prefill,
+        decode: level.decode + decode,
+        jobs: level.jobs + jobs,
       };
-      if (next.jobs === 0) loads.delete(instance);
-      else loads.set(instance, next);
+      if (next.jobs === 0) levels.delete(instance);
+      else levels.set(instance, next);
     };
     return {
-      of: (instance) => loads.get(instance) ?? none,
+      of: (instance) => levels.get(instance) ?? none,
       begin(instance, prompt) {
         let stage: 'prefill' | 'decode' | 'ended' = 'prefill';
         add(instance, prompt, 0, 1);
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -72,22 +72,22 @@
 };
 
 const prove = async (client: Client, server: Compiled.Server, group: Compiled.Group, signal: AbortSignal) => {
-  const answer = await Exchange.run(
+  const response = await Exchange.run(
     client,
     { method: 'GET', path: group.identity.path, headers: { accept: 'application/json' }, body: null },
     { maySend: () => true, signal },
   );
-  if (answer.kind === 'mishap') throw answer.cause;
-  const text = (await answer.body.collect(longestIdentity)).toString('utf8');
-  if (answer.status !== 200)
-    throw Mishap.of('connect', 'identity was not told', { status: answer.status, to: server.instance });
+  if (response.kind === 'mishap') throw response.cause;
+  const text = (await response.body.collect(longestIdentity)).toString('utf8');
+  if (response.status !== 200)
+    throw Mishap.of('connect', 'identity was not told', { status: response.status, to: server.instance });
   let body: unknown;
   try {
     body = JSON.parse(text);
   } catch {
     body = undefined;
   }
-  Identity.prove({ headers: answer.headers, body }, server, group);
+  Identity.prove({ headers: response.headers, body }, server, group);
 };
 
 export const Connection = {
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -35,7 +35,7 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 };
 
-const weigh = (load: Busyness.Load): number => load.prefill / 4096 + load.decode;
+const weigh = (level: Busyness.Level): number => level.prefill / 4096 + level.decode;
 
 export const Pick = {
   mix,
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -15,7 +15,7 @@
   | { readonly kind: 'unsent'; readonly why: Trial.Why; readonly pick: Pick }
   | { readonly kind: 'lost'; readonly why: Trial.Why; readonly pick: Pick }
   | {
-      readonly kind: 'answer';
+      readonly kind: 'response';
       readonly status: number;
       readonly headers: IncomingHttpHeaders;
       readonly body: Buffer;
@@ -47,7 +47,7 @@
   };
 }
 
-const longestAnswer = 256 * 1024;
+const longestResponse = 256 * 1024;
 const suspectAfter = 1000;
 
 const limit = (spans: readonly (readonly [Trial.Why, number])[]): readonly [Trial.Why, number] =>
@@ -114,10 +114,10 @@
       needs.signal.removeEventListener('abort', onLeave);
       return { kind: 'stream', status, headers, body, connection, job, pick };
     }
-    const held = await body.collect(longestAnswer).catch(() => undefined);
+    const held = await body.collect(longestResponse).catch(() => undefined);
     finish();
     if (held === undefined) await connection.destroy();
     else needs.pool.give(connection);
-    return { kind: 'answer', status, headers, body: held ?? Buffer.alloc(0), pick };
+    return { kind: 'response', status, headers, body: held ?? Buffer.alloc(0), pick };
   },
 };
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -15,8 +15,8 @@
 export type Tries =
   | { readonly kind: 'stream'; readonly trial: Extract<Trial, { kind: 'stream' }>; readonly tries: number }
   | {
-      readonly kind: 'answer';
-      readonly trial: Extract<Trial, { kind: 'answer' }>;
+      readonly kind: 'response';
+      readonly trial: Extract<Trial, { kind: 'response' }>;
       readonly tries: number;
       readonly isNotRun: boolean;
     }
@@ -29,7 +29,7 @@
     };
 
 export declare namespace Tries {
-  type Why = Trial.Why | 'no_server' | 'budget' | 'refused';
+  type Why = Trial.Why | 'no_server' | 'budget' | 'dropped';
   type Plan = {
     readonly rule: Compiled.Rule;
     readonly regions: readonly Ident.Region[];
@@ -50,7 +50,7 @@
 
 const isSurelyNotRun = (trial: Trial): boolean =>
   trial.kind === 'unsent' ||
-  (trial.kind === 'answer' && trial.pick.group.isNotRun(trial.status, trial.headers));
+  (trial.kind === 'response' && trial.pick.group.isNotRun(trial.status, trial.headers));
 
 const isRetriable = (trial: Trial, { on, codes }: Compiled.Retry): boolean =>
   match(trial)
@@ -63,7 +63,7 @@
         why !== 'left' && why !== 'total' && (on.has('5xx') || on.has('gateway-error') || on.has('reset')),
     )
     .with(
-      { kind: 'answer' },
+      { kind: 'response' },
       ({ status }) =>
         (isSurelyNotRun(trial) && on.has('refused-stream')) ||
         (status >= 500 && on.has('5xx')) ||
@@ -99,10 +99,10 @@
     return undefined;
   };
   const verdict = (why?: Tries.Why): Tries => {
-    if (last?.kind === 'answer' && why === undefined && !isSurelyNotRun(last) && last.status < 500)
-      return { kind: 'answer', trial: last, tries, isNotRun: false };
+    if (last?.kind === 'response' && why === undefined && !isSurelyNotRun(last) && last.status < 500)
+      return { kind: 'response', trial: last, tries, isNotRun: false };
     const cause: Tries.Why =
-      last?.kind === 'lost' || last?.kind === 'unsent' ? last.why : last ? 'refused' : (why ?? 'no_server');
+      last?.kind === 'lost' || last?.kind === 'unsent' ? last.why : last ? 'dropped' : (why ?? 'no_server');
     const isTimeout = ['first_byte', 'per_try', 'total', 'late'].includes(cause);
     const status = !mayHaveRun ? 503 : isTimeout ? 504 : 502;
     return { kind: 'drop', status, why: why ?? cause, retryAfter, tries };
@@ -129,7 +129,7 @@
     last = trial;
     if (trial.kind === 'stream') return { kind: 'stream', trial, tries };
     if (!isSurelyNotRun(trial)) mayHaveRun = true;
-    if (trial.kind === 'answer') {
+    if (trial.kind === 'response') {
       const asked = RetryAfter.read(trial.headers);
       if (asked !== undefined) {
         retryAfter = Math.max(retryAfter, asked);
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -11,7 +11,7 @@
 
 export type Doorway = {
   readonly address: Address;
-  readonly refused: () => number;
+  readonly dropped: () => number;
   readonly close: () => Promise<void>;
 };
 
@@ -41,7 +41,7 @@
 export const Doorway = {
   async open(needs: Doorway.Needs): Promise<Doorway> {
     const links = new Set<Link>();
-    let refused = 0;
+    let dropped = 0;
     const attend = async (link: Link) => {
       const late = Alarm.after(helloWithin, () => link.close(Mishap.of('silence', 'no hello')));
       const frames = link.frames();
@@ -50,7 +50,7 @@
         late.stop();
         await needs.serve(link, hello, frames);
       } catch (error) {
-        refused += 1;
+        dropped += 1;
         needs.note('link closed', { mate: link.mate, why: Mishap.text(error) });
       } finally {
         late.stop();
@@ -60,7 +60,7 @@
     };
     const server = createServer((socket) => {
       if (links.size >= mostLinks) {
-        refused += 1;
+        dropped += 1;
         socket.destroy();
         return;
       }
@@ -72,7 +72,7 @@
     server.on('error', (error) => needs.note('doorway mishap', { why: Mishap.text(error) }));
     return {
       address,
-      refused: () => refused,
+      dropped: () => dropped,
       close: () =>
         new Promise((resolve) => {
           server.close(() => resolve());
--- a/test/dark.test.ts
+++ b/test/dark.test.ts
@@ -100,7 +100,9 @@
           seen.push(Frame.decode(held.subarray(4, 4 + held.readUInt32BE(0)))!.kind);
           held = held.subarray(4 + held.readUInt32BE(0));
         }
-        if (seen.filter((kind) => kind === 'ping').length > 15) socket.end();
+        if (seen.filter((kind) => kind === 'ping').length <= 15) return;
+        clearInterval(beats);
+        socket.end();
       });
       socket.on('close', () => {
         clearInterval(beats);
--- a/test/edge.test.ts
+++ b/test/edge.test.ts
@@ -278,7 +278,7 @@
       await Promise.all(inputs.map((input) => send(address, input)));
     assert.equal((await bench.chat('once')).status, 200);
     const metrics = await (await fetch(`http://${core.http}/metrics`)).text();
-    assert.match(metrics, /bramblebend_links_refused [1-9]/);
+    assert.match(metrics, /bramblebend_links_dropped [1-9]/);
     for (const one of [front.agent, front.proxy, core.process]) assert.equal(one?.isUp(), true);
   });
 });
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -60,6 +60,42 @@
 const modules = (JSON.parse(read(join(root, 'package.json'))) as { dependencies: Record<string, string> })
   .dependencies;
 
+const ours: Readonly<Record<string, string>> = {
+  peer: 'mate',
+  peers: 'mates',
+  refuse: 'drop',
+  refused: 'dropped',
+  failure: 'mishap',
+  failures: 'mishaps',
+  settings: 'startup',
+  route: 'rule',
+  routes: 'rules',
+  lease: 'tenure',
+  configuration: 'manifest',
+  load: 'busyness',
+  loads: 'busyness',
+  snapshot: 'view',
+  timer: 'alarm',
+  timers: 'alarms',
+  answer: 'response',
+  answers: 'responses',
+};
+const exempt: Readonly<Record<string, readonly string[]>> = {
+  'store/state.ts': ['answer', 'answers', 'Answer', 'keptAnswers'],
+  'control/commands/put-manifest.ts': ['answer', 'answers'],
+  'control/http.ts': ['route', 'ECONNREFUSED'],
+};
+const namesIn = (text: string): string[] =>
+  [
+    ...text
+      .replace(/^\s*\/\/.*$|\s\/\/ .*$/gm, '')
+      .replace(/`[^`]*`/g, (all) => [...all.matchAll(/\$\{([^}]*)\}/g)].map((found) => found[1]).join(' '))
+      .replace(/'([A-Za-z_]+)'|'[^'\n]*'/g, (_all, tag) => ` ${tag ?? ''} `)
+      .matchAll(/[A-Za-z_$][\w$]*/g),
+  ].map((found) => found[0]);
+const partsOf = (name: string): string[] =>
+  (name.match(/[A-Z]?[a-z0-9]+|[A-Z]+(?![a-z])/g) ?? []).map((part) => part.toLowerCase());
+
 describe('house rules', () => {
   it('lets each module import only what it may', () => {
     const breaches = sources.flatMap((file) => {
@@ -107,6 +143,22 @@
     });
     assert.deepEqual(breaches, []);
   });
+  it('speaks our words in identifiers and tags', () => {
+    const breaches = sources.flatMap((file) => {
+      const place = relative(join(root, 'src'), file);
+      const names = namesIn(read(file)).filter((name) => !exempt[place]?.includes(name));
+      const wrong = names.filter((name) => partsOf(name).some((part) => Object.hasOwn(ours, part)));
+      return [...new Set(wrong)].map((name) => `${place}: ${name}`);
+    });
+    assert.deepEqual(breaches, []);
+    assert.deepEqual(namesIn("const aTimer = { kind: 'refused' }; // load"), [
+      'const',
+      'aTimer',
+      'kind',
+      'refused',
+    ]);
+    assert.deepEqual(partsOf('longestAnswer'), ['longest', 'answer']);
+  });
   it('exports one name a file', () => {
     const breaches = sources.flatMap((file) => {
       const names = new Set(
