--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -4,6 +4,7 @@
 import { Client } from '../cli/client.js';
 import { Commands } from '../cli/commands.js';
 import { ReadLog } from '../cli/read-log.js';
+import { Mishap } from '../kinds/mishap.js';
 import { Version } from '../startup/version.js';
 
 type Flags = {
@@ -31,17 +32,20 @@
 
 const tell = (work: Promise<Commands> | Commands): void => {
   Promise.resolve(work).then(
-    ({ text, code }) => {
+    ({ text, notes, code }) => {
       process.stdout.write(`${text}\n`);
+      if (notes) process.stderr.write(`${notes}\n`);
       process.exitCode = code;
     },
     (error) => {
       process.stderr.write(`${(error as Error).message}\n`);
-      process.exitCode = 3;
+      process.exitCode = Mishap.is(error, 'startup') ? 2 : 3;
     },
   );
 };
 
+const tellLocal = (work: () => Commands): void => tell(Promise.resolve().then(work));
+
 const cli = sade('bramblebend')
   .version(Version)
   .option('--control', 'HTTP addresses of the control nodes, comma-separated')
@@ -60,7 +64,10 @@
   });
 cli
   .command('manifest check <file>', 'Check a manifest without taking it')
-  .action((file: string) => tell(Commands.check(file)));
+  .action((file: string) => tellLocal(() => Commands.check(file)));
+cli
+  .command('manifest import <file>', 'Turn an Envoy configuration (YAML or JSON) into a manifest draft')
+  .action((file: string) => tellLocal(() => Commands.import(file)));
 cli
   .command('manifest diff <file>', 'Show how a file differs from the manifest in force')
   .action((file: string, flags: Flags) => tell(Commands.diff(clientOf(flags), file)));
@@ -94,4 +101,4 @@
 cli
   .command('log <address>', 'Read the log ring of a program, by its operations address')
   .action((address: string) => tell(ReadLog.run(address).then((text) => ({ text, code: 0 }))));
-cli.parse(process.argv);
+cli.parse(process.argv.map((word) => (word === '-' ? '/dev/stdin' : word)));
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,5 +1,6 @@
 // The CLI's way to the control plane: the addresses are tried in turn, for any core takes a call.
 import { request } from 'undici';
+import { Mishap } from '../kinds/mishap.js';
 
 export type Client = {
   readonly call: (
@@ -27,7 +28,7 @@
   of(places: readonly string[], token: string): Client {
     return {
       async call(method, path, body, headers = {}) {
-        let last: unknown = new Error('no address of the control plane is given');
+        const said: string[] = [];
         for (const place of places) {
           try {
             const response = await request(`http://${place}${path}`, {
@@ -43,11 +44,14 @@
               body: text === '' ? {} : JSON.parse(text),
             };
           } catch (error) {
-            last = error;
+            said.push(`${place}: ${Mishap.text(error)}`);
             if (method !== 'GET' && !mayTryNext(error)) break;
           }
         }
-        throw last;
+        throw Mishap.of(
+          'link',
+          `no control node answered (${said.join('; ')}); --control takes their http addresses, as 10.0.0.1:7080`,
+        );
       },
     };
   },
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,12 +1,14 @@
 // What the operators' command line does. Each command returns what it prints and its exit code: 0 done,
 // 1 refused or not found, 3 not confirmed (the change may have been taken).
 import { readFileSync } from 'node:fs';
+import { Mishap } from '../kinds/mishap.js';
 import { Check } from '../manifest/check.js';
 import type { Client } from './client.js';
 import { Diff } from './diff.js';
+import { Import } from './import.js';
 import { Trace } from './trace.js';
 
-export type Commands = { readonly text: string; readonly code: number };
+export type Commands = { readonly text: string; readonly notes?: string; readonly code: number };
 
 type Manifest = { evacuations?: string[]; zones: Record<string, unknown> } & Record<string, unknown>;
 type Work = { readonly requests: number; readonly prompt: number };
@@ -20,7 +22,28 @@
   code: response.status < 300 ? 0 : response.status === 503 ? 3 : 1,
 });
 
-const readFile = (path: string): unknown => JSON.parse(readFileSync(path === '-' ? 0 : path, 'utf8'));
+const readText = (path: string): string => {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (cause) {
+    throw Mishap.of(
+      'startup',
+      `cannot read ${path}: ${Mishap.text(cause)}; name a file, or - for standard input`,
+    );
+  }
+};
+
+const readFile = (path: string): unknown => {
+  const text = readText(path);
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    throw Mishap.of(
+      'startup',
+      `${path} is no JSON: ${Mishap.text(cause)}; see docs/manifest.md for its form`,
+    );
+  }
+};
 
 const getManifest = async (
   client: Client,
@@ -87,6 +110,16 @@
       ? { text: 'the manifest is good', code: 0 }
       : { text: checked.findings.map((one) => `${one.place} ${one.text}`).join('\n'), code: 1 };
   },
+  import(path: string): Commands {
+    const { draft, left, lacking } = Import.envoy(readText(path));
+    const list = (title: string, findings: typeof left) =>
+      findings.length === 0 ? [] : [title, ...findings.map((one) => `  ${one.place} ${one.text}`)];
+    const notes = [
+      ...list('in the file, by its place there:', left),
+      ...list('still to be filled in, by its place in the draft:', lacking),
+    ];
+    return { text: show(draft), notes: notes.join('\n'), code: 0 };
+  },
   async diff(client: Client, path: string): Promise<Commands> {
     const { document, response } = await getManifest(client);
     if (!document && response.status !== 404) return judge(response);
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -86,6 +86,80 @@
     assert.equal(run('bramblebend', 'zone', 'restore', 'c-1', ...where).status, 0);
   });
 
+  it('turn an Envoy configuration into a draft, and report what was not carried over, with its place', () => {
+    const path = join(folder, 'envoy.yaml');
+    writeFileSync(
+      path,
+      `static_resources:
+  listeners:
+    - filter_chains:
+        - filters:
+            - typed_config:
+                route_config:
+                  virtual_hosts:
+                    - routes:
+                        - name: stock
+                          match: { prefix: /stock/, headers: [{ name: ":method", string_match: { exact: GET } }] }
+                          route:
+                            cluster: ordering
+                            timeout: 4s
+                            retry_policy: { retry_on: "connect-failure,reset", num_retries: 3, per_try_timeout: 1.5s }
+                        - match: { safe_regex: { regex: ".*" } }
+                          route: { cluster: ordering }
+  clusters:
+    - name: ordering
+      connect_timeout: 0.5s
+      lb_policy: ROUND_ROBIN
+      outlier_detection: { consecutive_5xx: 3, base_ejection_time: 30s }
+`,
+    );
+    const made = run('bramblebend', 'manifest', 'import', path);
+    assert.equal(made.status, 0);
+    assert.deepEqual(JSON.parse(made.stdout), {
+      zones: {},
+      groups: {
+        ordering: {
+          kind: 'plain',
+          regions: [],
+          ejection: { consecutive_5xx: 3, base_ejection_time: 30_000 },
+        },
+      },
+      homes: {},
+      teams: {},
+      rules: [
+        {
+          name: 'stock',
+          match: { path: '/stock/*', method: 'GET' },
+          groups: ['ordering'],
+          runs: 'once',
+          timeouts: { connect: 500, per_try: 1500, total: 4000 },
+          retry: { retry_on: ['connect-failure', 'reset'], count: 3 },
+        },
+      ],
+    });
+    const places = [
+      '/static_resources/clusters/0/lb_policy is not carried over',
+      '/routes/1/match/safe_regex/regex is not carried over',
+      '/groups/ordering/regions must hold at least 1 entries',
+    ];
+    for (const place of places) assert.ok(made.stderr.includes(place), `${place} in ${made.stderr}`);
+    assert.equal(made.stderr.includes('num_retries'), false);
+  });
+  it('say what to do about a wrong file, address or token, and how it ended', () => {
+    const missing = run('bramblebend', 'manifest', 'check', '/no/such/file');
+    assert.equal(missing.status, 2);
+    assert.match(missing.stderr, /cannot read \/no\/such\/file/);
+    const text = join(folder, 'text');
+    writeFileSync(text, 'not json');
+    assert.match(run('bramblebend', 'manifest', 'check', text).stderr, /is no JSON/);
+    const nobody = run('bramblebend', 'status', '--control', '127.0.0.1:9', '--token', 'whatever');
+    assert.equal(nobody.status, 3);
+    assert.match(nobody.stderr, /--control takes/);
+    const { http } = bench.kit.cores[0]!;
+    const stranger = run('bramblebend', 'status', '--control', http, '--token', 'whatever');
+    assert.equal(stranger.status, 1);
+    assert.match(stranger.stdout, /bad_token/);
+  });
   it('drain on SIGTERM: a running stream ends whole, then the program ends with 0', async () => {
     const { begun, begin } = makeStart();
     let end: () => void = () => {};
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -64,6 +64,7 @@
     readonly deployment: Deployment;
     readonly stand?: { readonly pace?: number; readonly prefill?: number; readonly slots?: number };
     readonly faults?: Faults;
+    readonly builtIn?: (name: string) => URL;
   };
 }
 
@@ -166,7 +167,8 @@
     const launch = async (name: string, path: string, startup: object): Promise<Process> => {
       const file = join(folder, `${name}.json`);
       writeFileSync(file, JSON.stringify(startup, null, 2));
-      return Process.start(name, script(path), ['--startup', file], outside(name, Object.values(startup)));
+      const program = new URL(path, terms.builtIn?.(name) ?? script(''));
+      return Process.start(name, program, ['--startup', file], outside(name, Object.values(startup)));
     };
     const startCore = async (core: FleetKit.Core) => {
       const { node, zone, wire, http, data } = core;
