Form anew although two cores stand outside the seeds; make spares by a restart

Cause: with every disk wiped and two of three cores at addresses that are no seeds, only one core saw all three, and it left forming to the first by disk, which could not (takeover test 11 never got a manifest, 40 s, after the spare's test had moved cores). A core that sees it possible for 1.5 s now forms whoever is first; ballots settle duels. A core that learned by a majority that its slot was given away leaves a mark and begins blank at its next start: safe, since its old disk's name never votes again. New breakers: short notice, rolled groups, lists racing notices; a committed stream of a leaving server is shown to end whole.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -43,6 +43,7 @@
     readonly places: () => readonly string[];
     readonly offered: () => View;
     readonly quietFor: () => number;
+    readonly retire: () => Promise<void>;
     readonly publish: (view: View) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
     readonly alert: (text: string, facts?: Record<string, unknown>) => void;
@@ -54,6 +55,7 @@
 const readEvery = 700;
 const gatherFor = { least: 1200, quiet: 600, most: 2500 } as const;
 const formingCores = 3;
+const formAnywayAfter = 1500;
 const forcedCores = 2;
 
 const remembering = (votes: readonly Proposer.Vote[]) => votes.filter((vote) => !vote.isBlank);
@@ -118,6 +120,7 @@
     let lastRead: Moment = 0 as Moment;
     let isAsked = false;
     let isTold = false;
+    let formableSince: Moment | undefined;
     const disksAt = new Map<string, string>();
     let ledSince = Moment.now();
     let tending: Promise<void> | undefined;
@@ -208,6 +211,7 @@
         lastRead = Moment.now();
         const votes = await look();
         if (mayForm(votes)) return form(votes);
+        formableSince = undefined;
       }
       const tenure = known;
       if (!tenure || !Tenure.isInSync(tenure, register.disk) || !store.isSound()) return;
@@ -222,7 +226,9 @@
       }
     };
     const form = async (votes: readonly Proposer.Vote[]) => {
-      if (chosen(votes)[0]?.core.disk !== register.disk) return;
+      formableSince ??= Moment.now();
+      const isMine = chosen(votes)[0]?.core.disk === register.disk;
+      if (!isMine && Moment.since(formableSince) < formAnywayAfter) return;
       const formed = await proposer.form(
         (grants) => (mayForm(grants) ? makeTenure(grants) : undefined),
         formingCores,
@@ -232,6 +238,7 @@
     const blankStep = async () => {
       const votes = await look();
       if (mayForm(votes)) return form(votes);
+      formableSince = undefined;
       const tenure = known;
       const core = tenure && Tenure.core(tenure, tenure.primary);
       if (!tenure || !core || Tenure.has(tenure, register.disk)) return;
@@ -253,13 +260,16 @@
       await settle(mine);
     };
     const isRetired = () => known !== undefined && !register.isBlank() && !Tenure.has(known, register.disk);
-    const tellRetired = () => {
+    const tellRetired = async () => {
       if (isTold || !isRetired()) return;
+      const tenure = await proposer.read();
+      if (!tenure || Tenure.has(tenure, register.disk)) return;
       isTold = true;
-      needs.alert('this core’s slot was given to another disk; it takes no part until its folder is emptied');
+      await needs.retire();
+      needs.alert('this core’s slot was given to another disk; it takes no part until it is started again');
     };
     const step = async () => {
-      tellRetired();
+      await tellRetired();
       if (phase.is('blank') && !register.isBlank()) phase.become('following');
       needs.tend([...(known?.cores.map((core) => core.wire) ?? []), ...needs.places()]);
       if (phase.is('blank')) await blankStep();
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -167,6 +167,7 @@
           .map((one) => one.wire),
       offered: feed.view,
       quietFor: roll.quietFor,
+      retire: () => Folder.retire(startup.data),
       publish(view) {
         if (view.manifest) feed.offer(view);
       },
--- a/test/edge.test.ts
+++ b/test/edge.test.ts
@@ -4,6 +4,8 @@
 import { after, before, describe, it } from 'node:test';
 import { Stamp } from '../src/kinds/stamp.js';
 import { Frame } from '../src/wire/frame.js';
+import { FleetKit } from '../tools/fleet-kit.js';
+import { InForce } from '../tools/in-force.js';
 import { Random } from '../tools/random.js';
 import { Bench } from './bench.js';
 
@@ -172,6 +174,36 @@
     assert.equal(a.reached.length, before);
   });
 
+  it('lets the committed stream of a leaving server run to its end, and sends nothing new there', async () => {
+    let finish: () => void = () => {};
+    let isBegun: () => void = () => {};
+    const begun = new Promise<void>((resolve) => {
+      isBegun = resolve;
+    });
+    a.handle = (_request, response) => {
+      Bench.sse(response, ['one'], false);
+      finish = () => void response.end('data: [DONE]\n\n');
+      isBegun();
+    };
+    const running = bench.chat('once');
+    await begun;
+    const reached = a.reached.length;
+    const notice = { authorization: `Bearer ${FleetKit.platformToken}` };
+    const told = await bench.kit.operate('POST', '/v1/leaving', { instance: 'a1' }, notice);
+    assert.equal(told.status, 200);
+    await InForce.everywhere(bench.kit);
+    for (let count = 0; count < 10; count += 1)
+      assert.equal((await bench.chat('once')).headers['bramblebend-region'], 'b');
+    finish();
+    const answer = await running;
+    assert.equal(answer.isBroken, false);
+    assert.match(answer.text, /\[DONE\]/);
+    assert.equal(a.reached.length, reached);
+    a.handle = serve;
+    await bench.list([b, c, plain]);
+    await bench.list([a, b, c, plain]);
+  });
+
   it('sends nothing to another service or instance that answers at a listed address', async () => {
     await earn();
     const stranger = await bench.backEnd({
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -269,6 +269,44 @@
     await everywhere();
   });
 
+  it('makes a spare of a core whose slot was given away, by starting it again', async () => {
+    await inSyncPair();
+    const first = await leader();
+    const lost = bench.kit.cores.find((core) => core !== first)!;
+    const other = bench.kit.cores.find((core) => core !== first && core !== lost)!;
+    await lost.process?.end('SIGKILL');
+    const ip = `${lost.wire.split('.').slice(0, 3).join('.')}.201`;
+    const fresh: Core = {
+      ...lost,
+      node: 'core-newer',
+      wire: `${ip}:7000`,
+      http: `${ip}:7080`,
+      data: `${lost.data}-newer`,
+    };
+    await bench.kit.startCore(fresh);
+    const holds = (node: string) => async () =>
+      (await health(await leader())).tenure?.cores.some((one) => one.node === node) ? true : undefined;
+    await until(holds('core-newer'));
+    await bench.kit.startCore(lost);
+    await until(async () =>
+      /slot was given to another disk/.test(await (await fetch(`http://${lost.http}/log`)).text())
+        ? true
+        : undefined,
+    );
+    await lost.process?.end('SIGKILL');
+    bench.kit.cores.push(fresh);
+    const note = await putNote();
+    await inSyncPair();
+    await bench.kit.startCore(lost);
+    assert.equal((await health(lost)).state, 'blank');
+    const gone = (await leader()) === other ? first : other;
+    await gone.process?.end('SIGKILL');
+    await until(holds(lost.node));
+    assert.equal(await readNote(), note);
+    await putNote();
+    bench.kit.cores.splice(bench.kit.cores.indexOf(gone), 1);
+  });
+
   it('takes a new manifest at once after everything was wiped', async () => {
     const all = [
       ...bench.kit.cores.map((core) => core.process),
--- a/tools/campaign/actors.ts
+++ b/tools/campaign/actors.ts
@@ -101,8 +101,7 @@
   return put?.status === 200;
 };
 
-const replaceOne = async (world: World, random: Random) => {
-  const old = random.pick(world.kit.servers);
+const replace = async (world: World, random: Random, old: FleetKit.Server, notice = 6500) => {
   if (world.busy.has(old)) return;
   world.busy.add(old);
   const leave = await call(
@@ -114,7 +113,7 @@
   );
   if (leave?.status !== 200) return void world.busy.delete(old);
   world.operators.write({ event: 'leaving', instance: old.instance });
-  await World.pause(6500, world.stop);
+  await World.pause(notice, world.stop);
   if (world.stop.aborted || !world.kit.servers.includes(old)) return;
   const [base, round = '0'] = old.instance.split('.r');
   const fresh: FleetKit.Server = {
@@ -160,13 +159,14 @@
 
 export const Actors = {
   putServers,
+  replace,
   look,
   async run(world: World, seed: (salt: number) => Random): Promise<void> {
     const platform = async () => {
       const random = seed(4);
       while (!world.stop.aborted) {
         await World.pause(2000 + random.below(3000), world.stop);
-        if (!world.stop.aborted) await replaceOne(world, random);
+        if (!world.stop.aborted) await replace(world, random, random.pick(world.kit.servers));
       }
     };
     await Promise.all([
--- a/tools/campaign/server-breakers.ts
+++ b/tools/campaign/server-breakers.ts
@@ -1,6 +1,7 @@
 // The faults of servers: one that fails or refuses, many at once and for long, crash loops, dark and
 // swallowed ones, and addresses that another service or another instance of the same group takes over.
 import type { FleetKit } from '../fleet-kit.js';
+import { Actors } from './actors.js';
 import type { Breakers } from './breakers.js';
 import { Places } from './places.js';
 import { World } from './world.js';
@@ -128,6 +129,26 @@
   groupFails: many('group-fails', { kind: 'status', status: 503 }),
   groupRefuses: many('group-refuses', { kind: 'status', status: 429, isNotRun: true }),
   groupResets: many('group-resets', { kind: 'reset' }),
+  removedAtShortNotice: (world, span) =>
+    Actors.replace(world, world.random, pickServer(world), Math.min(span, 1500)),
+  groupRolled: async (world) => {
+    const { group, region } = pickServer(world).backEnd;
+    const list = world.kit.servers.filter(
+      ({ backEnd }) => backEnd.group === group && backEnd.region === region,
+    );
+    for (const server of list)
+      if (!world.stop.aborted) await Actors.replace(world, world.random, server, 1000);
+  },
+  listRacesNotices: async (world) => {
+    const [one, other] = Places.two(world, world.kit.servers);
+    await Promise.all([
+      Actors.putServers(world),
+      Actors.replace(world, world.random, one),
+      Actors.putServers(world),
+      Actors.replace(world, world.random, other),
+      Actors.putServers(world),
+    ]);
+  },
   addressOfStranger: (world, span) => takeOver('address-of-stranger', otherService(world))(world, span),
   addressOfSibling: (world, span) => takeOver('address-of-sibling', sibling(world))(world, span),
 } as const satisfies Breakers;
