Feed a server gently each time that it comes back, however soon

Ruled out: unequal rosters, refused requests. Now word that a server is dark ends what was known of it.

--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -80,6 +80,7 @@
       isFresh: ramp.isFresh,
       onDark({ instance, group }) {
         meters.dark.inc({ group });
+        ramp.doubt(instance);
         ring.note('dark', { instance });
         uplink.send({ kind: 'cold', instance, age: 0, dark: true });
       },
@@ -189,8 +190,10 @@
         roster = proxies;
       },
       onCold({ instance, age, dark }) {
-        if (dark) prover.hear(instance);
-        else onCold(instance, age);
+        if (dark) {
+          prover.hear(instance);
+          ramp.doubt(instance);
+        } else onCold(instance, age);
       },
       onTokens({ epoch, batches, serial, grants }) {
         if (serial > 0) quotas.grant(epoch, serial, grants);
--- a/src/upstream/ramp.ts
+++ b/src/upstream/ramp.ts
@@ -1,8 +1,8 @@
 // A server that is new, back after it was dark, or taken back after an evacuation is fed gently: over all
 // live proxies together it gets two requests at once, then twice as many every second and a half. Each
 // proxy's part follows from the roster of live proxies alone, by rank, so the parts add up to the limit
-// without any talk. A server that answered us a moment ago is not taken for cold, whatever a proxy that
-// was itself cut off may say.
+// without any talk. A server that answered us a moment ago, and since we were told that it was dark, is not
+// taken for cold, whatever a proxy that was itself cut off may say.
 import { Moment } from '../kinds/moment.js';
 import { Pick } from './pick.js';
 
@@ -10,6 +10,7 @@
   readonly begin: (instance: string, age?: number) => boolean;
   readonly good: (instance: string) => void;
   readonly isFresh: (instance: string) => boolean;
+  readonly doubt: (instance: string) => void;
   readonly allowance: (instance: string) => number;
   readonly retain: (isHeld: (instance: string) => boolean) => void;
 };
@@ -23,6 +24,7 @@
   of(own: string, roster: () => readonly string[]): Ramp {
     const began = new Map<string, Moment>();
     const lastGood = new Map<string, Moment>();
+    const doubted = new Set<string>();
     const isFresh = (instance: string) => Moment.since(lastGood.get(instance) ?? Moment.past) < freshlyGood;
     const rank = (instance: string, proxies: readonly string[]): number => {
       const weigh = (proxy: string) => Pick.mix(Pick.mix(0x811c9dc5, instance), proxy);
@@ -32,10 +34,16 @@
     return {
       good: (instance) => void lastGood.set(instance, Moment.now()),
       isFresh,
+      doubt(instance) {
+        lastGood.delete(instance);
+        doubted.add(instance);
+      },
       begin(instance, age = 0) {
         if (isFresh(instance)) return false;
         const known = began.get(instance);
-        if (age > over || (known !== undefined && Moment.since(known) < over)) return false;
+        const isRunning = known !== undefined && Moment.since(known) < over;
+        if (age > over || (isRunning && !doubted.has(instance))) return false;
+        doubted.delete(instance);
         began.set(instance, Moment.after(-age));
         return true;
       },
@@ -55,6 +63,7 @@
       retain(isHeld) {
         for (const kept of [began, lastGood])
           for (const instance of kept.keys()) if (!isHeld(instance)) kept.delete(instance);
+        for (const instance of doubted) if (!isHeld(instance)) doubted.delete(instance);
       },
     };
   },
--- a/test/dark.test.ts
+++ b/test/dark.test.ts
@@ -6,6 +6,7 @@
 import protobuf from 'protobufjs';
 import { Stamp } from '../src/kinds/stamp.js';
 import { Frame } from '../src/wire/frame.js';
+import type { FleetKit } from '../tools/fleet-kit.js';
 import { Bench } from './bench.js';
 
 const serve: Bench.Handle = (_request, response) => Bench.sse(response, ['one']);
@@ -52,12 +53,24 @@
     }
   });
 
-  it('proves it again in the background and uses it once it is back', async () => {
-    const again = await bench.backEnd({ ...a, handle: serve });
-    await untilDark([]);
-    while ((await chatAt(0)).headers['bramblebend-region'] !== 'a');
-    assert.ok(again.reached.length > 0);
-    a = again;
+  it('proves it again in the background, and feeds it gently each time that it is back', async () => {
+    const fedAt = (front: FleetKit.Front) =>
+      fetch(`http://${front.ops}/log`)
+        .then((answer) => answer.json() as Promise<{ message: string; instance?: string }[]>)
+        .then((log) => log.filter((one) => one.message === 'fed gently' && one.instance === 'a1').length);
+    for (const times of ['first', 'again within the ramp']) {
+      const before = await Promise.all(bench.kit.fronts.map(fedAt));
+      if (times !== 'first') {
+        await a.stop();
+        assert.equal((await chatAt(0)).status, 200);
+        await untilDark(['a1']);
+      }
+      a = await bench.backEnd({ ...a, handle: serve });
+      await untilDark([]);
+      while ((await chatAt(0)).headers['bramblebend-region'] !== 'a');
+      const after = await Promise.all(bench.kit.fronts.map(fedAt));
+      for (const [index, count] of after.entries()) assert.ok(count > before[index]!, `${times}: ${index}`);
+    }
   });
 
   it('drops and counts frames of an unknown kind, reads past unknown fields, and keeps the link', async () => {
