--- a/src/cli/import.ts
+++ b/src/cli/import.ts
@@ -5,6 +5,7 @@
 import type { Guard } from '../kinds/guard.js';
 import { Mishap } from '../kinds/mishap.js';
 import { Check } from '../manifest/check.js';
+import { Document } from '../manifest/document.js';
 
 export type Import = {
   readonly draft: Readonly<Record<string, unknown>>;
@@ -16,14 +17,7 @@
 type Fields = Readonly<Record<string, unknown>>;
 
 const spans: Readonly<Record<string, number>> = { ms: 1, s: 1000, m: 60_000, h: 3_600_000 };
-const conditions = [
-  'connect-failure',
-  'refused-stream',
-  'reset',
-  'gateway-error',
-  '5xx',
-  'retriable-status-codes',
-];
+const conditions: readonly string[] = Document.conditions;
 
 const isFields = (value: unknown): value is Fields =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -52,19 +52,19 @@
   },
 );
 
+const conditions = [
+  'connect-failure',
+  'refused-stream',
+  'reset',
+  'gateway-error',
+  '5xx',
+  'retriable-status-codes',
+] as const;
+
 const retry = Guard.record(
   {},
   {
-    retry_on: Guard.list(
-      Guard.oneOf(
-        'connect-failure',
-        'refused-stream',
-        'reset',
-        'gateway-error',
-        '5xx',
-        'retriable-status-codes',
-      ),
-    ),
+    retry_on: Guard.list(Guard.oneOf(...conditions)),
     codes: Guard.list(status),
     count: Guard.whole({ min: 0, max: 10 }),
     base: span,
@@ -145,4 +145,4 @@
   type Place = Guard.Of<typeof place>;
 }
 
-export const Document = { manifest, servers, leaving: Guard.record({ instance }) };
+export const Document = { manifest, servers, leaving: Guard.record({ instance }), conditions };
