--- a/tools/mixed.ts
+++ b/tools/mixed.ts
@@ -28,9 +28,8 @@
   const run = (command: string, args: readonly string[], cwd: string) =>
     execFileSync(command, args, { cwd, stdio: ['ignore', 'ignore', 'inherit'] });
   run('git', ['worktree', 'add', '--detach', place, commit], root);
-  const isSame = ['package-lock.json'].every(
-    (name) => readFileSync(join(root, name), 'utf8') === readFileSync(join(place, name), 'utf8'),
-  );
+  const lockIn = (where: string) => readFileSync(join(where, 'package-lock.json'), 'utf8');
+  const isSame = lockIn(root) === lockIn(place);
   if (isSame && existsSync(join(root, 'node_modules')))
     symlinkSync(join(root, 'node_modules'), join(place, 'node_modules'));
   else run('npm', ['ci', '--no-audit', '--no-fund'], place);
