--- a/src/kinds/guard.ts
+++ b/src/kinds/guard.ts
@@ -103,6 +103,18 @@
         if (value[key] !== undefined) isGood = guard(value[key], at(place, key), findings) && isGood;
       return isGood;
     },
+  fields:
+    <R extends Guard.Shape, O extends Guard.Shape = Record<never, never>>(
+      required: R,
+      optional: O = {} as O,
+    ): Guard<Guard.Required<R> & Guard.Optional<O>> =>
+    (value, place, findings): value is Guard.Required<R> & Guard.Optional<O> => {
+      if (!isRecord(value)) return report(findings, place, 'must be an object');
+      const isKnown = ([key]: [string, unknown]) =>
+        Object.hasOwn(required, key) || Object.hasOwn(optional, key);
+      const known = Object.fromEntries(Object.entries(value).filter(isKnown));
+      return Guard.record(required, optional)(known, place, findings);
+    },
   address: ((value, place, findings): value is string =>
     (typeof value === 'string' && Address.parse(value) !== undefined) ||
     report(findings, place, 'must be an IP number and port, as 10.0.0.1:7000')) as Guard<string>,
--- a/src/manifest/check.ts
+++ b/src/manifest/check.ts
@@ -27,7 +27,7 @@
     checkNames(group.regions, `${place}/regions`, regions, 'region of any zone', findings);
     if (group.kind === 'model' && !group.models)
       Guard.report(findings, `${place}/models`, 'is missing for a group of kind model');
-    if (group.kind === 'plain' && !group.identity?.service)
+    if (group.kind === 'plain' && !group.identity?.service && !group.proof)
       Guard.report(findings, `${place}/identity/service`, 'is missing for a group of kind plain');
     for (const [part, at] of [
       ['service/at', group.identity?.service?.at],
@@ -57,11 +57,22 @@
   }
 };
 
+const checkWeights = (rule: Document.Rule, place: string, findings: Guard.Finding[]) => {
+  if (rule.weights === undefined) return;
+  for (const name of Object.keys(rule.weights))
+    if (!rule.groups.some((group) => group === name))
+      Guard.report(findings, `${place}/weights/${name}`, 'is no group of this rule');
+  const sum = rule.groups.reduce((total, group) => total + (rule.weights?.[group] ?? 0), 0);
+  if (sum <= 0) Guard.report(findings, `${place}/weights`, 'must sum to more than 0');
+};
+
 const checkRule = (document: Document, rule: Document.Rule, place: string, findings: Guard.Finding[]) => {
   const isGroup: Known = (name) => Object.hasOwn(document.groups, name);
   const isRegion: Known = (name) => Object.values(document.zones).some((zone) => zone.region === name);
   checkNames(rule.groups, `${place}/groups`, isGroup, 'group', findings);
   checkNames(rule.spill, `${place}/spill`, isRegion, 'region of any zone', findings);
+  checkNames(rule.home?.regions, `${place}/home/regions`, isRegion, 'region of any zone', findings);
+  checkWeights(rule, place, findings);
   checkNames(rule.teams, `${place}/teams`, (name) => Object.hasOwn(document.teams, name), 'team', findings);
   const steps = [
     { groups: rule.groups, model: undefined, at: `${place}/groups` },
--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -15,6 +15,10 @@
   readonly servers: ReadonlyMap<string, Compiled.Server>;
   readonly homes: ReadonlyMap<string, readonly Ident.Region[]>;
   readonly isEvacuated: (zone: string) => boolean;
+  readonly regionOf: (zone: string) => Ident.Region | undefined;
+  readonly regions: readonly Ident.Region[];
+  readonly limits: Document.Limits;
+  readonly openTeam: Compiled.Team | undefined;
   readonly findTeam: (key: string) => Compiled.Team | undefined;
 };
 
@@ -32,6 +36,10 @@
     readonly models: readonly string[];
     readonly regions: readonly Ident.Region[];
     readonly identity: Document.Identity;
+    readonly proof: Document.Proof | undefined;
+    readonly warmup: Document.Warmup | undefined;
+    readonly connections: number | undefined;
+    readonly memory: number | undefined;
     readonly isNotRun: (status: number, headers: Readonly<Record<string, unknown>>) => boolean;
     readonly concurrent: number;
     readonly ejection: Ejection;
@@ -44,6 +52,8 @@
     readonly region: Ident.Region;
     readonly zone: Ident.Zone;
     readonly isOpen: boolean;
+    readonly slots: number | undefined;
+    readonly warming: number;
   };
   type Step = { readonly groups: readonly Ident.Group[]; readonly model: string | undefined };
   type Retry = {
@@ -58,6 +68,12 @@
     readonly match: Document.Rule['match'];
     readonly steps: readonly Step[];
     readonly isOnce: boolean;
+    readonly isResumable: boolean;
+    readonly weights: Readonly<Record<string, number>> | undefined;
+    readonly aim: number | undefined;
+    readonly gap: number | undefined;
+    readonly priority: number | undefined;
+    readonly homeRegions: readonly Ident.Region[] | undefined;
     readonly homeHeader: string | undefined;
     readonly spill: readonly Ident.Region[];
     readonly hops: number;
@@ -88,6 +104,12 @@
       ...(rule.fallback ?? []).map((step) => ({ groups: step.groups, model: step.model })),
     ],
     isOnce: rule.runs === 'once',
+    isResumable: rule.runs === 'resumable',
+    weights: rule.weights,
+    aim: rule.aim,
+    gap: rule.gap,
+    priority: rule.priority,
+    homeRegions: rule.home?.regions,
     homeHeader: rule.home?.header,
     spill: rule.spill ?? [],
     hops: rule.hops ?? 3,
@@ -124,6 +146,10 @@
   models: group.models ?? [],
   regions: group.regions,
   identity: group.identity ?? { path: '/v1/models' },
+  proof: group.proof,
+  warmup: group.warmup,
+  connections: group.connections,
+  memory: group.memory,
   isNotRun: (status, headers) =>
     (group.not_run ?? []).some(
       (one) =>
@@ -152,8 +178,10 @@
       const address = Addresses.parse(server.address);
       if (!group?.regions.includes(server.region) || !address) continue;
       if (document.zones[server.zone]?.region !== server.region) continue;
-      const isOpen = !leaving.has(server.instance) && !evacuated.has(server.zone);
-      servers.set(server.instance, { ...server, address, isOpen });
+      const isOpen =
+        !leaving.has(server.instance) && server.isLeaving !== true && !evacuated.has(server.zone);
+      const { slots, warming = 0 } = server;
+      servers.set(server.instance, { ...server, address, isOpen, slots, warming });
     }
     const groups = new Map<string, Compiled.Group>();
     for (const [name, group] of Object.entries(document.groups))
@@ -166,9 +194,13 @@
         ),
       );
     const teams = new Map<string, Compiled.Team>();
-    for (const [name, team] of Object.entries(document.teams))
-      for (const key of team.keys)
-        teams.set(key, { name: name as Ident.Team, home: team.home, homes: team.homes, quota: team.quota });
+    let openTeam: Compiled.Team | undefined;
+    for (const [name, { keys, home, homes, quota, open }] of Object.entries(document.teams)) {
+      const team = { name: name as Ident.Team, home, homes, quota };
+      for (const key of keys) teams.set(key, team);
+      if (open) openTeam = team;
+    }
+    const { zones } = document;
     return {
       stamp: view.stamp,
       rules: document.rules.map(compileRule),
@@ -176,6 +208,10 @@
       servers,
       homes: new Map(Object.entries(document.homes).map(([name, home]) => [name, home.regions])),
       isEvacuated: (zone) => evacuated.has(zone),
+      regionOf: (zone) => zones[zone]?.region,
+      regions: [...new Set(Object.values(zones).map((zone) => zone.region))],
+      limits: document.limits ?? {},
+      openTeam,
       findTeam: (key) => teams.get(createHash('sha256').update(key).digest('hex')),
     };
   },
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -40,9 +40,17 @@
   },
 );
 
+const proof = Guard.record({ header }, { misdirected: status });
+const warmup = Guard.record({ per_second: Guard.number({ min: 0, max: 1_000_000 }), span });
+
 const catalogueEntry = Guard.record(
   { kind: Guard.oneOf('model', 'plain'), regions: Guard.list(region, { min: 1 }) },
   {
+    proof,
+    warmup,
+    connections: Guard.whole({ min: 1, max: 1_000_000 }),
+    memory: Guard.whole({ min: 1 }),
+    health: path,
     models: Guard.list(Guard.text({ max: 128 }), { min: 1 }),
     adapters: Guard.list(Guard.text({ max: 128 })),
     identity,
@@ -78,16 +86,21 @@
     match: Guard.record(
       { path },
       {
+        host: Guard.text({ max: 253 }),
         method: Guard.oneOf('GET', 'POST', 'PUT', 'DELETE', 'PATCH', 'HEAD'),
         models: Guard.list(Guard.text({ max: 128 }), { min: 1 }),
         headers: Guard.map(Guard.text({ max: 256 }), header),
       },
     ),
     groups: Guard.list(group, { min: 1, max: 32 }),
-    runs: Guard.oneOf('once', 'repeatable'),
+    runs: Guard.oneOf('once', 'repeatable', 'resumable'),
   },
   {
-    home: Guard.record({}, { header }),
+    home: Guard.record({}, { header, regions: Guard.list(region, { min: 1 }) }),
+    weights: Guard.map(Guard.number({ min: 0, max: 1_000_000_000 }), group),
+    aim: span,
+    gap: span,
+    priority: Guard.whole({ min: 0, max: 9 }),
     spill: Guard.list(region),
     fallback: Guard.list(
       Guard.record({ groups: Guard.list(group, { min: 1, max: 32 }) }, { model: Guard.text({ max: 128 }) }),
@@ -108,6 +121,23 @@
   { requests: Guard.whole({ min: 1 }), prompt: Guard.whole({ min: 1 }) },
 );
 
+const limits = Guard.record(
+  {},
+  {
+    header_bytes: Guard.whole({ min: 1, max: 16 * 1024 * 1024 }),
+    body_bytes: Guard.whole({ min: 1, max: 64 * 1024 * 1024 }),
+    header_time: span,
+    idle: span,
+  },
+);
+
+const source = Guard.record({
+  format: Guard.text(word),
+  number: Guard.whole({ min: 0 }),
+  digest: Guard.text({ max: 128 }),
+  packed: Guard.text({ max: 32 * 1024 * 1024 }),
+});
+
 const manifest = Guard.record(
   {
     zones: Guard.map(Guard.record({ region }), zone),
@@ -120,16 +150,24 @@
             max: 100,
           }),
         },
-        { home, homes: Guard.list(home, { min: 1 }), quota },
+        { home, homes: Guard.list(home, { min: 1 }), quota, open: Guard.flag },
       ),
       team,
     ),
     rules: Guard.list(rule, { max: 5000 }),
   },
-  { evacuations: Guard.list(zone), note: Guard.text({ max: 4096 }) },
+  { evacuations: Guard.list(zone), note: Guard.text({ max: 4096 }), limits, source },
 );
 
-const server = Guard.record({ instance, group, address: Guard.address, region, zone });
+const server = Guard.record(
+  { instance, group, address: Guard.address, region, zone },
+  {
+    slots: Guard.whole({ min: 1, max: 1_000_000 }),
+    warming: Guard.whole({ min: 0 }),
+    software: Guard.text({ max: 128 }),
+    isLeaving: Guard.flag,
+  },
+);
 const servers = Guard.record({ serial: Guard.whole({ min: 1 }), servers: Guard.list(server) });
 
 export type Document = Guard.Of<typeof manifest>;
@@ -138,6 +176,10 @@
   type Group = Guard.Of<typeof catalogueEntry>;
   type Rule = Guard.Of<typeof rule>;
   type Quota = Guard.Of<typeof quota>;
+  type Source = Guard.Of<typeof source>;
+  type Limits = Guard.Of<typeof limits>;
+  type Proof = Guard.Of<typeof proof>;
+  type Warmup = Guard.Of<typeof warmup>;
   type Identity = Guard.Of<typeof identity>;
   type Server = Guard.Of<typeof server>;
   type Servers = Guard.Of<typeof servers>;
