Run control and front on the users' platform: operator, directory, polled list

What: Control.start takes an adapter (operators' paths, directory, list source). New commands PutNumbered, Evacuate, RenewList; queries ReadDirectory and ReadSource; a list duty of the acting primary; AtPrimary passes a call on whole, once, with a bound on connecting.

--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -14,6 +14,7 @@
     listen: 'address of the callers’ port',
     ops: 'address of the operations port',
     agent: 'loopback address of the agent’s feed',
+    ready_path: 'path that tells readiness on the operations port, beside /ready',
     concurrent: 'most requests served at once (512)',
     drain: 'milliseconds that requests may finish in after SIGTERM (30000)',
   },
--- /dev/null
+++ b/src/control/at-primary.ts
@@ -0,0 +1,99 @@
+// What only the primary may do: a core that does not lead passes the call to the primary, once and whole,
+// and gives its response back as it came. What can't be confirmed is a 503 that says whether it was taken.
+import type { Context } from 'hono';
+import { Agent, request } from 'undici';
+import { Tenure } from '../epoch/tenure.js';
+import { Mishap } from '../kinds/mishap.js';
+import type { Core } from './core.js';
+import { Responses } from './responses.js';
+
+export type AtPrimary = {
+  readonly pass: (context: Context) => Promise<Response>;
+  readonly confirmed: (context: Context, handle: () => Promise<Responses> | Responses) => Promise<Response>;
+  readonly close: () => Promise<void>;
+};
+
+export declare namespace AtPrimary {
+  type Needs = {
+    readonly node: string;
+    readonly core: Core;
+    readonly ownHttp: () => string;
+    readonly note: (text: string, facts?: Record<string, unknown>) => void;
+  };
+}
+
+const passedBy = 'bramblebend-passed';
+const passWithin = 7000;
+const connectWithin = 1000;
+const ofOneConnection = new Set([
+  'host',
+  'connection',
+  'keep-alive',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'content-length',
+]);
+const given = ['content-type', 'etag', 'retry-after', 'bramblebend-by', 'bramblebend-at', 'bramblebend-node'];
+
+const give = (context: Context, { status, body, headers = {} }: Responses): Response =>
+  body instanceof Uint8Array
+    ? context.body(body, status, { 'content-type': 'application/json', ...headers })
+    : context.json(body, status, headers);
+
+export const AtPrimary = {
+  give,
+  of(needs: AtPrimary.Needs): AtPrimary {
+    const { core } = needs;
+    const agent = new Agent({ connect: { timeout: connectWithin }, connections: 8 });
+    const noPrimary = (context: Context, text: string, taken: string) =>
+      give(context, Responses.unconfirmed('no_primary', text, taken));
+    return {
+      async pass(context) {
+        const tenure = core.tenure();
+        const primary = tenure && Tenure.core(tenure, tenure.primary);
+        if (!primary || primary.http === needs.ownHttp() || context.req.header(passedBy) !== undefined)
+          return noPrimary(context, 'no primary is known just now', 'no');
+        const headers = Object.fromEntries(
+          Object.entries(context.req.header()).filter(([name]) => !ofOneConnection.has(name)),
+        );
+        const { method } = context.req;
+        const { pathname, search } = new URL(context.req.url);
+        try {
+          const body = method === 'GET' ? null : Buffer.from(await context.req.arrayBuffer());
+          const response = await request(`http://${primary.http}${pathname}${search}`, {
+            dispatcher: agent,
+            method: method as 'GET',
+            headers: { ...headers, [passedBy]: needs.node },
+            body,
+            headersTimeout: passWithin,
+            bodyTimeout: passWithin,
+          });
+          const kept = given.flatMap((name) => {
+            const value = response.headers[name];
+            return value === undefined ? [] : [[name, String(value)] as const];
+          });
+          const bytes = await response.body.arrayBuffer();
+          return context.body(bytes, response.statusCode as 200, Object.fromEntries(kept));
+        } catch (error) {
+          const isDropped = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+          const taken = isDropped || method === 'GET' ? 'no' : 'unknown';
+          return noPrimary(context, `the primary did not answer: ${Mishap.text(error)}`, taken);
+        }
+      },
+      async confirmed(context, handle) {
+        try {
+          context.header('bramblebend-node', needs.node);
+          return give(context, await handle());
+        } catch (error) {
+          needs.note('unconfirmed answer', { path: context.req.path, why: Mishap.text(error) });
+          const taken = String(Mishap.info(error).taken ?? 'unknown');
+          return give(context, Responses.unconfirmed('unconfirmed', Mishap.text(error), taken));
+        }
+      },
+      close: () => agent.destroy(),
+    };
+  },
+};
--- /dev/null
+++ b/src/control/commands/evacuate.ts
@@ -0,0 +1,32 @@
+// Evacuate a zone or take it back: a change of the newest manifest's evacuations alone, as safe as a manifest
+// and kept by those that follow.
+import type { Ident } from '../../kinds/ident.js';
+import { State } from '../../store/state.js';
+import type { Office } from '../office.js';
+import { Responses } from '../responses.js';
+
+export type Evacuate = { readonly zone: string; readonly isEvacuated: boolean };
+
+const by = 'operator';
+
+export const Evacuate = {
+  async run(office: Office, { zone, isEvacuated }: Evacuate): Promise<Responses> {
+    const at = new Date().toISOString();
+    const done = (zones: readonly string[]): Responses => ({ status: 200, body: { evacuations: zones } });
+    return office.change(
+      (state, stamp) => {
+        const document = State.newest(state)?.document;
+        if (!office.isSettled() || !document)
+          return Responses.unconfirmed('unconfirmed', 'no manifest is known to be in place yet', 'no');
+        if (!Object.hasOwn(document.zones, zone))
+          return Responses.fail(404, 'unknown_zone', `the manifest names no zone ${zone}`);
+        const others = (document.evacuations ?? []).filter((one) => one !== zone);
+        const zones = isEvacuated ? [...others, zone as Ident.Zone] : others;
+        if (zones.length === (document.evacuations?.length ?? 0)) return done(zones);
+        const what = `${isEvacuated ? 'evacuate' : 'restore'} ${zone}`;
+        return { kind: 'evacuations', stamp, zones, by, at, what };
+      },
+      (state) => done(State.newest(state)?.document.evacuations ?? []),
+    );
+  },
+};
--- /dev/null
+++ b/src/control/commands/put-numbered.ts
@@ -0,0 +1,59 @@
+// Replace the manifest under the operator's own number, which rises with each. The base names the number it
+// replaces; of two on the same base only one is taken. The same number with the same digest, when it was
+// taken before, is answered as taken, also after newer ones. Evacuations stand: they have their own order.
+import { Check } from '../../manifest/check.js';
+import type { Document } from '../../manifest/document.js';
+import { State } from '../../store/state.js';
+import type { Office } from '../office.js';
+import { Responses } from '../responses.js';
+
+export type PutNumbered = {
+  readonly base: number;
+  readonly document: Document & { readonly source: Document.Source };
+};
+
+const by = 'operator';
+
+export const PutNumbered = {
+  async run(office: Office, { base, document }: PutNumbered): Promise<Responses> {
+    const checked = Check.manifest(document);
+    if (checked.kind === 'bad')
+      return Responses.fail(400, 'invalid_manifest', 'the manifest was not taken', {
+        findings: checked.findings,
+      });
+    const { number, digest } = document.source;
+    const key = `number ${number}`;
+    const taken: Responses = { status: 200, body: { number } };
+    const at = new Date().toISOString();
+    return office.change(
+      (state, stamp) => {
+        if (!office.isSettled())
+          return Responses.unconfirmed('unconfirmed', 'the cores formed anew and ask the nodes', 'no');
+        const newest = State.newest(state)?.document;
+        const current = newest?.source?.number ?? 0;
+        const isTaken =
+          (current === number && newest?.source?.digest === digest) ||
+          state.answers.some((one) => one.key === key && one.digest === digest);
+        if (isTaken) return taken;
+        if (base !== current)
+          return Responses.fail(412, 'stale', `number ${current} is in place`, { number: current });
+        if (number <= current)
+          return Responses.fail(400, 'number_not_above', `the number must be above ${current}`, {
+            findings: [{ place: '/source/number', text: `must be above ${current}` }],
+          });
+        const { evacuations } = newest ?? {};
+        return {
+          kind: 'manifest',
+          stamp,
+          document: evacuations ? { ...document, evacuations } : document,
+          by,
+          at,
+          what: `manifest ${number} put`,
+          teams: [],
+          answer: { key, digest },
+        };
+      },
+      () => taken,
+    );
+  },
+};
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,7 +1,9 @@
 // A control node as a program: its disk, its part of the register, replication, sessions with agents,
 // and the HTTP interface.
+import type { Server } from 'node:http';
 import { Registry } from 'prom-client';
 import { BudgetDuty } from '../duty/budget-duty.js';
+import { ListDuty } from '../duty/list-duty.js';
 import { QuotaDuty } from '../duty/quota-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
@@ -9,6 +11,7 @@
 import { Epoch } from '../kinds/epoch.js';
 import { Ident } from '../kinds/ident.js';
 import { Listen } from '../kinds/listen.js';
+import { Moment } from '../kinds/moment.js';
 import type { Ring } from '../log/ring.js';
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
@@ -24,19 +27,34 @@
 import { Version } from '../startup/version.js';
 import { Doorway } from '../wire/doorway.js';
 import { Frame } from '../wire/frame.js';
+import type { Adapter } from './adapter.js';
+import { RenewList } from './commands/renew-list.js';
 import { Core } from './core.js';
 import { Desk } from './desk.js';
+import { DirectoryHttp } from './directory-http.js';
 import { Folder } from './folder.js';
 import { ControlHttp } from './http.js';
 import { Mates } from './mates.js';
 import { Office } from './office.js';
+import type { ReadDirectory } from './queries/read-directory.js';
 
 const nearbyAgents = 6;
+const knowsAfter = 1500;
+const confirmedWithin = 1200;
 
-export type Control = { readonly start: (startup: Startup['control'], ring: Ring) => Promise<Program> };
+export type Control = {
+  readonly start: (startup: Startup['control'], ring: Ring, adapter?: Adapter) => Promise<Program>;
+};
+
+const closeServer = (server: Server): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
 
 export const Control: Control = {
-  async start(startup, ring) {
+  async start(startup, ring, adapter = {}) {
+    const began = Moment.now();
     const { register, store } = await Folder.open(startup.data, ring.alert);
     const feed = Feed.of();
     const boot = Ident.boot();
@@ -203,29 +221,48 @@
         version: Version,
       }),
     });
-    const { server } = ControlHttp.of({
+    const office = Office.of({ leading: running.leading, proposer });
+    const directory: ReadDirectory.Needs = {
+      roll,
+      knows: () => Moment.since(began) > knowsAfter,
+      regionOf: (zone) => feed.view().manifest?.document.zones[zone]?.region,
+    };
+    const controlHttp = ControlHttp.of({
       startup,
-      office: Office.of({ leading: running.leading, proposer }),
+      office,
       core: running,
       roll,
+      directory,
+      adapter,
       usage: () => ({ holder: budget.holder(), teams: quotas.usage() }),
       ownHttp: () => http,
       operations: ops.app,
       note: ring.note,
     });
+    const { server } = controlHttp;
     http = Address.text(await Listen(server, Address.checked(startup.http)));
+    const callers = adapter.directory && DirectoryHttp.of(adapter.directory, directory);
+    if (callers) await Listen(callers, Address.checked(adapter.directory!.address));
+    const list =
+      adapter.list &&
+      ListDuty.run({
+        source: adapter.list,
+        isHeld: () => (running.confirmedFor() ?? Number.POSITIVE_INFINITY) < confirmedWithin,
+        held: () => store.state().platform.servers,
+        renew: async (servers) => (await RenewList.run(office, { servers })).status === 200,
+        note: ring.note,
+      });
     running.begin();
     return {
       ready: { wire, http },
       async drain() {
         rosters.stop();
+        await list?.stop();
         await running.stop();
         await mates.stop();
         await doorway.close();
-        await new Promise<void>((resolve) => {
-          server.close(() => resolve());
-          server.closeAllConnections();
-        });
+        await Promise.all([server, ...(callers ? [callers] : [])].map(closeServer));
+        await controlHttp.close();
         await store.close();
       },
     };
--- /dev/null
+++ b/src/duty/list-duty.ts
@@ -0,0 +1,96 @@
+// The list duty at the acting primary: polls the list of servers and renews the one held when its content
+// changed. The time a server still warms for runs down by itself and is no change; that it begins, ends or
+// is set back is one. A poll that fails or gives nothing changes nothing, and a busy source is left longer.
+import { Alarm } from '../kinds/alarm.js';
+import { Mishap } from '../kinds/mishap.js';
+import { Moment } from '../kinds/moment.js';
+import type { Document } from '../manifest/document.js';
+import type { ListSource } from './list-source.js';
+
+export type ListDuty = { readonly stop: () => Promise<void> };
+
+export declare namespace ListDuty {
+  type Needs = {
+    readonly source: ListSource;
+    readonly isHeld: () => boolean;
+    readonly held: () => readonly Document.Server[];
+    readonly renew: (servers: readonly Document.Server[]) => Promise<boolean>;
+    readonly note: (text: string, facts?: Record<string, unknown>) => void;
+  };
+}
+
+type Told = { readonly servers: readonly Document.Server[]; readonly at: Moment };
+
+const pollEvery = 700;
+const lookEvery = 100;
+const longestRest = 5600;
+const slack = 300;
+
+const withoutWarming = ({ warming: _warming, ...rest }: Document.Server): string =>
+  JSON.stringify(Object.entries(rest).sort(([a], [b]) => (a < b ? -1 : 1)));
+
+const isRewarmed = (before: Document.Server, after: Document.Server, passed: number): boolean => {
+  const left = Math.max(0, (before.warming ?? 0) - passed);
+  const isWarming = (after.warming ?? 0) > 0;
+  return isWarming !== (before.warming ?? 0) > 0 || (after.warming ?? 0) > left + slack;
+};
+
+const isChanged = (before: Told, after: readonly Document.Server[]): boolean => {
+  if (before.servers.length !== after.length) return true;
+  const known = new Map(before.servers.map((one) => [one.instance, one]));
+  const passed = Moment.since(before.at);
+  return after.some((one) => {
+    const was = known.get(one.instance);
+    return !was || withoutWarming(was) !== withoutWarming(one) || isRewarmed(was, one, passed);
+  });
+};
+
+export const ListDuty = {
+  isChanged,
+  run(needs: ListDuty.Needs): ListDuty {
+    const stop = new AbortController();
+    let told: Told | undefined;
+    let rest = pollEvery;
+    const step = async (): Promise<number> => {
+      if (!needs.isHeld()) {
+        told = undefined;
+        rest = pollEvery;
+        return lookEvery;
+      }
+      const polled = await needs.source.poll();
+      if (polled.kind === 'busy') {
+        rest = Math.min(longestRest, rest * 2);
+        return rest;
+      }
+      rest = pollEvery;
+      if (polled.kind === 'failed') needs.note('the list could not be polled', { why: polled.why });
+      if (polled.kind === 'failed' || polled.servers.length === 0 || !needs.isHeld()) return rest;
+      const at = Moment.now();
+      const before = told ?? { servers: needs.held(), at };
+      if (!isChanged(before, polled.servers)) {
+        told ??= before;
+        return rest;
+      }
+      if (await needs.renew(polled.servers)) told = { servers: polled.servers, at };
+      return rest;
+    };
+    const run = async () => {
+      while (!stop.signal.aborted) {
+        let pause = pollEvery;
+        try {
+          pause = await step();
+        } catch (error) {
+          needs.note('the list was not renewed', { why: Mishap.text(error) });
+        }
+        await Alarm.pause(pause, stop.signal);
+      }
+    };
+    const done = run();
+    return {
+      async stop() {
+        stop.abort();
+        await done;
+      },
+    };
+  },
+};
--- /dev/null
+++ b/src/duty/list-source.ts
@@ -0,0 +1,11 @@
+// Where the list of servers is read from when it is not pushed: a poll gives it whole, or says why not.
+import type { Document } from '../manifest/document.js';
+
+export type ListSource = { readonly poll: () => Promise<ListSource.Polled> };
+
+export declare namespace ListSource {
+  type Polled =
+    | { readonly kind: 'list'; readonly servers: readonly Document.Server[] }
+    | { readonly kind: 'busy' }
+    | { readonly kind: 'failed'; readonly why: string };
+}
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -150,6 +150,7 @@
     const listening = await Listen(server, Address.checked(startup.listen));
     const ops = Ops.of({
       isReady,
+      readyPath: startup.ready_path,
       registry: meters.registry,
       ring,
       describe: () => ({
--- a/src/startup/ops.ts
+++ b/src/startup/ops.ts
@@ -14,10 +14,12 @@
     readonly registry: Registry;
     readonly ring: Ring;
     readonly describe: () => object;
+    readonly readyPath?: string | undefined;
   }): Ops {
     const app = new Hono();
     app.get('/health', (context) => context.json({ status: 'up', ...terms.describe() }));
-    app.get('/ready', (context) => {
+    const readyPaths = ['/ready', ...(terms.readyPath === undefined ? [] : [terms.readyPath])];
+    app.on('GET', readyPaths, (context) => {
       const reason = terms.isReady();
       return reason === undefined
         ? context.json({ ready: true })
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -9,7 +9,11 @@
 
 const proxy = Guard.record(
   { node: name, zone: name, listen: Guard.address, ops: Guard.address, agent: Guard.address },
-  { concurrent: Guard.whole({ min: 1, max: 1_000_000 }), drain: Guard.whole({ min: 0, max: 3_600_000 }) },
+  {
+    concurrent: Guard.whole({ min: 1, max: 1_000_000 }),
+    drain: Guard.whole({ min: 0, max: 3_600_000 }),
+    ready_path: Guard.text({ like: /^\/[^\s?#:*]*$/, as: 'a path that begins with /' }),
+  },
 );
 
 const agent = Guard.record({
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -1,7 +1,8 @@
 // The system's own state and the changes that make it. A change carries the stamp it leads to; the
 // same changes in the same order give the same state on every copy.
-import { produce } from 'immer';
+import { original, produce } from 'immer';
 import { Epoch } from '../kinds/epoch.js';
+import type { Ident } from '../kinds/ident.js';
 import { Revision } from '../kinds/revision.js';
 import { Stamp } from '../kinds/stamp.js';
 import type { Document } from '../manifest/document.js';
@@ -49,6 +50,13 @@
         readonly servers: readonly Document.Server[];
         readonly at: string;
       }
+    | {
+        readonly kind: 'evacuations';
+        readonly zones: readonly Ident.Zone[];
+        readonly by: string;
+        readonly at: string;
+        readonly what: string;
+      }
     | { readonly kind: 'leaving'; readonly instance: string; readonly at: string }
     | { readonly kind: 'opened' }
     | { readonly kind: 'settled'; readonly formed: Epoch; readonly view: View }
@@ -90,6 +98,16 @@
           draft.audit.push({ revision, by, at, what, teams: [...teams] });
           break;
         }
+        case 'evacuations': {
+          const { zones, by, at, what } = change;
+          const newest = original(draft.manifests)?.at(-1);
+          if (!newest) break;
+          const document = { ...newest.document, evacuations: [...zones] };
+          draft.manifests.push({ revision, epoch, document, by, at } as (typeof draft.manifests)[number]);
+          draft.manifests.splice(0, draft.manifests.length - keptManifests);
+          draft.audit.push({ revision, by, at, what, teams: [] });
+          break;
+        }
         case 'platform': {
           const held = new Set(change.servers.map((server) => server.instance as string));
           draft.platform = {
