--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -17,6 +17,7 @@
     ready_path: 'path that tells readiness on the operations port, beside /ready',
     concurrent: 'most requests served at once (512)',
     drain: 'milliseconds that requests may finish in after SIGTERM (30000)',
+    linger: 'milliseconds in which new connections are still taken while draining (0)',
   },
   start: ProxyProgram.start,
 });
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -24,6 +24,7 @@
   readonly parent: () => string;
   readonly places: () => readonly string[];
   readonly send: (body: Frame.Body) => boolean;
+  readonly announce: () => void;
   readonly stop: () => void;
   readonly done: Promise<void>;
 };
@@ -187,6 +188,9 @@
       state: () => phase.state,
       parent: () => parent,
       places: places.all,
+      announce() {
+        if (phase.is('joined') && current) tell(current);
+      },
       send: (body) => (phase.is('joined') && current?.send(body)) || false,
       stop: () => stop.abort(),
       done: run(),
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -98,7 +98,12 @@
         });
       context.env.outgoing.once('close', share);
       const parts = call.asked.parts;
-      const want = { parts, tokens: call.asked.tokens?.read ?? 0 };
+      const want = {
+        parts,
+        tokens: call.asked.tokens?.read ?? 0,
+        bytes: call.body?.length ?? 0,
+        aim: rule.aim ?? timeouts.total,
+      };
       const tried: string[] = [];
       const launch = (after: string | undefined, sent: number): Promise<Tries> =>
         Tries.run({
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -123,7 +123,8 @@
         const hadServers = (before?.groups.get(server.group)?.servers.length ?? 0) > 0;
         if (isNew && hadServers) onCold(server.instance);
       }
-      for (const kept of [ramp, warmup, placement]) kept.retain((instance) => after.servers.has(instance));
+      for (const kept of [ramp, warmup]) kept.retain((instance) => after.servers.has(instance));
+      placement.retain(after);
     };
     const inForce = () => compiled?.stamp ?? Stamp.none;
     const enforce = () => {
@@ -170,6 +171,7 @@
       },
       {
         isReady,
+        isDraining: () => isDraining,
         change(by) {
           active += by;
         },
@@ -234,7 +236,11 @@
       ready: { listen: Address.text(listening), ops: Address.text(opsAt) },
       async drain() {
         isDraining = true;
-        const late = Alarm.after(startup.drain ?? 30_000, () => server.closeAllConnections());
+        uplink.announce();
+        await Alarm.pause(startup.linger ?? 0);
+        const late = Alarm.after((startup.drain ?? 30_000) - (startup.linger ?? 0), () =>
+          server.closeAllConnections(),
+        );
         await new Promise<void>((resolve) => {
           server.close(() => resolve());
           server.closeIdleConnections();
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -35,7 +35,10 @@
 };
 
 const begin =
-  (active: { change: (by: number) => void }, dialect: Dialect): Filter =>
+  (
+    active: { readonly change: (by: number) => void; readonly isDraining: () => boolean },
+    dialect: Dialect,
+  ): Filter =>
   async (context, next) => {
     const { outgoing } = context.env;
     const left = new AbortController();
@@ -44,6 +47,7 @@
       if (!outgoing.writableFinished) left.abort(Mishap.of('left', 'the client left'));
     });
     active.change(1);
+    if (active.isDraining()) outgoing.shouldKeepAlive = false;
     const asked = dialect.read(context.env.incoming.headers);
     const arrived = Moment.now();
     context.set('call', { id: asked.id, arrived, left: left.signal, dialect, asked });
@@ -53,7 +57,11 @@
 export const ProxyServer = {
   of(
     needs: Filter.Needs,
-    probes: { readonly isReady: () => string | undefined; readonly change: (by: number) => void },
+    probes: {
+      readonly isReady: () => string | undefined;
+      readonly isDraining: () => boolean;
+      readonly change: (by: number) => void;
+    },
   ): ProxyServer {
     const app = new Hono<Call.Env>();
     const isOwn = needs.dialect.isOpenAi;
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -1,8 +1,10 @@
-// Where a prompt goes when its rule says how soon an answer is wanted: to the server with the least cost, in
-// milliseconds until its first token. That is the way there, what of this proxy's waits there already, the
-// tokens of the prompt that the server is not thought to keep, a new connection where none rests, and a charge
-// for leaving the region. What a server keeps is learned from where this proxy sent the same parts, within the
-// server's memory; where nobody knows, rendezvous hashing on the shared parts names one holder for all proxies.
+// Where a prompt goes when its rule says how soon an answer is wanted: to the server with the least cost. A cost
+// counts in milliseconds of a server's reading: the tokens that the server is not thought to keep, the way to
+// another region, a new connection, what of this proxy's runs there, and a charge that grows steeply once the
+// first token is likely to come late. What a server keeps is learned from where this proxy sent the same parts,
+// within the server's memory; where it knows nothing, rendezvous hashing on the shared parts names one holder, the
+// same for all proxies and regions. A server that came lately is not taken to keep anything by hashing alone.
+import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Busyness } from './busyness.js';
 import { Pick } from './pick.js';
@@ -10,13 +12,17 @@
 export type Placement = {
   readonly choose: (among: readonly Pick[], want: Placement.Want) => Pick | undefined;
   readonly sent: (server: Compiled.Server, group: Compiled.Group, want: Placement.Want) => number;
-  readonly met: (instance: string, span: number) => void;
-  readonly retain: (isHeld: (instance: string) => boolean) => void;
+  readonly retain: (compiled: Compiled) => void;
 };
 
 export declare namespace Placement {
   type Part = { readonly key: string; readonly tokens: number };
-  type Want = { readonly parts: readonly Part[]; readonly tokens: number };
+  type Want = {
+    readonly parts: readonly Part[];
+    readonly tokens: number;
+    readonly bytes: number;
+    readonly aim: number;
+  };
   type Needs = {
     readonly region: () => string | undefined;
     readonly busyness: Busyness;
@@ -25,17 +31,22 @@
   };
 }
 
+type Chain = { readonly key: string; readonly tokens: number };
+
 const tokensPerMillisecond = 50;
 const farTrip = 110;
-const leavingCharge = 60;
-const connectCharge = 25;
-const jobCharge = 3;
-const fullCharge = 200;
+const leaving = { base: 8, perKilobyte: 1 } as const;
+const connecting = 12;
+const perJob = 2;
+const whenFull = 400;
+const holderBonus = 6;
 const jitter = 2;
+const perLateness = { early: 0.08, late: 2 } as const;
 const keptMost = 4096;
+const settledAfter = 4000;
 
-const chainsOf = (parts: readonly Placement.Part[]): { key: string; tokens: number }[] => {
-  const chains: { key: string; tokens: number }[] = [];
+const chainsOf = (parts: readonly Placement.Part[]): Chain[] => {
+  const chains: Chain[] = [];
   let key = '';
   for (const part of parts) {
     key = `${key}/${part.key}`;
@@ -47,63 +58,75 @@
 export const Placement = {
   of(needs: Placement.Needs): Placement {
     const kept = new Map<string, Map<string, number>>();
-    const trips = new Map<string, number>();
-    const tripTo = (server: Compiled.Server): number =>
-      trips.get(server.instance) ?? (server.region === needs.region() ? 1 : farTrip);
-    const missing = (
-      server: Compiled.Server,
-      chains: readonly { key: string; tokens: number }[],
-      holder: boolean,
-    ) => {
-      const held = kept.get(server.instance);
+    const seenSince = new Map<string, Moment>();
+    let isFirst = true;
+    const isSettled = (instance: string) =>
+      Moment.since(seenSince.get(instance) ?? Moment.now()) > settledAfter;
+    const missing = (instance: string, chains: readonly Chain[], isHolder: boolean): number => {
+      const held = kept.get(instance);
       let tokens = 0;
       let isKept = true;
-      chains.forEach((chain, index) => {
-        const isOwn = index === chains.length - 1;
-        isKept &&= held?.has(chain.key) === true || (holder && !isOwn);
-        if (!isKept) tokens += chain.tokens;
+      chains.forEach(({ key, tokens: own }, index) => {
+        isKept &&= held?.has(key) === true || (isHolder && index < chains.length - 1);
+        if (!isKept) tokens += own;
       });
       return tokens;
     };
-    const holderOf = (among: readonly Pick[], key: string): ReadonlySet<string> => {
-      const best = new Map<string, { score: number; instance: string }>();
+    const holderOf = (among: readonly Pick[], key: string): string | undefined => {
       const seed = Pick.mix(0x811c9dc5, key);
+      let best: { score: number; instance: string } | undefined;
       for (const { server } of among) {
         const score = Pick.mix(seed, server.instance);
-        const known = best.get(server.region);
-        if (!known || score > known.score) best.set(server.region, { score, instance: server.instance });
+        if (!best || score > best.score) best = { score, instance: server.instance };
       }
-      return new Set([...best.values()].map((one) => one.instance));
+      return best?.instance;
+    };
+    const costOf = (
+      { server }: Pick,
+      want: Placement.Want,
+      chains: readonly Chain[],
+      holder: string | undefined,
+    ): number => {
+      const level = needs.busyness.of(server.instance);
+      const isFar = server.region !== needs.region();
+      const isHolder = server.instance === holder;
+      const tokens =
+        chains.length === 0
+          ? want.tokens
+          : missing(server.instance, chains, isHolder && isSettled(server.instance));
+      const reading = tokens / tokensPerMillisecond;
+      const until = (isFar ? farTrip : 0) + level.prefill / tokensPerMillisecond + reading;
+      const late = Math.max(0, until - want.aim / 2);
+      return (
+        reading +
+        (isFar ? leaving.base + (leaving.perKilobyte * want.bytes) / 1024 : 0) +
+        (needs.hasIdle(server.instance) ? 0 : connecting) +
+        level.jobs * perJob +
+        (server.slots !== undefined && level.jobs >= server.slots ? whenFull : 0) +
+        until * perLateness.early +
+        late * perLateness.late -
+        (isHolder ? holderBonus : 0) +
+        needs.random() * jitter
+      );
     };
     return {
       choose(among, want) {
         if (among.length <= 1) return among[0];
         const chains = chainsOf(want.parts);
         const shared = chains.at(-2)?.key;
-        const holders = shared === undefined ? new Set<string>() : holderOf(among, shared);
-        let best: { pick: Pick; cost: number } | undefined;
+        const holder = shared === undefined ? undefined : holderOf(among, shared);
+        let best: { readonly pick: Pick; readonly cost: number } | undefined;
         for (const pick of among) {
-          const { server } = pick;
-          const level = needs.busyness.of(server.instance);
-          const isFar = server.region !== needs.region();
-          const uncached =
-            chains.length === 0 ? want.tokens : missing(server, chains, holders.has(server.instance));
-          const cost =
-            (isFar ? tripTo(server) + leavingCharge : 0) +
-            (level.prefill + uncached) / tokensPerMillisecond +
-            level.jobs * jobCharge +
-            (server.slots !== undefined && level.jobs >= server.slots ? fullCharge : 0) +
-            (needs.hasIdle(server.instance) ? 0 : connectCharge) +
-            needs.random() * jitter;
+          const cost = costOf(pick, want, chains, holder);
           if (!best || cost < best.cost) best = { pick, cost };
         }
         return best?.pick;
       },
-      sent(server, group, want) {
+      sent({ instance }, group, want) {
         const chains = chainsOf(want.parts);
-        const uncached = chains.length === 0 ? want.tokens : missing(server, chains, false);
-        const held = kept.get(server.instance) ?? new Map<string, number>();
-        kept.set(server.instance, held);
+        const uncached = chains.length === 0 ? want.tokens : missing(instance, chains, false);
+        const held = kept.get(instance) ?? new Map<string, number>();
+        kept.set(instance, held);
         for (const { key, tokens } of chains.slice(0, -1)) {
           held.delete(key);
           held.set(key, tokens);
@@ -117,12 +140,12 @@
         }
         return uncached;
       },
-      met(instance, span) {
-        trips.set(instance, Math.min(span, trips.get(instance) ?? span));
-      },
-      retain(isHeld) {
-        for (const instance of kept.keys()) if (!isHeld(instance)) kept.delete(instance);
-        for (const instance of trips.keys()) if (!isHeld(instance)) trips.delete(instance);
+      retain({ servers }) {
+        for (const instance of kept.keys()) if (!servers.has(instance)) kept.delete(instance);
+        for (const instance of seenSince.keys()) if (!servers.has(instance)) seenSince.delete(instance);
+        for (const instance of servers.keys())
+          if (!seenSince.has(instance)) seenSince.set(instance, isFirst ? Moment.past : Moment.now());
+        isFirst = servers.size === 0;
       },
     };
   },
