Test the control side on the platform; bound kept manifests, pack long changes

What: whole-program tests of operator, directory, polled list and settings (test/platform-control, with a stand-in list server); house rules for platform/ both ways, with planted lines. The state keeps the operator's words of the newest two manifests, and fewer old ones past 2 MB; repeats are known from the kept answers. A change of 64 KB and more is packed on disk and on the wire (a program from before this commit cannot read such a record, so a roll-out with manifests that long wants all cores at once). The state file was rewritten at every change once the state itself passed 8 MB; now the bound counts from the last rewrite. A list read in several pieces keeps what it lacks once.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -200,6 +200,8 @@
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
     gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
     gauge('members', 'nodes on the roll', () => roll.all().length);
+    gauge('servers', 'servers on the list held', () => store.state().platform.servers.length);
+    gauge('list_serial', 'serial of the list held', () => store.state().platform.serial);
     gauge('links_dropped', 'links closed for what they sent', doorway.dropped);
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
     gauge('news_dropped', 'news dropped as not newer', feed.dropped);
--- a/src/duty/list-duty.ts
+++ b/src/duty/list-duty.ts
@@ -22,6 +22,7 @@
 type Told = { readonly servers: readonly Document.Server[]; readonly at: Moment };
 
 const pollEvery = 700;
+const ownPart = 0.5;
 const lookEvery = 100;
 const longestRest = 5600;
 const slack = 300;
@@ -45,15 +46,29 @@
   });
 };
 
+const keepOnce = (
+  held: readonly Document.Server[],
+  polled: readonly Document.Server[],
+  missedBefore: ReadonlySet<string>,
+): readonly Document.Server[] => {
+  const instances = new Set<string>(polled.map((one) => one.instance));
+  const addresses = new Set(polled.map((one) => one.address));
+  const kept = held.filter(
+    (one) => !instances.has(one.instance) && !missedBefore.has(one.instance) && !addresses.has(one.address),
+  );
+  return kept.length === 0 ? polled : [...polled, ...kept];
+};
+
 export const ListDuty = {
-  isChanged,
   run(needs: ListDuty.Needs): ListDuty {
     const stop = new AbortController();
     let told: Told | undefined;
+    let missed: ReadonlySet<string> = new Set();
     let rest = pollEvery;
     const step = async (): Promise<number> => {
       if (!needs.isHeld()) {
         told = undefined;
+        missed = new Set();
         rest = pollEvery;
         return lookEvery;
       }
@@ -65,13 +80,13 @@
       rest = pollEvery;
       if (polled.kind === 'failed') needs.note('the list could not be polled', { why: polled.why });
       if (polled.kind === 'failed' || polled.servers.length === 0 || !needs.isHeld()) return rest;
+      rest = Math.max(pollEvery, (polled.pieces * 1000) / (needs.source.rate() * ownPart));
       const at = Moment.now();
       const before = told ?? { servers: needs.held(), at };
-      if (!isChanged(before, polled.servers)) {
-        told ??= before;
-        return rest;
-      }
-      if (await needs.renew(polled.servers)) told = { servers: polled.servers, at };
+      const servers = polled.pieces > 1 ? keepOnce(before.servers, polled.servers, missed) : polled.servers;
+      missed = new Set(servers.slice(polled.servers.length).map((one) => one.instance));
+      told ??= before;
+      if (isChanged(before, servers) && (await needs.renew(servers))) told = { servers, at };
       return rest;
     };
     const run = async () => {
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -1,6 +1,7 @@
 // The system's own state and the changes that make it. A change carries the stamp it leads to; the
-// same changes in the same order give the same state on every copy.
-import { original, produce } from 'immer';
+// same changes in the same order give the same state on every copy. Of the manifests kept, the newest two
+// hold the words they were made from, and long ones keep fewer before them.
+import { type Draft, produce } from 'immer';
 import { Epoch } from '../kinds/epoch.js';
 import type { Ident } from '../kinds/ident.js';
 import { Revision } from '../kinds/revision.js';
@@ -24,6 +25,7 @@
     readonly document: Document;
     readonly by: string;
     readonly at: string;
+    readonly length?: number;
   };
   type Answer = { readonly key: string; readonly digest: string; readonly revision: Revision };
   type Audit = {
@@ -64,6 +66,8 @@
 }
 
 const keptManifests = 32;
+const keptWhole = 2;
+const keptLength = 2 * 1024 * 1024;
 const keptAnswers = 256;
 const keptAudit = 1024;
 
@@ -81,6 +85,24 @@
   audit: [],
 };
 
+type Drafts = Draft<State['manifests']>;
+
+const lengthOf = ({ source: _source, ...document }: Document): number => JSON.stringify(document).length;
+
+const prune = (manifests: Drafts): void => {
+  manifests.splice(0, manifests.length - keptManifests);
+  const olderFrom = manifests.length - keptWhole - 1;
+  let length = 0;
+  for (let index = olderFrom; index >= 0; index -= 1) {
+    length += manifests[index]!.length ?? lengthOf(manifests[index]!.document as Document);
+    if (length > keptLength) {
+      manifests.splice(0, index + 1);
+      return;
+    }
+    if (manifests[index]!.document.source) delete manifests[index]!.document.source;
+  }
+};
+
 export const State = {
   empty,
   apply(state: State, change: State.Change): State {
@@ -91,8 +113,9 @@
       switch (change.kind) {
         case 'manifest': {
           const { document, by, at, what, teams } = structuredClone(change) as typeof change;
-          draft.manifests.push({ revision, epoch, document, by, at } as (typeof draft.manifests)[number]);
-          draft.manifests.splice(0, draft.manifests.length - keptManifests);
+          const length = lengthOf(document);
+          draft.manifests.push({ revision, epoch, document, by, at, length } as Drafts[number]);
+          prune(draft.manifests);
           if (change.answer) draft.answers.push({ ...change.answer, revision });
           draft.answers.splice(0, draft.answers.length - keptAnswers);
           draft.audit.push({ revision, by, at, what, teams: [...teams] });
@@ -100,11 +123,11 @@
         }
         case 'evacuations': {
           const { zones, by, at, what } = change;
-          const newest = original(draft.manifests)?.at(-1);
+          const newest = state.manifests.at(-1);
           if (!newest) break;
           const document = { ...newest.document, evacuations: [...zones] };
-          draft.manifests.push({ revision, epoch, document, by, at } as (typeof draft.manifests)[number]);
-          draft.manifests.splice(0, draft.manifests.length - keptManifests);
+          draft.manifests.push({ ...newest, revision, epoch, document, by, at } as Drafts[number]);
+          prune(draft.manifests);
           draft.audit.push({ revision, by, at, what, teams: [] });
           break;
         }
@@ -145,7 +168,7 @@
               document: manifest.document,
               by: 'settled',
               at: '',
-            } as (typeof draft.manifests)[number]);
+            } as Drafts[number]);
           if (!isListed && isNewer(platform, draft.platform))
             draft.platform = { ...platform, revision, epoch } as typeof draft.platform;
           draft.audit.push({ revision, by: 'settled', at: '', what: 'the cores formed anew', teams: [] });
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -1,5 +1,7 @@
 // A core machine's copy of the state: held in memory, rebuilt from its file at start, and extended one
-// synced change at a time. A damaged file does not open: the whole folder is then untrusted.
+// synced change at a time. Long changes are packed, on disk and on their way to a backup. A damaged file
+// does not open: the whole folder is then untrusted.
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
@@ -16,9 +18,19 @@
 const longest = 8 * 1024 * 1024;
 const name = 'state.log';
 
-const encode = (change: State.Change): Buffer => Buffer.from(JSON.stringify(change));
-const decode = (payload: Uint8Array): State.Change =>
-  JSON.parse(Buffer.from(payload).toString('utf8')) as State.Change;
+const packedFrom = 64 * 1024;
+const packed = 0;
+
+const encode = (change: State.Change): Buffer => {
+  const plain = Buffer.from(JSON.stringify(change));
+  return plain.length < packedFrom
+    ? plain
+    : Buffer.concat([Buffer.of(packed), deflateRawSync(plain, { level: 1 })]);
+};
+const decode = (payload: Uint8Array): State.Change => {
+  const plain = payload[0] === packed ? inflateRawSync(payload.subarray(1)) : Buffer.from(payload);
+  return JSON.parse(plain.toString('utf8')) as State.Change;
+};
 
 export const Store = {
   encode,
@@ -26,6 +38,7 @@
   async open(folder: string): Promise<Store> {
     const file = await File.open(folder, name);
     let state = State.empty;
+    let rewritten = 0;
     for (const payload of file.payloads) state = State.apply(state, decode(payload));
     const turns = Turns.of();
     return {
@@ -40,8 +53,10 @@
             });
           const next = State.apply(state, change);
           const whole = { kind: 'whole', stamp: next.stamp, state: next } as const;
-          if (change.kind === 'whole' || file.length() > longest) await file.rewrite([encode(whole)]);
-          else await file.append(encode(change));
+          if (change.kind === 'whole' || file.length() > rewritten + longest) {
+            await file.rewrite([encode(whole)]);
+            rewritten = file.length();
+          } else await file.append(encode(change));
           state = next;
         }),
       close: () => file.close(),
--- /dev/null
+++ b/test/platform-kit.ts
@@ -0,0 +1,252 @@
+// A small installation as the users' platform lays it out: whole programs over loopback, each told what it
+// is by a settings file, with the operator's calls made as the platform makes them.
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { Ident } from '../src/kinds/ident.js';
+import type { View } from '../src/manifest/view.js';
+import { Roll } from '../src/membership/roll.js';
+import { Uplink } from '../src/membership/uplink.js';
+import { Feed } from '../src/news/feed.js';
+import { FleetKit } from '../tools/fleet-kit.js';
+import { Process } from '../tools/process.js';
+import { ListServer } from './list-server.js';
+
+export type PlatformKit = {
+  readonly cores: PlatformKit.Core[];
+  readonly fronts: PlatformKit.Front[];
+  readonly list: ListServer;
+  readonly folder: string;
+  readonly startCore: (core: PlatformKit.Core) => Promise<void>;
+  readonly startFront: (front: PlatformKit.Front) => Promise<void>;
+  /** One call to one core, answered as it comes. */
+  readonly call: (
+    core: PlatformKit.Core,
+    method: string,
+    path: string,
+    body?: string | Uint8Array,
+    headers?: Record<string, string>,
+  ) => Promise<PlatformKit.Answer>;
+  /** As the operator does it: repeated unchanged, to the next node after a 5xx or silence. */
+  readonly order: (
+    path: string,
+    body?: string | Uint8Array,
+    headers?: Record<string, string>,
+  ) => Promise<PlatformKit.Answer>;
+  readonly read: () => Promise<string>;
+  readonly primary: () => Promise<PlatformKit.Core>;
+  readonly observe: (see: (view: View) => boolean) => Promise<View>;
+  readonly stop: () => Promise<void>;
+};
+
+export declare namespace PlatformKit {
+  type Machine = { readonly node: string; readonly zone: string; readonly ip: string; process?: Process };
+  type Core = Machine & { readonly http: string; readonly directory: string; readonly data: string };
+  type Front = Machine & { readonly listen: string; readonly ready: string };
+  type Answer = {
+    readonly status: number;
+    readonly text: string;
+    readonly body: Record<string, unknown>;
+    readonly headers: Record<string, string | string[] | undefined>;
+  };
+}
+
+const zones = { 'sto-a': 'sto', 'sto-b': 'sto', 'got-a': 'got' };
+const ports = { wire: 7720, control: 8166, directory: 8167, front: 8161, ready: 8168 };
+const within = 20_000;
+const main = new URL('../platform/main.js', import.meta.url);
+const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
+
+const readJson = (text: string): Record<string, unknown> => {
+  try {
+    return JSON.parse(text) as Record<string, unknown>;
+  } catch {
+    return {};
+  }
+};
+
+const call: PlatformKit['call'] = async (core, method, path, body, headers = {}) => {
+  const answer = await request(`http://${core.http}${path}`, {
+    method: method as 'GET',
+    headers: body === undefined ? headers : { 'content-type': 'application/json', ...headers },
+    body: body ?? null,
+    headersTimeout: 8000,
+  });
+  const text = await answer.body.text();
+  return { status: answer.statusCode, text, body: readJson(text), headers: answer.headers };
+};
+
+export const PlatformKit = {
+  zones,
+  within,
+  settings(machine: PlatformKit.Machine, bindings: Record<string, string>, more: object): object {
+    return {
+      'node-name': machine.node,
+      role: 'a-role',
+      'ip-address': machine.ip,
+      zone: machine.zone,
+      region: zones[machine.zone as keyof typeof zones],
+      zones,
+      bindings,
+      'internal-ports': [ports.wire, ports.wire + 15],
+      'initial-start': true,
+      'data-directory': null,
+      bounds: { 'grace-s': 3 },
+      'a-new-field': { that: 'nobody knows' },
+      ...more,
+    };
+  },
+  async until<T>(look: () => Promise<T | undefined> | T | undefined, what: string): Promise<T> {
+    const began = performance.now();
+    for (;;) {
+      const found = await look();
+      if (found !== undefined) return found;
+      if (performance.now() - began > within) throw new Error(`in vain: ${what}`);
+      await pause(20);
+    }
+  },
+  async start(terms: { readonly fronts?: readonly string[] } = {}): Promise<PlatformKit> {
+    const folder = mkdtempSync(join(tmpdir(), 'bramblebend-platform-'));
+    const list = await ListServer.start();
+    const addresses = FleetKit.lay({
+      folder,
+      deployment: {
+        name: 'platform',
+        zones: [{ zone: 'z', region: 'r', fronts: terms.fronts?.length ?? 0 }],
+        backEnds: [],
+        manifest: {} as never,
+        mix: [],
+      },
+    });
+    const ipOf = (place: string) => place.split(':')[0]!;
+    const cores: PlatformKit.Core[] = addresses.cores.map((core, index) => {
+      const ip = ipOf(core.wire);
+      const zone = Object.keys(zones)[index]!;
+      return {
+        node: `core-${zone}`,
+        zone,
+        ip,
+        http: `${ip}:${ports.control}`,
+        directory: `${ip}:${ports.directory}`,
+        data: join(folder, `core-${index}`),
+      };
+    });
+    const fronts: PlatformKit.Front[] = addresses.fronts.map((front, index) => {
+      const ip = ipOf(front.wire);
+      return {
+        node: `edge-${index}`,
+        zone: terms.fronts![index]!,
+        ip,
+        listen: `${ip}:${ports.front}`,
+        ready: `${ip}:${ports.ready}`,
+      };
+    });
+    const common = {
+      'seed-nodes': cores.map((core) => core.http),
+      'platform-api': { address: list.address, 'rate-per-s': 50, 'max-lag-ms': 800 },
+    };
+    const launch = (machine: PlatformKit.Machine, role: string, settings: object): Promise<Process> => {
+      const file = join(folder, `${machine.node}.yaml`);
+      writeFileSync(file, stringify(settings));
+      return Process.start(machine.node, main, [role], {
+        log: join(folder, `${machine.node}.log`),
+        env: { BRAMBLEBEND_SETTINGS: file },
+      });
+    };
+    const startCore = async (core: PlatformKit.Core) => {
+      mkdirSync(core.data, { recursive: true });
+      const bindings = { 'control-plane': core.http, directory: core.directory };
+      const settings = PlatformKit.settings(core, bindings, { ...common, 'data-directory': core.data });
+      core.process = await launch(core, 'control', settings);
+    };
+    const startFront = async (front: PlatformKit.Front) => {
+      const bindings = { front: front.listen, readiness: front.ready };
+      front.process = await launch(front, 'front', PlatformKit.settings(front, bindings, common));
+    };
+    await Promise.all([...cores.map(startCore), ...fronts.map(startFront)]);
+    const feed = Feed.of();
+    const roll = Roll.of(() => ({
+      node: 'observer',
+      program: 'observer',
+      zone: 'got-a',
+      boot: boot,
+      stamp: feed.stamp(),
+      http: '',
+      wire: '',
+      ops: '',
+      depth: 9,
+      ready: false,
+      vouched: false,
+    }));
+    const boot = Ident.boot();
+    const uplink = Uplink.run({
+      feed,
+      roll,
+      seeds: cores.map((core) => `${core.ip}:${ports.wire}`),
+      version: 'of the tests',
+      isFixed: true,
+      isUpward: true,
+      onRoster() {},
+      onCold() {},
+      note() {},
+    });
+    const order: PlatformKit['order'] = (path, body, headers) => {
+      let turn = 0;
+      return PlatformKit.until(async () => {
+        const core = cores[turn++ % cores.length]!;
+        const answer = await call(core, 'POST', path, body, headers).catch(() => undefined);
+        return answer && answer.status < 500 ? answer : undefined;
+      }, path);
+    };
+    return {
+      cores,
+      fronts,
+      list,
+      folder,
+      startCore,
+      startFront,
+      call,
+      order,
+      read() {
+        let turn = 0;
+        return PlatformKit.until(async () => {
+          const core = cores[turn++ % cores.length]!;
+          const answer = await call(core, 'GET', '/configuration/read').catch(() => undefined);
+          return answer?.status === 200 ? answer.text : undefined;
+        }, 'the configuration is read back');
+      },
+      primary: () =>
+        PlatformKit.until(async () => {
+          for (const core of cores) {
+            const health = await call(core, 'GET', '/health').catch(() => undefined);
+            if (health?.body.state === 'leading') return core;
+          }
+          return undefined;
+        }, 'a core leads'),
+      observe: (see) =>
+        new Promise((resolve, reject) => {
+          const late = setTimeout(() => {
+            unwatch();
+            reject(new Error(`the news never showed it; last: ${JSON.stringify(feed.view())}`));
+          }, within);
+          const look = (view: View): boolean => {
+            if (!see(view)) return false;
+            clearTimeout(late);
+            unwatch();
+            resolve(view);
+            return true;
+          };
+          const unwatch = feed.watch((view) => void look(view));
+          look(feed.view());
+        }),
+      async stop() {
+        uplink.stop();
+        await Promise.all([...cores, ...fronts].map((one) => one.process?.end('SIGKILL')));
+        await list.stop();
+        rmSync(folder, { recursive: true, force: true });
+      },
+    };
+  },
+};
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -52,11 +52,13 @@
         : [],
   );
 
-const files = ['src', 'tools', 'test'].flatMap((folder) => listFiles(join(root, folder)));
+const files = ['src', 'platform', 'tools', 'test'].flatMap((folder) => listFiles(join(root, folder)));
 const read = (file: string) => readFileSync(file, 'utf8');
 const importsOf = (text: string) =>
   [...text.matchAll(/(?:from|import\()\s*'([^']+)'/g)].map((found) => found[1]!);
-const sources = files.filter((file) => relative(root, file).startsWith('src/'));
+const isIn = (folder: string) => (file: string) => relative(root, file).startsWith(`${folder}/`);
+const sources = files.filter(isIn('src'));
+const adapter = files.filter(isIn('platform'));
 const modules = (JSON.parse(read(join(root, 'package.json'))) as { dependencies: Record<string, string> })
   .dependencies;
 
@@ -87,6 +89,35 @@
   'control/http.ts': ['route', 'ECONNREFUSED'],
   'cli/import.ts': ['route', 'route_config', 'routes'],
 };
+const platformWords = [
+  ...['Attempt-Id', 'Remaining-Time', 'Target-Instance', 'Server-Seal', 'Not-Executed', 'Base-Revision'],
+  ...['Token-Count', 'Prompt-Prefix', 'Priority-Level', 'Expected-Revision', 'Weight-Versions'],
+  ...['Warmup-Remaining', '/resolution', '/readiness', '/instances', '/configuration', '/evacuation/'],
+  ...['ttl-s', 'page-token', 'next-token', 'instance-id', 'target-service', 'warmup-left-ms', 'remaining-ms'],
+  ...['route-table', 'origin-host', 'path-prefix', 'route-class', 'weighted-targets', 'target-latency-ms'],
+  ...['target-gap-ms', 'max-attempts', 'home-regions', 'timeout-ms', 'health-path', 'max-connections'],
+  ...['warmup-s', 'warmup-per-s', 'cache-tokens', 'token-bytes', 'max-header-bytes', 'max-body-bytes'],
+  ...['header-timeout-ms', 'idle-timeout-ms', 'node-name', 'machine-class', 'ip-address', 'internal-ports'],
+  ...[
+    'seed-nodes',
+    'initial-start',
+    'data-directory',
+    'entry-point',
+    'platform-api',
+    'rate-per-s',
+    'grace-s',
+  ],
+  ...['max-lag-ms', 'config-apply-ms', 'evacuation-ms', 'drain-ms', 'control-plane', 'BRAMBLEBEND_SETTINGS'],
+].map((word) => word.toLowerCase());
+const isLetter = (letter: string | undefined): boolean => letter !== undefined && /[\w-]/.test(letter);
+const platformWordsIn = (text: string): string[] => {
+  const code = text.replace(/^\s*\/\/.*$|\s\/\/ .*$/gm, '').toLowerCase();
+  return platformWords.filter((word) => {
+    for (let at = code.indexOf(word); at >= 0; at = code.indexOf(word, at + 1))
+      if (!isLetter(code[at - 1]) && (word.endsWith('/') || !isLetter(code[at + word.length]))) return true;
+    return false;
+  });
+};
 const namesIn = (text: string): string[] =>
   [
     ...text
@@ -115,6 +146,47 @@
     });
     assert.deepEqual(breaches, []);
   });
+  it('lets platform/ import src and packages, and nothing of the product or its tools platform/', () => {
+    const outwards = adapter.flatMap((file) =>
+      importsOf(read(file)).flatMap((name) => {
+        if (!name.startsWith('.')) {
+          const isDeclared = Object.keys(modules).some((one) => name === one || name.startsWith(`${one}/`));
+          return isDeclared || builtinModules.includes(name.replace('node:', '')) ? [] : [`${file}: ${name}`];
+        }
+        const [first] = relative(root, join(file, '..', name)).split('/');
+        return first === 'src' || first === 'platform' ? [] : [`${relative(root, file)} imports ${name}`];
+      }),
+    );
+    const inwards = files
+      .filter((file) => isIn('src')(file) || isIn('tools')(file))
+      .flatMap((file) =>
+        importsOf(read(file))
+          .filter((name) => name.startsWith('.') && isIn('platform')(join(file, '..', name)))
+          .map((name) => `${relative(root, file)} imports ${name}`),
+      );
+    assert.deepEqual([...outwards, ...inwards], []);
+    assert.equal(isIn('platform')(join(root, 'src/control', '../../platform/core.js')), true);
+  });
+  it('names the platform’s headers, paths and fields in platform/ alone', () => {
+    const breaches = files
+      .filter((file) => isIn('src')(file) || isIn('tools')(file))
+      .flatMap((file) => platformWordsIn(read(file)).map((word) => `${relative(root, file)}: ${word}`));
+    assert.deepEqual(breaches, []);
+    const planted = [
+      "const header = 'target-instance';",
+      "app.get('/evacuation/:zone/begin', go);",
+      "request('/instances?page-token=' + token);",
+      "const { 'ttl-s': ttl } = body;",
+    ].map(platformWordsIn);
+    assert.deepEqual(planted, [
+      ['target-instance'],
+      ['/evacuation/'],
+      ['/instances', 'page-token'],
+      ['ttl-s'],
+    ]);
+    assert.deepEqual(platformWordsIn("// Target-Instance\nconst x = 'old-target-instance-list';"), []);
+    assert.ok(adapter.some((file) => platformWordsIn(read(file)).length > 0));
+  });
   it('keeps commands and queries apart', () => {
     const breaches = sources.flatMap((file) => {
       const place = relative(join(root, 'src/control'), file);
@@ -129,7 +201,7 @@
   });
   it('starts no process, and reads no wall clock in a decision', () => {
     const clockReaders = /control\/commands\/|control\/folder\.ts/;
-    const breaches = sources.flatMap((file) => {
+    const breaches = [...sources, ...adapter].flatMap((file) => {
       const text = read(file);
       const starts = /child_process|worker_threads|\bcluster\b.*from/.test(text);
       const clock = /Date\.now\(|new Date\(\)/.test(text) && !clockReaders.test(file);
@@ -162,14 +234,14 @@
     assert.deepEqual(partsOf('longestAnswer'), ['longest', 'answer']);
   });
   it('exports one name a file', () => {
-    const breaches = sources.flatMap((file) => {
+    const breaches = [...sources, ...adapter].flatMap((file) => {
       const names = new Set(
         [...read(file).matchAll(/^export (?:declare )?(?:const|type|namespace|function|class) (\w+)/gm)].map(
           (found) => found[1],
         ),
       );
       const hasDefault = /^export default/m.test(read(file));
-      const isProgram = relative(root, file).startsWith('src/bin/');
+      const isProgram = /^src\/bin\/|^platform\/main\.ts$/.test(relative(root, file));
       return (names.size === 1 || (isProgram && names.size === 0)) && !hasDefault
         ? []
         : [relative(root, file)];
--- a/test/store.test.ts
+++ b/test/store.test.ts
@@ -6,8 +6,11 @@
 import { join } from 'node:path';
 import { after, describe, it } from 'node:test';
 import { Folder } from '../src/control/folder.js';
+import type { Ident } from '../src/kinds/ident.js';
 import { Stamp } from '../src/kinds/stamp.js';
 import { File } from '../src/store/file.js';
+import { State } from '../src/store/state.js';
+import { Store } from '../src/store/store.js';
 
 const folders: string[] = [];
 const makeFolder = () => {
@@ -70,6 +73,34 @@
     assert.deepEqual(await readAll(folder), ['all of it', 'and more']);
   });
 
+  it('keeps the words of the newest two manifests, and fewer manifests when they are long', async () => {
+    const folder = makeFolder();
+    const store = await Store.open(folder);
+    const put = (revision: number, note: string) => {
+      const source = { format: 'one', number: revision, digest: `digest ${revision}`, packed: 'words' };
+      const document = { zones: {}, groups: {}, homes: {}, teams: {}, rules: [], note, source };
+      const answer = { key: `number ${revision}`, digest: source.digest };
+      const stamp = Stamp.of(1, revision);
+      return store.take({ kind: 'manifest', stamp, document, by: '', at: '', what: '', teams: [], answer });
+    };
+    for (let revision = 1; revision <= 5; revision += 1) await put(revision, 'short');
+    const numbers = () => store.state().manifests.map((one) => one.document.source?.number);
+    assert.deepEqual(numbers(), [undefined, undefined, undefined, 4, 5]);
+    const zones = ['z-1'] as Ident.Zone[];
+    await store.take({ kind: 'evacuations', stamp: Stamp.of(1, 6), zones, by: '', at: '', what: '' });
+    assert.deepEqual(numbers(), [undefined, undefined, undefined, undefined, 5, 5]);
+    assert.deepEqual(State.newest(store.state())?.document.evacuations, zones);
+    for (let revision = 7; revision <= 11; revision += 1) await put(revision, 'x'.repeat(900_000));
+    assert.deepEqual(numbers(), [undefined, undefined, 10, 11]);
+    assert.equal(store.state().answers.length, 10);
+    const held = store.state();
+    await store.close();
+    const again = await Store.open(folder);
+    assert.deepEqual(again.state(), held);
+    await again.close();
+    assert.ok(readFileSync(join(folder, 'state.log')).length < 100_000);
+  });
+
   it('sets a damaged data folder aside and begins blank under a new disk name', async () => {
     const folder = makeFolder();
     const first = await Folder.open(folder, () => {});
