--- /dev/null
+++ b/tools/platform/recording.ts
@@ -0,0 +1,122 @@
+// What clients, servers, operator and platform of the stand-in write down, and all that the checkers read.
+// Times are the machine's monotonic clock in milliseconds.
+import { createHash } from 'node:crypto';
+import { Journal } from '../journal.js';
+
+export type Recording = {
+  readonly sent: Recording.Sent[];
+  readonly ended: Recording.Ended[];
+  readonly served: Recording.Served[];
+  readonly orders: Recording.Order[];
+  readonly listed: Recording.Listed[];
+};
+
+export declare namespace Recording {
+  type Runs = 'once' | 'repeatable' | 'resumable';
+  /** One try of a client. */
+  type Sent = {
+    readonly at: number;
+    readonly attempt: string;
+    readonly request: string;
+    readonly kind: string;
+    readonly runs: Runs;
+    readonly host: string;
+    readonly path: string;
+    readonly region: string;
+    readonly zone: string;
+    readonly front: string;
+    readonly digest: string;
+    readonly lastEvent?: number;
+  };
+  type Outcome = 'whole' | 'refused' | 'failed' | 'broken' | 'unreached' | 'silent' | 'wrong' | 'left';
+  type Ended = {
+    readonly at: number;
+    readonly attempt: string;
+    readonly request: string;
+    readonly outcome: Outcome;
+    readonly status: number;
+    readonly echoed?: string;
+    readonly seal?: string;
+    readonly digest?: string;
+    readonly encoding?: string;
+    /** Events of a stream as they came: their id, the run and the place that their data names. */
+    readonly events?: readonly { readonly id: number; readonly run: string; readonly place: number }[];
+    readonly first?: number;
+    readonly widest?: number;
+    readonly retryAfter?: number;
+    readonly why?: string;
+  };
+  /** What a server did with what reached it. */
+  type Served = { readonly at: number; readonly instance: string; readonly attempt: string } & (
+    | {
+        readonly kind: 'arrived';
+        readonly service: string;
+        readonly zone: string;
+        readonly region: string;
+        readonly host: string;
+        readonly method: string;
+        readonly path: string;
+        readonly digest: string;
+        readonly isCold: boolean;
+        readonly from: number;
+      }
+    | { readonly kind: 'not-run'; readonly status: number }
+    | { readonly kind: 'run'; readonly run: string; readonly from: number; readonly read: number }
+    | {
+        readonly kind: 'done';
+        readonly run: string;
+        readonly status: number;
+        readonly seal: string;
+        readonly digest: string;
+        readonly last: number;
+      }
+    | { readonly kind: 'ended'; readonly run: string; readonly why: string; readonly last: number }
+  );
+  type Route = {
+    readonly name: string;
+    readonly host: string;
+    readonly prefix: string;
+    readonly services: readonly string[];
+    readonly homes: readonly string[];
+  };
+  type Order =
+    | {
+        readonly kind: 'configuration';
+        readonly sent: number;
+        readonly acked?: number;
+        readonly status: number;
+        readonly revision: number;
+        readonly base: number;
+        readonly isValid: boolean;
+        readonly routes: readonly Route[];
+        readonly digest: string;
+      }
+    | {
+        readonly kind: 'evacuate' | 'take-back';
+        readonly sent: number;
+        readonly acked?: number;
+        readonly status: number;
+        readonly zone: string;
+      }
+    | {
+        readonly kind: 'read';
+        readonly sent: number;
+        readonly acked?: number;
+        readonly status: number;
+        readonly revision: number;
+        readonly digest: string;
+      };
+  /** When the list began to show a server in a state. */
+  type Listed = {
+    readonly at: number;
+    readonly instance: string;
+    readonly state: 'available' | 'draining' | 'gone';
+  };
+}
+
+export const Recording = {
+  now: Journal.now,
+  of: (): Recording => ({ sent: [], ended: [], served: [], orders: [], listed: [] }),
+  digest: (bytes: Uint8Array | string): string =>
+    createHash('sha256').update(bytes).digest('hex').slice(0, 16),
+};
