--- /dev/null
+++ b/tools/platform/checks.ts
@@ -0,0 +1,16 @@
+// All checkers of the stand-in, by name. They read the recordings of clients, servers, operator and list only.
+import { AnswerChecks } from './answer-checks.js';
+import { ConfigurationChecks } from './configuration-checks.js';
+import type { Recording } from './recording.js';
+import { TrafficChecks } from './traffic-checks.js';
+import type { Verdict } from './verdict.js';
+
+export type Checks = Readonly<Record<string, Verdict.Check>>;
+
+const all: Checks = { ...AnswerChecks, ...TrafficChecks, ...ConfigurationChecks };
+
+export const Checks = {
+  all,
+  judge: (recording: Recording, bounds: Verdict.Bounds): Readonly<Record<string, Verdict>> =>
+    Object.fromEntries(Object.entries(all).map(([name, check]) => [name, check(recording, bounds)])),
+};
--- a/tools/platform/engine-run.ts
+++ b/tools/platform/engine-run.ts
@@ -132,7 +132,6 @@
         attempt,
         run: job.run,
         status: 200,
-        seal: sealOf(job),
         digest: Recording.digest(text),
         last: job.last,
       });
@@ -161,6 +160,7 @@
             instance,
             attempt: job.asked.attempt,
             run: job.run,
+            seal: sealOf(job),
             from: job.asked.from,
             read,
           });
--- a/tools/platform/engine.ts
+++ b/tools/platform/engine.ts
@@ -169,7 +169,7 @@
       const { socket } = response;
       const run = `${instance}-spoilt-${recording.served.length}`;
       const noteRun = (why: string) => {
-        recording.served.push({ kind: 'run', at: now(), instance, attempt, run, from: 0, read: 0 });
+        recording.served.push({ kind: 'run', at: now(), instance, attempt, run, seal: '', from: 0, read: 0 });
         recording.served.push({ kind: 'ended', at: now(), instance, attempt, run, why, last: 0 });
       };
       if (useFault('garble')) {
@@ -223,9 +223,9 @@
       const expected = read(Words.expected);
       const lastEvent = read(Words.lastEvent);
       const from = lastEvent === '' ? 0 : Number(lastEvent);
-      if (target !== '' && target !== instance) return decline(response, attempt, 421);
-      if (expected !== '' && Number(expected) !== (terms.revision ?? 1))
-        return decline(response, attempt, 421);
+      const isMeant =
+        (target === '' || target === instance) &&
+        (expected === '' || Number(expected) === (terms.revision ?? 1));
       const isCold = coldLeft() > 0;
       recording.served.push({
         kind: 'arrived',
@@ -240,8 +240,10 @@
         path,
         digest: Recording.digest(body),
         isCold,
+        isMeant,
         from,
       });
+      if (!isMeant) return decline(response, attempt, 421);
       if (attempt === '') return decline(response, attempt, 400);
       if (fallsOver()) return crash();
       if (spoil(response, attempt)) return;
--- a/tools/platform/recording.ts
+++ b/tools/platform/recording.ts
@@ -9,6 +9,10 @@
   readonly served: Recording.Served[];
   readonly orders: Recording.Order[];
   readonly listed: Recording.Listed[];
+  /** Answers or other bytes on a connection where no request waited. */
+  readonly strays: { readonly at: number; readonly front: string; readonly why: string }[];
+  /** Starts of the processes behind a front address. */
+  readonly lives: { readonly at: number; readonly front: string }[];
 };
 
 export declare namespace Recording {
@@ -58,15 +62,22 @@
         readonly path: string;
         readonly digest: string;
         readonly isCold: boolean;
+        /** False when another instance or version was meant: such requests are answered 421. */
+        readonly isMeant: boolean;
         readonly from: number;
       }
     | { readonly kind: 'not-run'; readonly status: number }
-    | { readonly kind: 'run'; readonly run: string; readonly from: number; readonly read: number }
+    | {
+        readonly kind: 'run';
+        readonly run: string;
+        readonly seal: string;
+        readonly from: number;
+        readonly read: number;
+      }
     | {
         readonly kind: 'done';
         readonly run: string;
         readonly status: number;
-        readonly seal: string;
         readonly digest: string;
         readonly last: number;
       }
@@ -116,7 +127,7 @@
 
 export const Recording = {
   now: Journal.now,
-  of: (): Recording => ({ sent: [], ended: [], served: [], orders: [], listed: [] }),
+  of: (): Recording => ({ sent: [], ended: [], served: [], orders: [], listed: [], strays: [], lives: [] }),
   digest: (bytes: Uint8Array | string): string =>
     createHash('sha256').update(bytes).digest('hex').slice(0, 16),
 };
--- /dev/null
+++ b/tools/platform/verdict.ts
@@ -0,0 +1,48 @@
+// What a checker found: how often it met something that it could have condemned, and what it condemned.
+import type { Recording } from './recording.js';
+
+export type Verdict = { readonly occasions: number; readonly breaches: readonly string[] };
+
+export declare namespace Verdict {
+  type Bounds = {
+    readonly drain: number;
+    readonly evacuation: number;
+    readonly configApply: number;
+    readonly revertSlack: number;
+    readonly retryRatio: number;
+    readonly retryWindow: number;
+    readonly retrySlack: number;
+    readonly warmupOvershoot: number;
+    readonly warmupSlack: number;
+    readonly warmupPerSecond: Readonly<Record<string, number>>;
+  };
+  type Check = (recording: Recording, bounds: Bounds) => Verdict;
+  type Arrival = Extract<Recording.Served, { kind: 'arrived' }>;
+  type Run = Extract<Recording.Served, { kind: 'run' }>;
+  type Done = Extract<Recording.Served, { kind: 'done' }>;
+}
+
+const groupBy = <T>(list: readonly T[], keyOf: (one: T) => string): ReadonlyMap<string, readonly T[]> => {
+  const groups = new Map<string, T[]>();
+  for (const one of list) {
+    const group = groups.get(keyOf(one));
+    if (group) group.push(one);
+    else groups.set(keyOf(one), [one]);
+  }
+  return groups;
+};
+
+const ofKind = <K extends Recording.Served['kind']>(recording: Recording, kind: K) =>
+  recording.served.filter((one): one is Extract<Recording.Served, { kind: K }> => one.kind === kind);
+
+export const Verdict = {
+  groupBy,
+  ofKind,
+  tries: (recording: Recording): ReadonlyMap<string, Recording.Sent> =>
+    new Map(recording.sent.map((sent) => [sent.attempt, sent])),
+  /** Requests that were meant for the server that they reached, in the order of their arrival. */
+  arrivals: (recording: Recording): readonly Verdict.Arrival[] =>
+    ofKind(recording, 'arrived')
+      .filter((arrival) => arrival.isMeant)
+      .sort((a, b) => a.at - b.at),
+};
