--- a/tools/platform/operator.ts
+++ b/tools/platform/operator.ts
@@ -91,7 +91,7 @@
               }
             : {},
           body: body ?? null,
-          signal: AbortSignal.timeout(1000 + (body?.length ?? 0) / 1000),
+          signal: AbortSignal.timeout(1000 + Math.ceil((body?.length ?? 0) / 1000)),
         });
         const text = await answer.body.text();
         if (answer.statusCode !== 307) return { status: answer.statusCode, text };
