--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -81,6 +81,7 @@
         roster = proxies;
         children.broadcast({ kind: 'roster', proxies });
       },
+      onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
       onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
         depth = parent.depth + 1;
--- a/src/control/adapter.ts
+++ b/src/control/adapter.ts
@@ -2,6 +2,7 @@
 // its operators, a directory for its callers at an address of its own, and a list of servers that is polled.
 import type { Context, Hono } from 'hono';
 import type { ListSource } from '../duty/list-source.js';
+import type { ReportSource } from '../duty/report-source.js';
 import type { Office } from './office.js';
 import type { ReadDirectory } from './queries/read-directory.js';
 import type { Responses } from './responses.js';
@@ -13,6 +14,7 @@
     readonly app: (find: (zone: string) => ReadDirectory.Found) => Hono;
   };
   readonly list?: ListSource;
+  readonly reports?: ReportSource;
 };
 
 export declare namespace Adapter {
--- a/src/control/mates.ts
+++ b/src/control/mates.ts
@@ -23,6 +23,7 @@
     readonly age: () => number;
     readonly roll: Roll;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
+    readonly onLoads: (loads: readonly Frame.Load[]) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): Mates {
@@ -57,6 +58,7 @@
                 isFixed: true,
                 isUpward: true,
                 onTokens: needs.onTokens,
+                onLoads: needs.onLoads,
                 onCold: needs.onCold,
                 note: needs.note,
               }),
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -5,6 +5,7 @@
 import { BudgetDuty } from '../duty/budget-duty.js';
 import { ListDuty } from '../duty/list-duty.js';
 import { QuotaDuty } from '../duty/quota-duty.js';
+import { ReportDuty } from '../duty/report-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -101,6 +102,7 @@
       age,
       roll,
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
+      onLoads: (loads) => children.broadcast({ kind: 'loads', loads }, isBelow),
       onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
       note: ring.note,
     });
@@ -254,12 +256,23 @@
         renew: async (servers) => (await RenewList.run(office, { servers })).status === 200,
         note: ring.note,
       });
+    const reports =
+      adapter.reports &&
+      ReportDuty.run({
+        source: adapter.reports,
+        isHeld: () => (running.confirmedFor() ?? Number.POSITIVE_INFINITY) < confirmedWithin,
+        servers: () => {
+          const { manifest, platform } = feed.view();
+          return platform.servers.filter(({ group }) => manifest?.document.groups[group]?.kind === 'model');
+        },
+        tell: (loads) => children.broadcast({ kind: 'loads', loads }),
+      });
     running.begin();
     return {
       ready: { wire, http },
       async drain() {
         rosters.stop();
-        await list?.stop();
+        await Promise.all([list?.stop(), reports?.stop()]);
         await running.stop();
         await mates.stop();
         await doorway.close();
--- /dev/null
+++ b/src/duty/report-duty.ts
@@ -0,0 +1,60 @@
+// The report duty at the acting primary: asks every server that reports for its load, a few at a time, and passes
+// on what changed. One asker for all proxies: a report costs a server what a probe costs. What it says is soft:
+// a proxy that hears nothing judges by what it sent itself.
+import { Alarm } from '../kinds/alarm.js';
+import type { Document } from '../manifest/document.js';
+import type { ReportSource } from './report-source.js';
+
+export type ReportDuty = { readonly stop: () => Promise<void> };
+
+export declare namespace ReportDuty {
+  type Needs = {
+    readonly source: ReportSource;
+    readonly isHeld: () => boolean;
+    readonly servers: () => readonly Document.Server[];
+    readonly tell: (loads: readonly ReportSource.Load[]) => void;
+  };
+}
+
+const every = 500;
+const anewAfter = 4;
+
+const isAlike = (a: ReportSource.Load | undefined, b: ReportSource.Load): boolean =>
+  a !== undefined &&
+  a.queued === b.queued &&
+  Math.abs(a.active - b.active) <= Math.max(1, b.active / 8) &&
+  Math.abs(a.bound - b.bound) < 0.05;
+
+export const ReportDuty = {
+  run(needs: ReportDuty.Needs): ReportDuty {
+    const stop = new AbortController();
+    const told = new Map<string, { readonly load: ReportSource.Load; readonly round: number }>();
+    const step = async (round: number) => {
+      const servers = needs.servers();
+      const held = new Set<string>(servers.map((server) => server.instance));
+      for (const instance of told.keys()) if (!held.has(instance)) told.delete(instance);
+      const loads = await Promise.all(servers.map((server) => needs.source.read(server)));
+      const fresh = loads.filter((load): load is ReportSource.Load => {
+        if (!load) return false;
+        const known = told.get(load.instance);
+        return !isAlike(known?.load, load) || round - known!.round >= anewAfter;
+      });
+      for (const load of fresh) told.set(load.instance, { load, round });
+      if (fresh.length > 0 && needs.isHeld()) needs.tell(fresh);
+    };
+    const run = async () => {
+      for (let round = 0; !stop.signal.aborted; round += 1) {
+        if (needs.isHeld()) await step(round);
+        else told.clear();
+        await Alarm.pause(every, stop.signal);
+      }
+    };
+    const done = run();
+    return {
+      async stop() {
+        stop.abort();
+        await done;
+      },
+    };
+  },
+};
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -40,6 +40,7 @@
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
     readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
+    readonly onLoads?: (loads: readonly Frame.Load[]) => void;
     readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
@@ -124,6 +125,7 @@
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
+        .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'drop' }, ({ reason }) => {
           throw Mishap.of('link', `dropped by parent: ${reason}`);
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -1,4 +1,5 @@
 // Pick and try: gives the call to the upstream layer and keeps the verdict for the commit.
+import { Moment } from '../../kinds/moment.js';
 import type { Compiled } from '../../manifest/compiled.js';
 import type { Exchange } from '../../upstream/exchange.js';
 import type { Pick } from '../../upstream/pick.js';
@@ -103,6 +104,7 @@
         tokens: call.asked.tokens?.read ?? 0,
         bytes: call.body?.length ?? 0,
         aim: rule.aim ?? timeouts.total,
+        gap: rule.gap ?? timeouts.total,
       };
       const tried: string[] = [];
       const launch = (after: string | undefined, sent: number): Promise<Tries> =>
@@ -125,24 +127,30 @@
             placement: needs.placement,
             random: Math.random,
           }),
-          run(pick, tier, hops) {
+          async run(pick, tier, hops) {
             tried.push(pick.server.instance);
-            const uncached = needs.placement.sent(pick.server, pick.group, want);
-            return Trial.run(pick, {
+            const placed = needs.placement.sent(pick.server, pick.group, want);
+            let sentAt = Moment.now();
+            const trial = await Trial.run(pick, {
               pool: needs.pool,
               busyness: needs.busyness,
               request: (left) =>
                 buildRequest(call, context.env.incoming, { pick, step: tier.step, left, hops, after }),
-              weight: rule.aim === undefined ? (call.body?.length ?? 0) : uncached,
+              weight: rule.aim === undefined ? (call.body?.length ?? 0) : placed.uncached,
               timeouts,
               deadline,
               signal: call.left,
               isStillOpen: isOpen,
               isAnswer: (headers) => call.dialect.isAnswerTo(call.id, headers),
-              onSend: () => needs.warmup.sent(pick.server.instance),
+              onSend() {
+                sentAt = Moment.now();
+                needs.warmup.sent(pick.server.instance);
+              },
               settle: needs.stall.settle,
               onWait: () => needs.prover.suspect(pick.server),
             });
+            if (trial.kind === 'stream') placed.answered(Moment.since(sentAt));
+            return trial;
           },
           note: (trial, isExtra) => {
             judge(needs, trial);
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -35,10 +35,12 @@
   outgoing: ServerResponse,
   idle: number,
   events: Events | undefined,
+  onEvent: (span: number) => void,
 ): Promise<Commit> =>
   new Promise((resolve) => {
     let flow: { resume: () => void } | undefined;
     let isEnded = false;
+    let last: Moment | undefined;
     const finish = (how: Commit) => {
       if (isEnded) return;
       isEnded = true;
@@ -59,6 +61,9 @@
     flow = trial.body.pump({
       write(chunk) {
         quiet.move(idle);
+        const now = Moment.now();
+        if (last !== undefined) onEvent(now - last);
+        last = now;
         const whole = events ? events.take(chunk) : chunk;
         return whole === undefined || outgoing.write(whole);
       },
@@ -91,7 +96,10 @@
   let trial = first;
   let tries = sent;
   for (;;) {
-    const how = await stream(trial, outgoing, idle, events);
+    const { instance } = trial.pick.server;
+    const how = await stream(trial, outgoing, idle, events, (span) =>
+      needs.placement.reading.event(instance, span),
+    );
     trial.job.end();
     if (how === 'done') {
       needs.pool.give(trial.connection);
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -220,6 +220,7 @@
       onRoster(proxies) {
         roster = proxies;
       },
+      onLoads: placement.hear,
       onCold({ instance, age, dark }) {
         if (dark) {
           prover.hear(instance);
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -3,25 +3,40 @@
 // another region, a new connection, what of this proxy's runs there, and a charge that grows steeply once the
 // first token is likely to come late. What a server keeps is learned from where this proxy sent the same parts,
 // within the server's memory; where it knows nothing, rendezvous hashing on the shared parts names one holder, the
-// same for all proxies and regions. A server that came lately is not taken to keep anything by hashing alone.
+// same for all proxies and regions; slow servers are named more seldom, and those that some rule may not use, for
+// its homes, more often. A server that came lately is not taken to keep anything by hashing alone.
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Busyness } from './busyness.js';
 import { Pick } from './pick.js';
+import { Reading } from './reading.js';
 
 export type Placement = {
   readonly choose: (among: readonly Pick[], want: Placement.Want) => Pick | undefined;
-  readonly sent: (server: Compiled.Server, group: Compiled.Group, want: Placement.Want) => number;
+  readonly sent: (
+    server: Compiled.Server,
+    group: Compiled.Group,
+    want: Placement.Want,
+  ) => { readonly uncached: number; readonly answered: (span: number) => void };
+  readonly hear: (loads: readonly Placement.Load[]) => void;
+  readonly reading: Reading;
   readonly retain: (compiled: Compiled) => void;
 };
 
 export declare namespace Placement {
+  type Load = {
+    readonly instance: string;
+    readonly queued: number;
+    readonly active: number;
+    readonly bound: number;
+  };
   type Part = { readonly key: string; readonly tokens: number };
   type Want = {
     readonly parts: readonly Part[];
     readonly tokens: number;
     readonly bytes: number;
     readonly aim: number;
+    readonly gap: number;
   };
   type Needs = {
     readonly region: () => string | undefined;
@@ -33,17 +48,23 @@
 
 type Chain = { readonly key: string; readonly tokens: number };
 
-const tokensPerMillisecond = 50;
 const farTrip = 110;
 const leaving = { base: 8, perKilobyte: 1 } as const;
 const connecting = 12;
-const perJob = 2;
+const perJob = 0.5;
 const whenFull = 400;
 const holderBonus = 6;
 const jitter = 2;
 const perLateness = { early: 0.08, late: 2 } as const;
 const keptMost = 4096;
 const settledAfter = 4000;
+const heardFor = 2500;
+const fullPart = 0.9;
+const usualTokens = 2000;
+const perDisturbed = 0.12;
+const perPause = 1;
+const slowFrom = 1.15;
+const weights = { slow: 0.4, spared: 2.5 } as const;
 
 const chainsOf = (parts: readonly Placement.Part[]): Chain[] => {
   const chains: Chain[] = [];
@@ -55,11 +76,30 @@
   return chains;
 };
 
+const sparedBy = (rules: readonly Compiled.Rule[], regions: readonly string[]) => {
+  const spared = new Map<string, Set<string>>();
+  for (const { homeRegions, steps } of rules)
+    for (const group of homeRegions ? (steps[0]?.groups ?? []) : []) {
+      const known = spared.get(group) ?? new Set<string>();
+      spared.set(group, known);
+      for (const region of regions) if (!homeRegions!.some((home) => home === region)) known.add(region);
+    }
+  return spared;
+};
+
 export const Placement = {
   of(needs: Placement.Needs): Placement {
     const kept = new Map<string, Map<string, number>>();
     const seenSince = new Map<string, Moment>();
+    const loads = new Map<string, { readonly load: Placement.Load; readonly at: Moment; sent: number }>();
+    const reading = Reading.of();
+    let spared: ReadonlyMap<string, ReadonlySet<string>> = new Map();
     let isFirst = true;
+    let tokensUsual = usualTokens;
+    const heard = (instance: string) => {
+      const told = loads.get(instance);
+      return told && Moment.since(told.at) < heardFor ? told : undefined;
+    };
     const isSettled = (instance: string) =>
       Moment.since(seenSince.get(instance) ?? Moment.now()) > settledAfter;
     const missing = (instance: string, chains: readonly Chain[], isHolder: boolean): number => {
@@ -72,11 +112,15 @@
       });
       return tokens;
     };
+    const weightOf = ({ instance, group, region }: Compiled.Server): number =>
+      (reading.paceOf(instance, group) > slowFrom ? weights.slow : 1) *
+      (spared.get(group)?.has(region) ? weights.spared : 1);
     const holderOf = (among: readonly Pick[], key: string): string | undefined => {
       const seed = Pick.mix(0x811c9dc5, key);
       let best: { score: number; instance: string } | undefined;
       for (const { server } of among) {
-        const score = Pick.mix(seed, server.instance);
+        const chance = (Pick.mix(seed, server.instance) + 1) / 2 ** 32;
+        const score = Math.log(chance) / weightOf(server);
         if (!best || score > best.score) best = { score, instance: server.instance };
       }
       return best?.instance;
@@ -87,24 +131,35 @@
       chains: readonly Chain[],
       holder: string | undefined,
     ): number => {
-      const level = needs.busyness.of(server.instance);
+      const { instance, slots } = server;
+      const level = needs.busyness.of(instance);
+      const told = heard(instance);
       const isFar = server.region !== needs.region();
-      const isHolder = server.instance === holder;
+      const isHolder = instance === holder;
       const tokens =
-        chains.length === 0
-          ? want.tokens
-          : missing(server.instance, chains, isHolder && isSettled(server.instance));
-      const reading = tokens / tokensPerMillisecond;
-      const until = (isFar ? farTrip : 0) + level.prefill / tokensPerMillisecond + reading;
+        chains.length === 0 ? want.tokens : missing(instance, chains, isHolder && isSettled(instance));
+      const speed = reading.speedOf(instance, server.group);
+      const reads = tokens / speed;
+      const queued = ((told?.load.queued ?? 0) * tokensUsual) / speed;
+      const waits = Math.max(level.prefill / speed, queued) + ((told?.sent ?? 0) * tokensUsual) / speed / 2;
+      const until = (isFar ? farTrip : 0) + waits + reads;
       const late = Math.max(0, until - want.aim / 2);
+      const jobs = Math.max(
+        level.jobs,
+        (told?.load.active ?? 0) + (told?.load.queued ?? 0) + (told?.sent ?? 0),
+      );
+      const others = Math.max(level.decode, told?.load.active ?? 0);
+      const isFull = (slots !== undefined && jobs >= slots) || (told?.load.bound ?? 0) > fullPart;
       return (
-        reading +
+        reads +
         (isFar ? leaving.base + (leaving.perKilobyte * want.bytes) / 1024 : 0) +
-        (needs.hasIdle(server.instance) ? 0 : connecting) +
-        level.jobs * perJob +
-        (server.slots !== undefined && level.jobs >= server.slots ? whenFull : 0) +
+        (needs.hasIdle(instance) ? 0 : connecting) +
+        jobs * perJob +
+        (isFull ? whenFull : 0) +
         until * perLateness.early +
-        late * perLateness.late -
+        late * perLateness.late +
+        Math.max(0, waits - want.gap / 2) * perPause +
+        Math.max(0, reads - want.gap / 2) * perDisturbed * others -
         (isHolder ? holderBonus : 0) +
         needs.random() * jitter
       );
@@ -122,9 +177,17 @@
         }
         return best?.pick;
       },
-      sent({ instance }, group, want) {
+      sent({ instance, region }, group, want) {
         const chains = chainsOf(want.parts);
         const uncached = chains.length === 0 ? want.tokens : missing(instance, chains, false);
+        if (chains.length > 0) tokensUsual += (uncached - tokensUsual) / 50;
+        const told = heard(instance);
+        const isSure =
+          chains.length > 1 &&
+          chains.slice(0, -1).every(({ key }) => kept.get(instance)?.has(key) === true) &&
+          needs.busyness.of(instance).prefill === 0 &&
+          (told?.load.queued ?? 0) + (told?.sent ?? 0) === 0;
+        if (told) told.sent += 1;
         const held = kept.get(instance) ?? new Map<string, number>();
         kept.set(instance, held);
         for (const { key, tokens } of chains.slice(0, -1)) {
@@ -138,9 +201,23 @@
           held.delete(key);
           sum -= tokens;
         }
-        return uncached;
+        return {
+          uncached,
+          answered(span) {
+            const trip = region === needs.region() ? 0 : farTrip;
+            const pace = reading.paceOf(instance, group.name);
+            if (isSure) reading.first(group.name, uncached, (span - trip) / pace);
+          },
+        };
+      },
+      reading,
+      hear(told) {
+        for (const load of told) loads.set(load.instance, { load, at: Moment.now(), sent: 0 });
       },
-      retain({ servers }) {
+      retain({ servers, rules, regions }) {
+        spared = sparedBy(rules, regions);
+        reading.retain((instance) => servers.has(instance));
+        for (const instance of loads.keys()) if (!servers.has(instance)) loads.delete(instance);
         for (const instance of kept.keys()) if (!servers.has(instance)) kept.delete(instance);
         for (const instance of seenSince.keys()) if (!servers.has(instance)) seenSince.delete(instance);
         for (const instance of servers.keys())
--- /dev/null
+++ b/src/upstream/reading.ts
@@ -0,0 +1,60 @@
+// How fast servers read, learned from this proxy's own streams. A server's pace is a low quantile of
+// the time between two events of a stream there, against the least of its group: the slower server shows by it
+// whatever it reads. The group's speed is learned from prompts whose unread part is known for sure: tokens by time to the
+// first event, when nothing else of ours waited there.
+
+export type Reading = {
+  /** Tokens a millisecond at this server. */
+  readonly speedOf: (instance: string, group: string) => number;
+  /** How many times slower than the fastest of its group this server is. */
+  readonly paceOf: (instance: string, group: string) => number;
+  readonly event: (instance: string, span: number) => void;
+  readonly first: (group: string, tokens: number, span: number) => void;
+  readonly retain: (isHeld: (instance: string) => boolean) => void;
+};
+
+const startSpeed = 50;
+const bounds = { slowest: 0.5, fastest: 2000 } as const;
+const step = 0.02;
+const quantile = 0.2;
+const weight = 0.1;
+const mostPace = 4;
+const leastTokens = 400;
+
+export const Reading = {
+  of(): Reading {
+    const paces = new Map<string, number>();
+    const speeds = new Map<string, number>();
+    const groups = new Map<string, Set<string>>();
+    const paceOf = (instance: string, group: string): number => {
+      const members = groups.get(group) ?? new Set<string>();
+      members.add(instance);
+      groups.set(group, members);
+      const own = paces.get(instance);
+      if (own === undefined) return 1;
+      let best = own;
+      for (const member of members) best = Math.min(best, paces.get(member) ?? best);
+      return Math.min(mostPace, Math.max(1, own / Math.max(1, best)));
+    };
+    return {
+      paceOf,
+      speedOf: (instance, group) => (speeds.get(group) ?? startSpeed) / paceOf(instance, group),
+      event(instance, gap) {
+        if (gap < 1) return;
+        const known = paces.get(instance) ?? gap;
+        paces.set(instance, known * (gap < known ? 1 - step * (1 - quantile) : 1 + step * quantile));
+      },
+      first(group, tokens, taken) {
+        if (tokens < leastTokens || taken <= 0) return;
+        const seen = Math.min(bounds.fastest, Math.max(bounds.slowest, tokens / taken));
+        const known = speeds.get(group) ?? startSpeed;
+        speeds.set(group, known + weight * (seen - known));
+      },
+      retain(isHeld) {
+        for (const instance of paces.keys()) if (!isHeld(instance)) paces.delete(instance);
+        for (const members of groups.values())
+          for (const instance of members) if (!isHeld(instance)) members.delete(instance);
+      },
+    };
+  },
+};
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -47,6 +47,7 @@
     | { readonly kind: 'drop'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
     | { readonly kind: 'roster'; readonly proxies: readonly string[] }
+    | { readonly kind: 'loads'; readonly loads: readonly Load[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
         readonly kind: 'tokens';
@@ -102,6 +103,12 @@
         readonly why: string;
       }
     | { readonly kind: 'done'; readonly serial: number; readonly isDone: boolean; readonly why: string };
+  type Load = {
+    readonly instance: string;
+    readonly queued: number;
+    readonly active: number;
+    readonly bound: number;
+  };
   type Work = { readonly requests: number; readonly prompt: number };
   type Use = {
     readonly team: string;
