Keep losses + 1 disks in sync, of 2 x losses + 1 cores that find each other

Cause: the primary acknowledged alone after a silent backup was taken out, core count was the constant three, and a change of the register with unknown outcome was relied on or passed over: a tenure read from a majority of promises was adopted without being chosen, and one accepted by a few could be chosen later behind a primary that had gone on with another in-sync set. Either can lose an acknowledged change. Now: the in-sync set is swapped, never shrunk; a whole state is taken by the newcomer first; an unsettled change of the register is settled before the next acknowledgement; a claim keeps all in sync; a late whole state is dropped; a broken disk is mended by a whole rewrite; cores that are no seeds learn of each other through welcome and the new mates frame, as do fronts with old seeds. Forming anew counts a silent core of the newest tenure as one that may remember; all blank with a silent seed waits 4 s. Ruled out: blocking all-blank forming while a seed is silent (takeover test 6 then never comes back).

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -1,6 +1,7 @@
 // A core machine's life: blank, then following, and leading while the register names it. One task looks
 // at the register, the links and the votes, and takes the next step; each change of state goes through
-// the phase. A blank core joins where the others remember; where too few remember, all three form anew.
+// the phase. A second task asks the others for their votes all the while, so that a silent one holds up no
+// step. A blank core joins where the others remember; where too few can still remember, all form anew.
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
 import { Tenure } from '../epoch/tenure.js';
@@ -17,6 +18,7 @@
 import type { Store } from '../store/store.js';
 import type { Courier } from '../wire/courier.js';
 import type { Frame } from '../wire/frame.js';
+import { Forming } from './forming.js';
 
 export type Core = {
   readonly state: () => Core.State;
@@ -36,6 +38,9 @@
   type Needs = {
     readonly register: Register;
     readonly store: Store;
+    readonly losses: number;
+    readonly isInitial: boolean;
+    readonly seeds: readonly string[];
     readonly proposer: Proposer;
     readonly self: () => Frame.Core;
     readonly courierTo: (core: Frame.Core) => Courier | undefined;
@@ -51,55 +56,13 @@
 }
 
 const beat = 150;
-const takeOverAfter = 900;
+const takeOverAfter = 600;
+const nextAfter = 400;
+const mendEvery = 500;
 const readEvery = 700;
 const gatherFor = { least: 1200, quiet: 600, most: 2500 } as const;
-const formingCores = 3;
 const formAnywayAfter = 1500;
-const forcedCores = 2;
-
-const remembering = (votes: readonly Proposer.Vote[]) => votes.filter((vote) => !vote.isBlank);
-
-const mayForm = (votes: readonly Proposer.Vote[]): boolean => {
-  if (votes.length < formingCores) return false;
-  const newest = remembering(votes)
-    .map((vote) => vote.tenure)
-    .sort((a, b) => (b?.epoch ?? 0) - (a?.epoch ?? 0))[0];
-  if (!newest) return true;
-  const mates = remembering(votes).filter((vote) => Tenure.has(newest, vote.core.disk));
-  const isHeld = newest.inSync.some((disk) => votes.some((vote) => vote.core.disk === disk));
-  return mates.length < Tenure.majority(newest) || !isHeld;
-};
-
-const chosen = (votes: readonly Proposer.Vote[]): Proposer.Vote[] =>
-  [...votes]
-    .sort(
-      (a, b) =>
-        Number(a.isBlank) - Number(b.isBlank) ||
-        (b.tenure?.epoch ?? 0) - (a.tenure?.epoch ?? 0) ||
-        (a.core.disk < b.core.disk ? -1 : 1),
-    )
-    .slice(0, formingCores);
-
-const missing: Frame.Core = { disk: 'missing', node: '', wire: '', http: '' };
-
-const makeTenure = (votes: readonly Proposer.Vote[]): Tenure => {
-  const best = chosen(votes).sort(
-    (a, b) =>
-      Number(b.isAble) - Number(a.isAble) ||
-      Stamp.compare(b.held, a.held) ||
-      (a.core.disk < b.core.disk ? -1 : 1),
-  )[0]!;
-  const highest = Math.max(...votes.flatMap((vote) => [vote.highest, vote.tenure?.epoch ?? 0]));
-  const epoch = Epoch.after(Epoch.of(highest));
-  return {
-    epoch,
-    formed: epoch,
-    primary: best.core.disk,
-    inSync: [best.core.disk],
-    cores: [...chosen(votes).map((vote) => vote.core), missing].slice(0, formingCores),
-  };
-};
+const silentSeedsFor = 4000;
 
 export const Core = {
   of(needs: Core.Needs): Core {
@@ -117,29 +80,42 @@
     );
     let primary: Primary | undefined;
     let known: Tenure | undefined = register.tenure() ?? undefined;
-    let lastRead: Moment = 0 as Moment;
+    const forming = Forming.of(needs);
+    let votes: readonly Proposer.Vote[] = [];
     let isAsked = false;
+    let darkSince: Moment | undefined;
+    let mendedAt = Moment.past;
     let isTold = false;
     let formableSince: Moment | undefined;
     let ledSince = Moment.now();
     let tending: Promise<void> | undefined;
+    let looking: Promise<void> | undefined;
     let wake: () => void = () => {};
 
     const learn = (tenure: Tenure | null | undefined) => {
       if (!tenure || (known && tenure.epoch <= known.epoch)) return;
       known = tenure;
       isAsked = false;
+      darkSince = undefined;
       if (primary && tenure.primary !== register.disk) primary.depose(`deposed by ${Tenure.text(tenure)}`);
     };
     register.watch((tenure) => {
+      votes = [];
       learn(tenure);
       wake();
     });
 
     const look = async () => {
-      const votes = await proposer.votes();
+      votes = await proposer.votes();
       for (const { tenure } of votes) learn(tenure);
-      return votes;
+      await primary?.install(votes);
+    };
+    const survey = async () => {
+      while (!stop.signal.aborted) {
+        await look().catch((error) => needs.note('no votes came', { why: Mishap.text(error) }));
+        wake();
+        await Alarm.pause(phase.is('blank') ? beat : readEvery, stop.signal);
+      }
     };
     const lead = async (tenure: Tenure) => {
       phase.become('leading');
@@ -148,6 +124,7 @@
       const mine = Primary.of({
         disk: register.disk,
         tenure,
+        losses: needs.losses,
         store,
         proposer,
         courierTo: needs.courierTo,
@@ -167,12 +144,10 @@
     };
     const claim = async (from: Tenure) => {
       register.raise(Epoch.after(from.epoch));
+      await store.idle();
       const { isDone, tenure } = await proposer.change((base) =>
         base.epoch === from.epoch && Tenure.isInSync(base, register.disk)
-          ? Tenure.next(base, {
-              primary: register.disk,
-              inSync: base.primary === register.disk ? base.inSync : [register.disk],
-            })
+          ? Tenure.next(base, { primary: register.disk })
           : undefined,
       );
       learn(tenure);
@@ -183,7 +158,9 @@
       const { formed } = leader.tenure();
       const isLate = Stamp.isNewer(offered.stamp, leader.state().stamp);
       const isUnsettled = leader.state().formed !== formed;
+      const isFirst = needs.isInitial && leader.state().formed === Epoch.none;
       const isGathered =
+        isFirst ||
         Moment.since(ledSince) > gatherFor.most ||
         (Moment.since(ledSince) > gatherFor.least && needs.quietFor() > gatherFor.quiet);
       if ((!isUnsettled && !isLate) || !isGathered) return;
@@ -202,52 +179,59 @@
         },
       }));
     };
+    const isNext = (tenure: Tenure): boolean => {
+      const core = Tenure.core(tenure, tenure.primary);
+      const courier = core && needs.courierTo(core);
+      const isLost = !core || !courier?.reaches(core) || courier.downFor() > takeOverAfter || isAsked;
+      darkSince = isLost ? (darkSince ?? Moment.now()) : undefined;
+      if (darkSince === undefined) return false;
+      const before = tenure.inSync.slice(0, tenure.inSync.indexOf(register.disk));
+      const rank = before.filter((disk) => {
+        const mate = disk === tenure.primary ? undefined : Tenure.core(tenure, disk);
+        return mate !== undefined && needs.courierTo(mate)?.downFor() === 0;
+      }).length;
+      return Moment.since(darkSince) >= rank * nextAfter;
+    };
     const followStep = async () => {
-      if (Moment.since(lastRead) > readEvery) {
-        lastRead = Moment.now();
-        const votes = await look();
-        if (mayForm(votes)) return form(votes);
-        formableSince = undefined;
+      if (forming.may(votes)) return form();
+      formableSince = undefined;
+      if (!store.isSound() && Moment.since(mendedAt) > mendEvery) {
+        mendedAt = Moment.now();
+        void store.mend().catch((error) => needs.note('own disk mishap', { why: Mishap.text(error) }));
       }
       const tenure = known;
       if (!tenure || !Tenure.isInSync(tenure, register.disk) || !store.isSound()) return;
-      if (tenure.primary === register.disk) return claim(tenure);
-      const core = Tenure.core(tenure, tenure.primary);
-      const courier = core && needs.courierTo(core);
-      const isDark = !core || !courier?.reaches(core) || courier.downFor() > takeOverAfter;
-      if (isDark || isAsked) {
-        needs.note('taking over', { from: core?.node, downFor: courier?.downFor() });
-        await claim(tenure);
+      if (tenure.primary !== register.disk) {
+        if (!isNext(tenure)) return;
+        needs.note('taking over', { from: Tenure.core(tenure, tenure.primary)?.node });
       }
+      await claim(tenure);
     };
-    const form = async (votes: readonly Proposer.Vote[]) => {
+    const form = async () => {
       formableSince ??= Moment.now();
-      const isMine = chosen(votes)[0]?.core.disk === register.disk;
-      if (!isMine && Moment.since(formableSince) < formAnywayAfter) return;
+      const isMine = forming.first(votes) === register.disk;
+      const wait = (forming.isSure(votes) ? 0 : silentSeedsFor) + (isMine ? 0 : formAnywayAfter);
+      if (Moment.since(formableSince) < wait) return;
       const formed = await proposer.form(
-        (grants) => (mayForm(grants) ? makeTenure(grants) : undefined),
-        formingCores,
+        (grants) => (forming.may(grants) ? forming.tenure(grants) : undefined),
+        forming.size,
       );
       if (formed) needs.alert('the cores formed anew', { tenure: Tenure.text(formed) });
+      await look();
     };
     const blankStep = async () => {
-      const votes = await look();
-      if (mayForm(votes)) return form(votes);
+      if (forming.may(votes)) return form();
       formableSince = undefined;
       const tenure = known;
       const core = tenure && Tenure.core(tenure, tenure.primary);
       if (!tenure || !core || Tenure.has(tenure, register.disk)) return;
-      needs.tend([core.wire, ...needs.places()]);
       const reply = await needs.courierTo(core)?.ask({ kind: 'join', core: needs.self() }, 3000);
       if (reply?.kind === 'done') needs.note('asked to join', { why: reply.why });
     };
     const leadStep = async () => {
       const mine = primary;
       if (!mine) return;
-      if (Moment.since(lastRead) > readEvery) {
-        lastRead = Moment.now();
-        if (mayForm(await look())) return mine.depose('too few of the cores remember');
-      }
+      if (forming.may(votes)) return mine.depose('too few of the cores remember');
       tending ??= mine.tend().finally(() => {
         tending = undefined;
       });
@@ -289,6 +273,7 @@
     let done: Promise<void> = Promise.resolve();
     return {
       begin() {
+        looking = survey();
         done = run();
       },
       state: () => phase.state,
@@ -296,15 +281,16 @@
       tenure: () => primary?.tenure() ?? known,
       join: async (core) => (primary ? primary.join(core) : 'this core does not lead'),
       async force() {
-        const votes = await proposer.votes();
-        if (votes.length < forcedCores) return 'fewer than two cores answer';
-        if (votes.length >= formingCores) return 'all three cores answer: there is nothing to force';
-        const newest = remembering(votes).find((vote) => vote.tenure);
-        if (newest?.tenure && remembering(votes).length >= Tenure.majority(newest.tenure))
+        await look();
+        const least = needs.losses + 1;
+        if (votes.length < least) return `fewer than ${least} cores answer`;
+        if (forming.may(votes)) return 'the cores form by themselves: there is nothing to force';
+        const newest = Forming.remembering(votes).find((vote) => vote.tenure);
+        if (newest?.tenure && Forming.remembering(votes).length >= Tenure.majority(newest.tenure))
           return 'a majority remembers: there is nothing to force';
-        const formed = await proposer.form(makeTenure, forcedCores);
+        const formed = await proposer.form(forming.tenure, least);
         if (!formed) return 'the cores did not agree; try again';
-        needs.alert('TWO CORES WERE FORCED TO FORM; what only the missing one held is lost', {
+        needs.alert('TOO FEW CORES WERE FORCED TO FORM; what only the missing held is lost', {
           tenure: Tenure.text(formed),
         });
         return '';
@@ -320,7 +306,7 @@
       },
       async stop() {
         stop.abort();
-        await done;
+        await Promise.all([done, looking]);
       },
     };
   },
--- /dev/null
+++ b/src/control/forming.ts
@@ -0,0 +1,88 @@
+// When and how cores form anew. They may only where too few can still remember: a core of the newest tenure
+// that is merely silent may return with its disk and counts as one that remembers; one whose place another
+// disk answers from is lost. Where all are blank they may form, surely at the very first start or when every
+// seed answers; else only after a while, for a silent seed may remember.
+
+import type { Proposer } from '../epoch/proposer.js';
+import { Tenure } from '../epoch/tenure.js';
+import { Epoch } from '../kinds/epoch.js';
+import { Stamp } from '../kinds/stamp.js';
+import type { Frame } from '../wire/frame.js';
+
+export type Forming = {
+  readonly size: number;
+  readonly may: (votes: readonly Proposer.Vote[]) => boolean;
+  readonly isSure: (votes: readonly Proposer.Vote[]) => boolean;
+  readonly first: (votes: readonly Proposer.Vote[]) => string | undefined;
+  readonly tenure: (votes: readonly Proposer.Vote[]) => Tenure;
+};
+
+type Votes = readonly Proposer.Vote[];
+
+const remembering = (votes: Votes) => votes.filter((vote) => !vote.isBlank);
+
+export const Forming = {
+  remembering,
+  of(needs: {
+    readonly losses: number;
+    readonly isInitial: boolean;
+    readonly seeds: readonly string[];
+  }): Forming {
+    const size = 2 * needs.losses + 1;
+    const chosen = (votes: Votes): Proposer.Vote[] =>
+      [...votes]
+        .sort(
+          (a, b) =>
+            Number(a.isBlank) - Number(b.isBlank) ||
+            (b.tenure?.epoch ?? 0) - (a.tenure?.epoch ?? 0) ||
+            (a.core.disk < b.core.disk ? -1 : 1),
+        )
+        .slice(0, size);
+    return {
+      size,
+      may(votes) {
+        if (votes.length < size) return false;
+        const newest = remembering(votes)
+          .map((vote) => vote.tenure)
+          .sort((a, b) => (b?.epoch ?? 0) - (a?.epoch ?? 0))[0];
+        if (!newest) return true;
+        const isMate = ({ disk }: Frame.Core) => remembering(votes).some((vote) => vote.core.disk === disk);
+        const isAway = ({ disk, wire }: Frame.Core) =>
+          wire !== '' && !votes.some(({ core }) => core.disk === disk || core.wire === wire);
+        const left = newest.cores.filter((core) => isMate(core) || isAway(core));
+        const holders = left.filter((core) => Tenure.isInSync(newest, core.disk));
+        const isLost = left.length < Tenure.majority(newest) && !holders.some(isAway);
+        return isLost || holders.length === 0;
+      },
+      isSure: (votes) =>
+        needs.isInitial ||
+        remembering(votes).length > 0 ||
+        needs.seeds.every((seed) => votes.some(({ core }) => core.wire === seed)),
+      first: (votes) => chosen(votes)[0]?.core.disk,
+      tenure(votes) {
+        const best = chosen(votes).sort(
+          (a, b) =>
+            Number(b.isAble) - Number(a.isAble) ||
+            Stamp.compare(b.held, a.held) ||
+            (a.core.disk < b.core.disk ? -1 : 1),
+        )[0]!;
+        const highest = Math.max(...votes.flatMap((vote) => [vote.highest, vote.tenure?.epoch ?? 0]));
+        const epoch = Epoch.after(Epoch.of(highest));
+        const cores = chosen(votes).map((vote) => vote.core);
+        const missing = Array.from({ length: size - cores.length }, (_none, index) => ({
+          disk: `missing-${index + 1}`,
+          node: '',
+          wire: '',
+          http: '',
+        }));
+        return {
+          epoch,
+          formed: epoch,
+          primary: best.core.disk,
+          inSync: [best.core.disk],
+          cores: [...cores, ...missing],
+        };
+      },
+    };
+  },
+};
--- a/src/control/mates.ts
+++ b/src/control/mates.ts
@@ -1,5 +1,7 @@
 // The other cores this one keeps in touch with: for each address a courier for requests and an uplink
-// for news and the roll. Addresses come from the seeds and from the newest tenure.
+// for news and the roll. Addresses come from the seeds, from the newest tenure, and from the mates themselves:
+// a seed may know a core that is no seed.
+import { Address } from '../kinds/address.js';
 import type { Roll } from '../membership/roll.js';
 import { Uplink } from '../membership/uplink.js';
 import type { Feed } from '../news/feed.js';
@@ -28,6 +30,7 @@
   }): Mates {
     const { feed, roll } = needs;
     const held = new Map<string, { courier: Courier; uplink: Uplink }>();
+    const heard = new Map<string, readonly string[]>();
     const hello = () => ({ kind: 'hello', self: roll.self(), version: Version, aim: 'core' }) as const;
     const end = async ({ courier, uplink }: { courier: Courier; uplink: Uplink }) => {
       uplink.stop();
@@ -39,10 +42,12 @@
       at: (place) => held.get(place)?.courier,
       couriers: () => [...held.values()].map(({ courier }) => courier),
       tend(places) {
-        const wanted = new Set([...needs.seeds, ...places].filter((place) => place !== needs.own()));
+        const known = [...needs.seeds, ...places, ...[...heard.values()].flat()];
+        const wanted = new Set(known.filter((place) => place !== needs.own() && Address.parse(place)));
         for (const [place, mate] of held)
           if (!wanted.has(place)) {
             held.delete(place);
+            heard.delete(place);
             void end(mate);
           }
         for (const place of wanted)
@@ -56,6 +61,7 @@
                 version: Version,
                 isFixed: true,
                 isUpward: true,
+                onMates: (mates) => void heard.set(place, mates),
                 onTokens: needs.onTokens,
                 onCold: needs.onCold,
                 note: needs.note,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -119,9 +119,19 @@
       join: (joining) => core?.join(joining) ?? Promise.resolve('this core has just started'),
       note: ring.note,
     });
-    const places = () => [
-      ...new Set([...(core?.tenure()?.cores.map((one) => one.wire) ?? []), ...startup.seeds]),
-    ];
+    const controls = () =>
+      roll
+        .all()
+        .filter((one) => one.program === 'control' && one.wire !== '')
+        .map((one) => one.wire);
+    const places = () => {
+      const cores =
+        core
+          ?.tenure()
+          ?.cores.map((one) => one.wire)
+          .filter((place) => place !== '') ?? [];
+      return [...new Set([...cores, ...controls().sort(), ...(cores.length > 0 ? [] : startup.seeds)])];
+    };
     const nearby = (child: Frame.Entry) => {
       const agents = roll.all().filter((one) => one.program === 'agent' && one.node !== child.node);
       const far = agents.filter((one) => one.zone !== child.zone);
@@ -143,7 +153,7 @@
               feed,
               roll,
               children,
-              mates: () => [...places(), ...nearby(hello.self)],
+              mates: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               age,
@@ -156,15 +166,14 @@
     core = Core.of({
       register,
       store,
+      losses: startup.losses ?? 1,
+      isInitial: startup.initial ?? false,
+      seeds: startup.seeds,
       proposer,
       self,
       courierTo: (one) => mates.at(one.wire),
       tend: mates.tend,
-      places: () =>
-        roll
-          .all()
-          .filter((one) => one.program === 'control' && one.wire !== '')
-          .map((one) => one.wire),
+      places: controls,
       offered: feed.view,
       quietFor: roll.quietFor,
       retire: () => Folder.retire(startup.data),
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -1,6 +1,8 @@
 // Changing and reading the register. A change takes two phases: a majority of the cores promises a
 // ballot and tells what it has accepted, then the changed tenure is accepted by a majority of the cores
-// before and after it. A read is confirmed when a majority has accepted the same ballot.
+// before and after it. A change that turns out not to be wanted writes the tenure it found back, since a
+// tenure that only some had accepted may not be relied on: it is chosen once a majority has accepted it.
+// A read is confirmed when a majority has accepted the same ballot.
 import { Alarm } from '../kinds/alarm.js';
 import type { Epoch } from '../kinds/epoch.js';
 import type { Stamp } from '../kinds/stamp.js';
@@ -149,10 +151,10 @@
         const base = highestOf(grants)?.tenure;
         if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined };
         const wanted = next(base);
-        if (!wanted) return { isDone: false, tenure: base };
-        const accepts = granted(await accept(ballot, wanted, base));
-        const isDone = isMajority(accepts, base) && isMajority(accepts, wanted);
-        return { isDone, tenure: isDone ? wanted : undefined };
+        const value = wanted ?? base;
+        const accepts = granted(await accept(ballot, value, base));
+        const isChosen = isMajority(accepts, base) && isMajority(accepts, value);
+        return { isDone: isChosen && wanted !== undefined, tenure: isChosen ? value : undefined };
       },
       async form(make, atLeast) {
         const ballot = nextBallot(await peek());
--- a/src/epoch/register.ts
+++ b/src/epoch/register.ts
@@ -41,7 +41,7 @@
     const watchers = new Set<(tenure: Tenure) => void>();
     const keep = async (next: Kept) => {
       const bytes = Buffer.from(JSON.stringify(next));
-      if (file.length() > longest) await file.rewrite([bytes]);
+      if (file.length() > longest || file.isBroken()) await file.rewrite([bytes]);
       else await file.append(bytes);
       kept = next;
     };
--- a/src/epoch/tenure.ts
+++ b/src/epoch/tenure.ts
@@ -1,5 +1,5 @@
 // A tenure is the register's value: who is primary under which epoch, which cores are in sync, and
-// which three disks the cores are. Cores are known by their disks, so that an empty machine at an old
+// which disks the cores are. Cores are known by their disks, so that an empty machine at an old
 // address is never taken for the one that was there.
 import { Epoch } from '../kinds/epoch.js';
 import type { Frame } from '../wire/frame.js';
--- /dev/null
+++ b/src/kinds/signal.ts
@@ -0,0 +1,17 @@
+// A signal that is rung once and waited for within a bound, for tasks that go on when something has moved.
+import { Alarm } from './alarm.js';
+
+export type Signal = {
+  readonly ring: () => void;
+  readonly within: (span: number) => Promise<void>;
+};
+
+export const Signal = {
+  of(): Signal {
+    const rung = new AbortController();
+    return {
+      ring: () => rung.abort(),
+      within: (span) => Alarm.pause(span, rung.signal),
+    };
+  },
+};
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,5 +1,5 @@
 // The upper end of a session: one task per child. The child says who it is, gets the mates and the
-// newest view, and from then on every newer one; what the child tells of the nodes below it goes on
+// newest view, and from then on every newer one, and the mates again when they are others; what the child tells of the nodes below it goes on
 // the roll. When the child holds a newer view than we do, we ask for it.
 import { match } from 'ts-pattern';
 import { Alarm } from '../kinds/alarm.js';
@@ -20,7 +20,7 @@
   type Needs = {
     readonly feed: Feed;
     readonly roll: Roll;
-    readonly mates: () => readonly string[];
+    readonly mates: (child: Frame.Entry) => readonly string[];
     readonly relays: (child: Frame.Entry) => readonly string[];
     readonly version: string;
     readonly age: () => number;
@@ -56,18 +56,30 @@
     const compare = (theirs: Stamp) => {
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
     };
+    let told = '';
+    const matesNow = () => {
+      const mates = [...needs.mates(hello.self)];
+      const isNew = mates.join() !== told;
+      told = mates.join();
+      return { mates, isNew };
+    };
+    const tellMates = () => {
+      const { mates, isNew } = matesNow();
+      if (isNew) link.send({ kind: 'mates', mates });
+    };
     const unwatch = feed.watch(sendNews);
     needs.children.add(node, link);
     const looks = Alarm.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
       if (relays.length > 0) link.send({ kind: 'lower', relays: [...relays] });
+      tellMates();
     });
     try {
       roll.note([hello.self], node, !isMate);
       link.send({
         kind: 'welcome',
         self: roll.self(),
-        mates: [...needs.mates()],
+        mates: matesNow().mates,
         relays: [...needs.relays(hello.self)],
         version: needs.version,
         age: needs.age(),
--- a/src/membership/places.ts
+++ b/src/membership/places.ts
@@ -45,7 +45,11 @@
       },
       learn(mates) {
         if (isFixed) return;
-        for (const mate of mates) if (Address.parse(mate) && !places.includes(mate)) places.push(mate);
+        for (const mate of new Set(mates)) {
+          if (!Address.parse(mate) || seeds.includes(mate)) continue;
+          if (places.includes(mate)) places.splice(places.indexOf(mate), 1);
+          places.push(mate);
+        }
         while (places.length > most) places.splice(seeds.length, 1);
       },
       lower(relays, own) {
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -37,6 +37,7 @@
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
+    readonly onMates?: (mates: readonly string[]) => void;
     readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
     readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
@@ -81,10 +82,14 @@
       link.close();
       return true;
     };
+    const learnMates = (mates: readonly string[]) => {
+      places.learn(mates);
+      needs.onMates?.(mates);
+    };
     const take = (frame: Frame, link: Link) =>
       match(frame)
         .with({ kind: 'welcome' }, ({ self, mates, relays, stamp, age }) => {
-          places.learn(mates);
+          learnMates(mates);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
           if (isBelowAgent && age > oldAfter && isFree())
@@ -97,6 +102,7 @@
           tell(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
+        .with({ kind: 'mates' }, ({ mates }) => learnMates(mates))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
         .with({ kind: 'news' }, ({ view }) => {
           feed.offer(View.decode(view));
--- a/src/replica/backup.ts
+++ b/src/replica/backup.ts
@@ -1,6 +1,7 @@
 // The backup's side of replication: take what the primary sends, in order and synced, and drop all that
 // comes from below the epoch promised. The epoch is looked at again after the sync, so that nothing is
-// confirmed to a primary that lost its place meanwhile.
+// confirmed to a primary that lost its place meanwhile. A whole state that is older than the one held was
+// held up on its way: it is dropped, for the primary may count on what came after it.
 import type { Register } from '../epoch/register.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Mishap } from '../kinds/mishap.js';
@@ -39,8 +40,11 @@
           register.raise(epoch);
           if (!frame.whole && !Stamp.isSame(frame.previous, store.state().stamp))
             return reply(false, 'another state is held');
+          const change = Store.decode(frame.record);
+          if (frame.whole && Stamp.isNewer(store.state().stamp, change.stamp))
+            return reply(false, 'a newer state is held');
           try {
-            await store.take(Store.decode(frame.record));
+            await store.take(change, frame.whole ? undefined : frame.previous);
           } catch (error) {
             return reply(false, Mishap.text(error));
           }
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -1,8 +1,8 @@
 // The primary's side of replication. A change is acknowledged once it is synced here and at every other
-// core in sync. A backup that does not confirm is taken out of sync through the register first; only
-// then does the primary acknowledge alone. A primary whose own disk fails or stalls hands its place to
-// the backup; one that finds a higher epoch is deposed and never acknowledges again.
-
+// core in sync, and never by fewer disks than may be lost at once and one more. A backup that does not confirm
+// is replaced: another core takes the whole state first, then the register names it in sync in the silent
+// one's place. A primary whose own disk fails or stalls hands its place to a backup; one that finds a higher
+// epoch is deposed and never acknowledges again.
 import type { Proposer } from '../epoch/proposer.js';
 import { Tenure } from '../epoch/tenure.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -11,9 +11,10 @@
 import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Revision } from '../kinds/revision.js';
+import { Signal } from '../kinds/signal.js';
 import type { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
-import type { State } from '../store/state.js';
+import { State } from '../store/state.js';
 import { Store } from '../store/store.js';
 import type { Courier } from '../wire/courier.js';
 import type { Frame } from '../wire/frame.js';
@@ -26,16 +27,20 @@
   readonly confirm: () => Promise<boolean>;
   readonly commit: (make: (state: State, stamp: Stamp) => State.Change | undefined) => Promise<State>;
   readonly tend: () => Promise<void>;
+  readonly install: (votes: readonly Proposer.Vote[]) => Promise<void>;
   readonly join: (core: Frame.Core) => Promise<string>;
   readonly rise: (above: Stamp) => Promise<void>;
   readonly depose: (why: string) => void;
   readonly deposed: Promise<string>;
 };
 
+type Step = { readonly change: State.Change; readonly before: Stamp };
+
 export declare namespace Primary {
   type Needs = {
     readonly disk: string;
     readonly tenure: Tenure;
+    readonly losses: number;
     readonly store: Store;
     readonly proposer: Proposer;
     readonly courierTo: (core: Frame.Core) => Courier | undefined;
@@ -45,8 +50,11 @@
 }
 
 const ackWithin = 1200;
-const diskWithin = 1500;
-const deadAfter = 1500;
+const slowAfter = 500;
+const diskWithin = 1000;
+const deadAfter = 500;
+const againAfter = 100;
+const offerAgainAfter = 300;
 const replaceAfter = 2000;
 const confirmEvery = 200;
 
@@ -62,6 +70,8 @@
     const turns = Turns.of();
     let tenure = needs.tenure;
     let acknowledged = store.state();
+    let isOpen = false;
+    let isUnsure = false;
     let confirmedAt = Moment.past;
     let tellDeposed: (why: string) => void = () => {};
     const deposed = new Promise<string>((resolve) => {
@@ -76,39 +86,33 @@
     const mustLead = () => {
       if (!phase.is('leading')) throw Mishap.of('unconfirmed', 'no longer primary');
     };
-    const others = () => tenure.inSync.filter((one) => one !== disk).map((one) => Tenure.core(tenure, one)!);
-    const send = async (core: Frame.Core, change: State.Change, before: State): Promise<void> => {
+    const backups = () => tenure.inSync.filter((one) => one !== disk);
+    const append = async (core: Frame.Core, change: State.Change, previous: Stamp) => {
       const courier = needs.courierTo(core);
       if (!courier?.reaches(core)) throw Mishap.of('link', `no courier to the disk of ${core.node}`);
-      const append = (one: State.Change) =>
-        courier.ask(
-          {
-            kind: 'append',
-            epoch: tenure.epoch,
-            previous: before.stamp,
-            record: Store.encode(one),
-            whole: one.kind === 'whole',
-          },
-          ackWithin,
-        );
-      let reply = await append(change);
-      if (
-        reply.kind === 'appended' &&
-        !reply.isTaken &&
-        reply.floor <= tenure.epoch &&
-        change.kind !== 'whole'
-      ) {
-        await append({ kind: 'whole', stamp: before.stamp, state: before });
-        reply = await append(change);
-      }
+      const record = Store.encode(change);
+      const whole = change.kind === 'whole';
+      const reply = await courier.ask(
+        { kind: 'append', epoch: tenure.epoch, previous, record, whole },
+        ackWithin,
+      );
       if (reply.kind !== 'appended') throw Mishap.of('frame', `unexpected ${reply.kind}`);
+      return reply;
+    };
+    const send = async (core: Frame.Core, state: State, step?: Step): Promise<void> => {
+      const whole = { kind: 'whole', stamp: state.stamp, state } as const;
+      let reply = await append(core, step?.change ?? whole, step?.before ?? state.stamp);
+      const isMendable = !reply.isTaken && reply.floor <= tenure.epoch;
+      if (step && isMendable) reply = await append(core, whole, state.stamp);
       if (!reply.isTaken) throw Mishap.of('stale', `${core.node} did not take it: ${reply.why}`);
     };
-    const alter = async (next: (from: Tenure) => Tenure): Promise<boolean> => {
+    const alter = async (next: (from: Tenure) => Tenure | undefined): Promise<boolean> => {
       const mine = tenure;
+      isUnsure = true;
       const result = await proposer.change((base) =>
         base.epoch === mine.epoch && base.primary === disk ? next(base) : undefined,
       );
+      isUnsure = result.tenure === undefined;
       if (result.isDone && result.tenure) {
         tenure = result.tenure;
         needs.note('register changed', { tenure: Tenure.text(tenure) });
@@ -120,75 +124,95 @@
       else if (held.epoch > mine.epoch) tenure = held;
       return false;
     };
-    const shrink = async (): Promise<void> => {
-      while (phase.is('leading') && others().length > 0) {
-        const isDone = await alter((base) => Tenure.next(base, { inSync: [disk] })).catch(() => false);
-        if (!isDone) await Promise.all([proposer.install(), Alarm.pause(150)]);
+    const courierDown = (core: Frame.Core): number => {
+      const courier = needs.courierTo(core);
+      return courier?.reaches(core) ? courier.downFor() : Number.POSITIVE_INFINITY;
+    };
+    const isWhole = () => tenure.inSync.length > needs.losses;
+    const replicate = async (state: State, step?: Step, isOnce = false): Promise<boolean> => {
+      const holders = new Set<string>();
+      const asked = new Set<string>();
+      const failedAt = new Map<string, Moment>();
+      let moved = Signal.of();
+      const isHeld = () => !isUnsure && isWhole() && backups().every((one) => holders.has(one));
+      const offer = (core: Frame.Core, first?: Step) => {
+        asked.add(core.disk);
+        void send(core, state, first)
+          .then(
+            () => void holders.add(core.disk),
+            (error) => {
+              failedAt.set(core.disk, Moment.now());
+              needs.note('backup did not confirm', { node: core.node, why: Mishap.text(error) });
+            },
+          )
+          .finally(() => {
+            asked.delete(core.disk);
+            moved.ring();
+          });
+      };
+      const stir = (span: number) => {
+        moved = Signal.of();
+        return moved.within(span);
+      };
+      const isFree = (core: Frame.Core) =>
+        core.disk !== disk &&
+        !holders.has(core.disk) &&
+        !asked.has(core.disk) &&
+        courierDown(core) === 0 &&
+        Moment.since(failedAt.get(core.disk) ?? Moment.past) > offerAgainAfter;
+      for (const core of tenure.cores) if (backups().includes(core.disk)) offer(core, step);
+      const patience = Moment.after(isWhole() && !isUnsure ? slowAfter : 0);
+      const mayWait = () => phase.is('leading') && failedAt.size === 0 && !Moment.isPast(patience);
+      while (mayWait() && !isHeld()) await stir(Moment.left(patience));
+      while (phase.is('leading') && !isHeld()) {
+        for (const core of tenure.cores.filter(isFree)) offer(core);
+        const inSyncFirst = [...new Set([...backups(), ...holders])].filter((one) => holders.has(one));
+        const taken = inSyncFirst.slice(0, needs.losses);
+        if (taken.length === needs.losses) {
+          const inSync = [disk, ...taken];
+          const isDone = await alter((base) =>
+            inSync.every((one) => Tenure.has(base, one)) ? Tenure.next(base, { inSync }) : undefined,
+          ).catch(() => false);
+          if (!isDone && isOnce) return false;
+          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+        } else if (isOnce && asked.size === 0) return false;
+        else await stir(againAfter);
       }
-      mustLead();
+      return phase.is('leading');
     };
     const handOver = async (cause: unknown): Promise<never> => {
       needs.note('own disk mishap', { why: Mishap.text(cause) });
-      for (const core of others())
-        void needs
-          .courierTo(core)
-          ?.ask({ kind: 'yield', epoch: tenure.epoch }, ackWithin)
-          .catch(() => undefined);
-      if (others().length > 0) depose(`own disk: ${Mishap.text(cause)}`);
+      for (const core of tenure.cores)
+        if (backups().includes(core.disk))
+          void needs
+            .courierTo(core)
+            ?.ask({ kind: 'yield', epoch: tenure.epoch }, ackWithin)
+            .catch(() => undefined);
+      depose(`own disk: ${Mishap.text(cause)}`);
       throw Mishap.of('unconfirmed', 'own disk mishap', {}, cause);
     };
     const write = async (change: State.Change): Promise<void> => {
       const before = store.state();
-      const local = bounded(store.take(change), diskWithin, 'own disk');
-      local.catch(() => undefined);
-      const remote = Promise.all(others().map((core) => send(core, change, before)));
-      remote.catch(() => undefined);
-      try {
-        await local;
-      } catch (error) {
-        await handOver(error);
-      }
-      try {
-        await remote;
-      } catch (error) {
-        needs.note('backup did not confirm', { why: Mishap.text(error) });
-        await shrink();
-      }
+      const next = State.apply(before, change);
+      const local = bounded(store.take(change, before.stamp), diskWithin, 'own disk').catch(handOver);
+      await Promise.all([local, replicate(next, { change, before: before.stamp })]);
       mustLead();
     };
     const resolve = async (): Promise<void> => {
       const state = store.state();
       if (state === acknowledged) return;
-      const whole = { kind: 'whole', stamp: state.stamp, state } as const;
-      await Promise.all(others().map((core) => send(core, whole, state))).catch(shrink);
+      await replicate(state);
       mustLead();
       acknowledged = state;
       needs.publish(acknowledged, tenure);
     };
-    const courierDown = (core: Frame.Core): number => {
-      const courier = needs.courierTo(core);
-      return courier?.reaches(core) ? courier.downFor() : Number.POSITIVE_INFINITY;
-    };
-    const recruit = async (votes: readonly Proposer.Vote[]): Promise<void> => {
-      const able = votes.find(
-        (vote) =>
-          vote.core.disk !== disk && Tenure.has(tenure, vote.core.disk) && !vote.isBlank && vote.isAble,
-      );
-      if (!able) return;
-      await turns.take(async () => {
-        mustLead();
-        if (others().length > 0) return;
-        const state = store.state();
-        await send(able.core, { kind: 'whole', stamp: state.stamp, state }, state);
-        await alter((base) => Tenure.next(base, { inSync: [disk, able.core.disk] }));
-      });
-    };
     const confirm = async (): Promise<boolean> => {
       const asked = Moment.now();
+      const mayTell = isOpen;
       const mine = tenure;
       const isConfirmed = await proposer.confirm(mine);
       if (isConfirmed && phase.is('leading') && asked > confirmedAt) confirmedAt = asked;
-      return isConfirmed;
+      return isConfirmed && mayTell;
     };
     const confirms = Alarm.every(confirmEvery, () => void confirm());
     void confirm();
@@ -210,6 +234,7 @@
           if (!change) return acknowledged;
           await write(change);
           acknowledged = store.state();
+          isOpen = true;
           needs.publish(acknowledged, tenure);
           return acknowledged;
         }),
@@ -225,10 +250,18 @@
         if (!phase.is('leading')) return;
         if (!store.isSound())
           await turns.take(() => handOver(new Error('the store is broken'))).catch(() => {});
-        const dead = others().filter((core) => courierDown(core) > deadAfter);
-        if (dead.length > 0) await turns.take(shrink);
-        const votes = await proposer.votes();
-        if (others().length === 0) await recruit(votes);
+        const isDead = (core: Frame.Core) => courierDown(core) > deadAfter;
+        const inSync = () => tenure.cores.filter((core) => backups().includes(core.disk));
+        const spares = () =>
+          tenure.cores.filter((core) => core.disk !== disk && !backups().includes(core.disk));
+        const isLacking = () => !isWhole() || inSync().some(isDead);
+        if (isOpen && isLacking() && spares().some((core) => courierDown(core) === 0))
+          await turns.take(async () => {
+            await resolve();
+            if (isLacking()) await replicate(acknowledged, undefined, true);
+          });
+      },
+      async install(votes) {
         if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk)))
           await proposer.install();
       },
@@ -236,14 +269,23 @@
         turns.take(async () => {
           mustLead();
           if (Tenure.has(tenure, core.disk)) return '';
-          const old = tenure.cores.find(
-            (one) => one.disk !== disk && (one.wire === core.wire || courierDown(one) > replaceAfter),
-          );
-          if (!old) return 'all three cores are alive';
+          const isFull = tenure.cores.length > 2 * needs.losses;
+          const downOf = (one: Frame.Core) =>
+            one.wire === core.wire ? Number.POSITIVE_INFINITY : courierDown(one);
+          const old = tenure.cores
+            .filter((one) => one.disk !== disk && downOf(one) > replaceAfter)
+            .sort((a, b) => (downOf(a) < downOf(b) ? 1 : -1))[0];
+          if (isFull && !old) return 'all cores are alive';
+          if (isFull && old && backups().includes(old.disk)) {
+            await resolve();
+            await replicate(acknowledged, undefined, true);
+            if (backups().includes(old.disk)) return 'the state is not yet held by enough others';
+          }
           const isDone = await alter((base) =>
             Tenure.next(base, {
-              cores: base.cores.map((one) => (one.disk === old.disk ? core : one)),
-              inSync: base.inSync.filter((one) => one !== old.disk),
+              cores: isFull
+                ? base.cores.map((one) => (one.disk === old?.disk ? core : one))
+                : [...base.cores, core],
             }),
           );
           return isDone ? '' : 'the register was not changed';
--- a/src/store/file.ts
+++ b/src/store/file.ts
@@ -1,7 +1,7 @@
 // One append-only file under the data folder. An append is done when it is synced; a whole rewrite
 // goes to a new file that is synced, renamed over the old one and made lasting by syncing the folder.
-// After a failed write the file is not written again by this process: what is on the disk is unknown. A
-// file whose write has been under way for a second is not sound until it is done.
+// After a failed write nothing more is appended, for what is on the disk is unknown: only a whole rewrite
+// makes the file sound again. A file whose write has been under way for a second is not sound until it is done.
 import { type FileHandle, mkdir, open, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Mishap } from '../kinds/mishap.js';
@@ -16,6 +16,7 @@
   readonly rewrite: (payloads: readonly Uint8Array[]) => Promise<void>;
   readonly length: () => number;
   readonly isSound: () => boolean;
+  readonly isBroken: () => boolean;
   readonly close: () => Promise<void>;
 };
 
@@ -63,16 +64,18 @@
     await syncFolder(folder);
     let length = found.length;
     let busySince: Moment | undefined;
-    const phase = Phase.of('sound', { sound: ['broken', 'shut'], broken: ['shut'], shut: [] });
+    const phase = Phase.of('sound', { sound: ['broken', 'shut'], broken: ['sound', 'shut'], shut: [] });
     const turns = Turns.of();
-    const guarded = (work: () => Promise<void>) =>
+    const guarded = (work: () => Promise<void>, isWhole = false) =>
       turns.take(async () => {
-        if (!phase.is('sound')) throw Mishap.of('store', `${name} is ${phase.state}`);
+        if (!phase.is('sound') && !(isWhole && phase.is('broken')))
+          throw Mishap.of('store', `${name} is ${phase.state}`);
         busySince = Moment.now();
         try {
           await work();
+          if (phase.is('broken')) phase.become('sound');
         } catch (cause) {
-          phase.become('broken');
+          if (phase.is('sound')) phase.become('broken');
           throw Mishap.of('store', `cannot write ${name}`, {}, cause);
         } finally {
           busySince = undefined;
@@ -82,6 +85,7 @@
       payloads: found.payloads,
       length: () => length,
       isSound: () => phase.is('sound') && (busySince === undefined || Moment.since(busySince) < stalledAfter),
+      isBroken: () => phase.is('broken'),
       append: (payload) =>
         guarded(async () => {
           const record = Records.encode(payload);
@@ -97,10 +101,11 @@
           await next.sync();
           await rename(fresh, path);
           await syncFolder(folder);
-          await handle.close();
+          const old = handle;
           handle = next;
           length = whole.length;
-        }),
+          await old.close().catch(() => undefined);
+        }, true),
       close: () =>
         turns.take(async () => {
           if (phase.is('shut')) return;
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -1,5 +1,6 @@
 // A core machine's copy of the state: held in memory, rebuilt from its file at start, and extended one
-// synced change at a time. A damaged file does not open: the whole folder is then untrusted.
+// synced change at a time. A damaged file does not open: the whole folder is then untrusted. After a failed
+// write the copy is mended by writing all of what it holds anew.
 import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
@@ -9,7 +10,9 @@
 export type Store = {
   readonly state: () => State;
   readonly isSound: () => boolean;
-  readonly take: (change: State.Change) => Promise<void>;
+  readonly take: (change: State.Change, previous?: Stamp) => Promise<void>;
+  readonly idle: () => Promise<void>;
+  readonly mend: () => Promise<void>;
   readonly close: () => Promise<void>;
 };
 
@@ -31,8 +34,15 @@
     return {
       state: () => state,
       isSound: () => file.isSound(),
-      take: (change) =>
+      idle: () => turns.take(async () => {}),
+      mend: () =>
         turns.take(async () => {
+          if (file.isBroken()) await file.rewrite([encode({ kind: 'whole', stamp: state.stamp, state })]);
+        }),
+      take: (change, previous) =>
+        turns.take(async () => {
+          if (previous && !Stamp.isSame(previous, state.stamp))
+            throw Mishap.of('stale', 'another state is held', { held: Stamp.text(state.stamp) });
           if (change.kind !== 'whole' && !Stamp.isNewer(change.stamp, state.stamp))
             throw Mishap.of('stale', 'change is not newer', {
               held: Stamp.text(state.stamp),
@@ -40,7 +50,8 @@
             });
           const next = State.apply(state, change);
           const whole = { kind: 'whole', stamp: next.stamp, state: next } as const;
-          if (change.kind === 'whole' || file.length() > longest) await file.rewrite([encode(whole)]);
+          if (change.kind === 'whole' || file.length() > longest || file.isBroken())
+            await file.rewrite([encode(whole)]);
           else await file.append(encode(change));
           state = next;
         }),
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -46,6 +46,7 @@
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'drop'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
+    | { readonly kind: 'mates'; readonly mates: readonly string[] }
     | { readonly kind: 'roster'; readonly proxies: readonly string[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -39,13 +39,15 @@
 message Tokens { string node = 1; uint64 epoch = 2; repeated Batch batches = 3; uint64 wanted = 4;
   uint64 serial = 5; repeated Use uses = 6; repeated Grant grants = 7; }
 message Lower { repeated string relays = 1; }
+message Mates { repeated string mates = 1; }
 message Roster { repeated string proxies = 1; }
 message Cold { string instance = 1; double age = 2; bool dark = 3; }
 message Frame { Stamp stamp = 1;
   oneof body { Hello hello = 2; Welcome welcome = 3; Ping ping = 4; Ask ask = 5; News news = 6; Roll roll = 7;
     Drop drop = 8;
     Prepare prepare = 9; Accept accept = 10; Peek peek = 11; Vote vote = 12; Append append = 13;
-    Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; Patch patch = 22; } }
+    Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; Patch patch = 22;
+    Mates mates = 23; } }
 `;
 
 export const Schema = { frame: protobuf.parse(source, { keepCase: true }).root.lookupType('Frame') };
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -199,6 +199,7 @@
       readonly inFirst?: number;
       readonly manifest?: Document;
       readonly hasFaults?: boolean;
+      readonly losses?: number;
     } = {},
   ): Promise<Bench> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-test-'));
@@ -211,6 +212,7 @@
     const kit = await FleetKit.start({
       folder,
       ...(faults ? { faults } : {}),
+      losses: terms.losses ?? 1,
       deployment: { name: 'bench', zones, backEnds: [], manifest: terms.manifest ?? manifest, mix: [] },
     });
     await InForce.putWhenReady(kit, terms.manifest ?? manifest);
--- a/tools/campaign/recovery.ts
+++ b/tools/campaign/recovery.ts
@@ -87,7 +87,7 @@
     for (const core of lost) rmSync(core.data, { recursive: true, force: true });
     const began = performance.now();
     await Promise.all([
-      ...kit.cores.map(kit.startCore),
+      ...kit.cores.map((core) => kit.startCore(core)),
       ...(lives ? [] : [...kit.fronts.map(kit.startAgent), ...kit.fronts.map(kit.startProxy)]),
     ]);
     const up = Math.round(performance.now() - began);
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -14,8 +14,9 @@
   readonly cores: FleetKit.Core[];
   readonly fronts: FleetKit.Front[];
   readonly servers: FleetKit.Server[];
+  readonly seeds: string[];
   readonly newAddress: () => string;
-  readonly startCore: (core: FleetKit.Core) => Promise<void>;
+  readonly startCore: (core: FleetKit.Core, isInitial?: boolean) => Promise<void>;
   readonly startAgent: (front: FleetKit.Front) => Promise<void>;
   readonly startProxy: (front: FleetKit.Front) => Promise<void>;
   readonly startServer: (server: FleetKit.Server) => Promise<void>;
@@ -64,6 +65,7 @@
     readonly deployment: Deployment;
     readonly stand?: { readonly pace?: number; readonly prefill?: number; readonly slots?: number };
     readonly faults?: Faults;
+    readonly losses?: number;
     readonly builtIn?: (name: string) => URL;
   };
 }
@@ -111,7 +113,7 @@
   call,
   lay(terms: FleetKit.Terms): Pick<FleetKit, 'cores' | 'fronts' | 'servers'> {
     const { folder, deployment } = terms;
-    const cores = [0, 1, 2].map((index) => {
+    const cores = Array.from({ length: 2 * (terms.losses ?? 1) + 1 }, (_none, index) => {
       const ip = newAddress();
       const { zone } = deployment.zones[index % deployment.zones.length]!;
       const node = `core-${index + 1}`;
@@ -148,7 +150,7 @@
     const { folder, deployment } = terms;
     mkdirSync(folder, { recursive: true });
     const { cores, fronts, servers } = FleetKit.lay(terms);
-    const seeds = cores.map((core) => core.wire);
+    const seeds = cores.slice(0, 3).map((core) => core.wire);
     const outside = (name: string, values: readonly unknown[]) => {
       const log = join(folder, `${name}.log`);
       const { faults } = terms;
@@ -170,7 +172,7 @@
       const program = new URL(path, terms.builtIn?.(name) ?? script(''));
       return Process.start(name, program, ['--startup', file], outside(name, Object.values(startup)));
     };
-    const startCore = async (core: FleetKit.Core) => {
+    const startCore = async (core: FleetKit.Core, isInitial = false) => {
       const { node, zone, wire, http, data } = core;
       core.process = await launch(node, 'src/bin/control.js', {
         node,
@@ -179,6 +181,8 @@
         http,
         data,
         seeds,
+        losses: terms.losses ?? 1,
+        initial: isInitial,
         operators: [{ name: 'operator', token: operatorToken }],
         platform: [{ name: 'platform', token: platformToken }],
       });
@@ -225,7 +229,7 @@
       throw failure;
     };
     await Promise.all([
-      ...cores.map(startCore),
+      ...cores.map((core) => startCore(core, true)),
       ...fronts.map(startAgent),
       ...fronts.map(startProxy),
       ...servers.map(startServer),
@@ -236,6 +240,7 @@
       cores,
       fronts,
       servers,
+      seeds,
       newAddress,
       startCore,
       startAgent,
