--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -28,6 +28,7 @@
 
 const helloWithin = 3000;
 const mostLinks = 1024;
+const silence = 1200;
 
 const greet = async (frames: AsyncGenerator<Frame, void, void>): Promise<Doorway.Hello> => {
   for (;;) {
@@ -64,7 +65,7 @@
         socket.destroy();
         return;
       }
-      const link = Link.over(socket, { stamp: needs.stamp, age: needs.age, pingEvery: 200 });
+      const link = Link.over(socket, { stamp: needs.stamp, age: needs.age, pingEvery: 200, silence });
       links.add(link);
       void attend(link);
     });
