--- /dev/null
+++ b/tools/scale/counter.ts
@@ -0,0 +1,28 @@
+// Loaded into a program before it starts: counts the frames it sends and gets, by kind, and writes the
+// counts with its processor time and memory to a file five times a second. The program itself is unchanged.
+import { renameSync, writeFileSync } from 'node:fs';
+import { Frame } from '../../src/wire/frame.js';
+import { Counts } from './counts.js';
+
+const path = process.env.BRAMBLEBEND_COUNTS ?? '';
+const writeEvery = 200;
+
+const counts = Counts.of();
+const { encode, decode } = Frame;
+Frame.encode = (stamp, body) => {
+  const bytes = encode(stamp, body);
+  counts.sent(body.kind, bytes.length);
+  return bytes;
+};
+Frame.decode = (bytes) => {
+  const frame = decode(bytes);
+  counts.got(frame?.kind ?? 'unknown', bytes.length + 4);
+  return frame;
+};
+
+const write = () => {
+  writeFileSync(`${path}.new`, JSON.stringify(counts.sample()));
+  renameSync(`${path}.new`, path);
+};
+write();
+setInterval(write, writeEvery).unref();
