--- a/tools/scale/run.ts
+++ b/tools/scale/run.ts
@@ -41,6 +41,8 @@
 }
 
 const settleFor = 2500;
+const quietFor = 5000;
+const settleWithin = 60_000;
 const relay = 'zone-0000-a';
 const leaf = 'zone-0000-z';
 const reals = 2;
@@ -67,6 +69,17 @@
   },
 };
 
+// At rest is when the tree has settled: no roster came down for a while, since no node moved.
+const settle = async (stage: Stage): Promise<void> => {
+  const began = Counts.now();
+  const rosters = () => stage.sample(leaf)?.got.roster?.frames;
+  for (let quiet = 0, seen = rosters(); quiet < quietFor && Counts.now() - began < settleWithin; ) {
+    await Stage.pause(settleFor);
+    quiet = rosters() === seen ? quiet + settleFor : 0;
+    seen = rosters();
+  }
+};
+
 const measure = async (size: Run.Size, world: World, stage: Stage, crowd: Crowd): Promise<Run.Report> => {
   let change = 0;
   const took: Record<'manifest' | 'servers', number> = { manifest: 0, servers: 0 };
@@ -134,7 +147,7 @@
   await Promise.all([crowd.reach(first.stamp), stage.reach(first.stamp)]);
   await hearAll(0);
   const startedIn = Counts.now() - began;
-  await Stage.pause(settleFor);
+  await settle(stage);
 
   const start = await samples();
   await Stage.pause(size.seconds * 1000);
