Pass up at once only the entries that changed, not the whole roll

Cause: each entry that changed made every parent send all that it holds below, and each core to both others; a change in force at N nodes so cost the cores on the order of N squared. What: the roll tells who watches which entries from below changed, and the uplink sends those, gathered for 20 ms; all of them go twice a second as before.

--- a/src/membership/roll.ts
+++ b/src/membership/roll.ts
@@ -1,6 +1,7 @@
 // The roll says which nodes are members: each entry left its node some time ago (its age, counted on
 // monotonic clocks along the way) and ends when nothing newer came for a while. Entries that came up
-// from below are passed on upwards; entries told by mates are only kept.
+// from below are passed on upwards; entries told by mates are only kept. Who watches is told which entries from
+// below changed, so that only those need to be passed on at once.
 import { Moment } from '../kinds/moment.js';
 import type { Frame } from '../wire/frame.js';
 
@@ -10,8 +11,9 @@
   readonly forget: (via: string) => void;
   readonly below: () => readonly Frame.Entry[];
   readonly all: () => readonly Frame.Entry[];
+  readonly get: (node: string) => Frame.Entry | undefined;
   readonly quietFor: () => number;
-  readonly watch: (see: () => void) => () => void;
+  readonly watch: (see: (changed: readonly string[]) => void) => () => void;
 };
 
 type Held = { readonly entry: Frame.Entry; readonly left: Moment; readonly isBelow: boolean };
@@ -22,7 +24,7 @@
   staleAfter,
   of(describe: () => Omit<Frame.Entry, 'counter' | 'age' | 'via'>): Roll {
     const held = new Map<string, Held>();
-    const watchers = new Set<() => void>();
+    const watchers = new Set<(changed: readonly string[]) => void>();
     let counter = 0;
     let joinedAt = Moment.past;
     const self = (): Frame.Entry => ({ ...describe(), counter: ++counter, age: 0, via: '' });
@@ -36,9 +38,10 @@
     return {
       self,
       note(entries, via, isBelow) {
-        let isChanged = false;
+        const changed: string[] = [];
+        const own = describe().node;
         for (const entry of entries) {
-          if (entry.node === describe().node) continue;
+          if (entry.node === own) continue;
           const known = held.get(entry.node);
           const left = Moment.after(-entry.age);
           const isNewer =
@@ -46,19 +49,26 @@
             (known.entry.boot === entry.boot ? entry.counter > known.entry.counter : left > known.left);
           if (!isNewer) continue;
           if (known?.entry.boot !== entry.boot) joinedAt = Moment.now();
-          isChanged ||=
+          const isChanged =
             known?.entry.stamp.revision !== entry.stamp.revision ||
             known.entry.stamp.epoch !== entry.stamp.epoch ||
             known.entry.ready !== entry.ready;
+          if (isChanged && isBelow) changed.push(entry.node);
           held.set(entry.node, { entry: { ...entry, via }, left, isBelow });
         }
-        if (isChanged) for (const see of [...watchers]) see();
+        if (changed.length > 0) for (const see of [...watchers]) see(changed);
       },
       forget(via) {
         for (const [node, one] of held) if (one.isBelow && one.entry.via === via) held.delete(node);
       },
       below: () => list((one) => one.isBelow),
       all: () => [self(), ...list(() => true)],
+      get(node) {
+        if (node === describe().node) return self();
+        const one = held.get(node);
+        if (!one || Moment.since(one.left) > staleAfter) return undefined;
+        return { ...one.entry, age: Moment.since(one.left) };
+      },
       quietFor: () => Moment.since(joinedAt),
       watch(see) {
         watchers.add(see);
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -1,8 +1,8 @@
 // The lower end of a session: one task that keeps this node a member. It seeks a parent among the
 // seeds and the mates learned since, joins, takes news, and passes up what it and the nodes below
-// hold. It leaves a parent that is silent, or whose word from the primary has grown old while others
-// may have a newer one, and seeks the next at once: a few places are dialled one after another in quick
-// succession, and the first that takes the call is asked.
+// hold: all of them twice a second, and those that changed at once. It leaves a parent that is silent, or
+// whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
+// a few places are dialled one after another in quick succession, and the first that takes the call is asked.
 import { match } from 'ts-pattern';
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -47,6 +47,7 @@
 
 const oldAfter = 1500;
 const rollEvery = 500;
+const changesWithin = 20;
 const pingEvery = 200;
 const silence = 1200;
 const nextAfter = 150;
@@ -74,6 +75,24 @@
       if (!needs.isUpward) return;
       link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
     };
+    const changes = (link: Link) => {
+      const changed = new Set<string>();
+      let soon: Alarm | undefined;
+      const flush = () => {
+        soon = undefined;
+        const entries = [...changed].flatMap((node) => roll.get(node) ?? []);
+        changed.clear();
+        link.send({ kind: 'roll', entries });
+      };
+      return {
+        see(nodes: readonly string[]) {
+          if (!needs.isUpward) return;
+          for (const node of nodes) changed.add(node);
+          soon ??= Alarm.after(changesWithin, flush);
+        },
+        stop: () => soon?.stop(),
+      };
+    };
     const ask = (link: Link) => link.send({ kind: 'ask', digests: Ranges.digests(Copies.of(feed.view())) });
     const goLower = (relays: readonly string[], link: Link): boolean => {
       if (needs.isFixed || !places.lower(relays, roll.self().wire)) return false;
@@ -153,7 +172,8 @@
       const { place, link } = await dial();
       const onStop = () => link.close();
       stop.signal.addEventListener('abort', onStop, { once: true });
-      const unwatch = [feed.watch(() => tell(link)), roll.watch(() => tell(link))];
+      const soon = changes(link);
+      const unwatch = [feed.watch(() => soon.see([roll.self().node])), roll.watch(soon.see), soon.stop];
       const rolls = Alarm.every(rollEvery, () => tell(link));
       try {
         current = link;
--- /dev/null
+++ b/test/membership.test.ts
@@ -0,0 +1,108 @@
+// What a node passes up of the nodes below it: all of them now and then, and those that changed at once, alone.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Stamp } from '../src/kinds/stamp.js';
+import { Roll } from '../src/membership/roll.js';
+import { Uplink } from '../src/membership/uplink.js';
+import { Feed } from '../src/news/feed.js';
+import { Doorway } from '../src/wire/doorway.js';
+import type { Frame } from '../src/wire/frame.js';
+
+const below = 40;
+const nameOf = (index: number) => `below-${index}`;
+
+const entry = (node: string, counter: number, revision: number): Frame.Entry => ({
+  node,
+  program: 'proxy',
+  zone: 'a-1',
+  boot: node,
+  stamp: Stamp.of(1, revision),
+  http: '',
+  wire: '',
+  via: '',
+  counter,
+  age: 0,
+  ready: true,
+  ops: '',
+  depth: 0,
+  vouched: true,
+});
+
+const rollOf = (node: string) =>
+  Roll.of(() => {
+    const { counter: _counter, age: _age, via: _via, ...rest } = entry(node, 0, 1);
+    return { ...rest, program: 'agent' };
+  });
+
+describe('membership', () => {
+  it('passes up at once only the entries that changed, and all of them in turn', async () => {
+    const feed = Feed.of();
+    const roll = rollOf('relay');
+    const parent = rollOf('parent');
+    const rolls: (readonly Frame.Entry[])[] = [];
+    let came: () => void = () => {};
+    const doorway = await Doorway.open({
+      address: { host: '127.0.0.1', port: 0 },
+      stamp: () => Stamp.none,
+      age: () => 0,
+      note: () => {},
+      async serve(link, _hello, frames) {
+        link.send({ kind: 'welcome', self: parent.self(), mates: [], relays: [], version: '', age: 0 });
+        for await (const frame of frames) {
+          if (frame.kind === 'roll') rolls.push(frame.entries);
+          came();
+        }
+      },
+    });
+    const met = (isMet: () => boolean) =>
+      new Promise<void>((resolve) => {
+        came = () => {
+          if (isMet()) resolve();
+        };
+        came();
+      });
+    for (let index = 0; index < below; index += 1) roll.note([entry(nameOf(index), 1, 1)], 'child', true);
+    const uplink = Uplink.run({
+      feed,
+      roll,
+      seeds: [Doorway.text(doorway)],
+      version: '',
+      isFixed: true,
+      isUpward: true,
+      note: () => {},
+    });
+    try {
+      await met(() => rolls.some((entries) => entries.length === below + 1));
+      const before = rolls.length;
+      for (let index = 0; index < 3; index += 1) roll.note([entry(nameOf(index), 2, 2)], 'child', true);
+      const isTold = (entries: readonly Frame.Entry[]) =>
+        [0, 1, 2].every((index) =>
+          entries.some((one) => one.node === nameOf(index) && one.stamp.revision === 2),
+        );
+      await met(() => rolls.slice(before).some(isTold));
+      const short = rolls.slice(before).filter((entries) => entries.length !== below + 1);
+      assert.deepEqual(
+        short.map((entries) => entries.map((one) => one.node)),
+        [[0, 1, 2].map(nameOf)],
+      );
+      const whole = rolls.length;
+      await met(() => rolls.slice(whole).some((entries) => entries.length === below + 1));
+    } finally {
+      uplink.stop();
+      await uplink.done;
+      await doorway.close();
+    }
+  });
+  it('tells who watches the roll of nothing that mates said', () => {
+    const roll = rollOf('core');
+    const seen: (readonly string[])[] = [];
+    roll.watch((changed) => seen.push(changed));
+    roll.note([entry('far', 1, 1)], 'mate', false);
+    roll.note([entry('near', 1, 1)], 'near', true);
+    roll.note([entry('near', 2, 1)], 'near', true);
+    roll.note([entry('near', 3, 2), entry('far', 2, 2)], 'near', true);
+    assert.deepEqual(seen, [['near'], ['near', 'far']]);
+    assert.equal(roll.get('near')?.stamp.revision, 2);
+    assert.equal(roll.get('nobody'), undefined);
+  });
+});
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -78,6 +78,13 @@
       for (const kind of ['roster', 'news', 'patch'])
         assert.equal(rate(role).kinds[kind]?.frames ?? 0, 0, `${kind} at ${role}`);
   });
+  it('tells the cores of a change in force by what changed, so that it grows with the nodes, not their square', () => {
+    for (const event of ['change of manifest', 'change of servers'])
+      for (const role of ['primary', 'core', 'core2']) {
+        const { bytes } = extra(event, role);
+        assert.ok(bytes < nodes * 6144, `${event} cost the ${role} ${bytes} bytes`);
+      }
+  });
   it('sends of a change what changed, not the whole', () => {
     const whole = report.bytes.manifest + report.bytes.servers;
     assert.ok(extra('change of manifest', 'proxy').bytes < whole / 2);
