Look a node up on the roll instead of copying all of it for each frame

Cause: a frame of tokens at a core copied every entry of the roll two or three times (isLive, isBelow, the way down), and each use of a quota sorted the roster twice: work of frames times nodes. What: roll.get, and the count of proxies from the roster that was told last, at most 250 ms old.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -77,20 +77,19 @@
     }));
     const age = (): number => core?.confirmedFor() ?? feed.age();
     const children = Children.of(roll);
-    const isBelow = (node: string) =>
-      roll.all().some((entry) => entry.node === node && entry.program !== 'control');
+    const isBelow = (node: string) => (roll.get(node)?.program ?? 'control') !== 'control';
     const roster = () =>
       roll
         .all()
         .filter((entry) => entry.program === 'proxy')
         .map((entry) => entry.node)
         .sort();
-    let told = '';
+    let told: readonly string[] = [];
     const rosters = Alarm.every(250, () => {
       quotas.look(core?.tenure()?.epoch ?? 0);
       const proxies = roster();
-      if (proxies.join() === told) return;
-      told = proxies.join();
+      if (proxies.join() === told.join()) return;
+      told = proxies;
       children.broadcast({ kind: 'roster', proxies }, isBelow);
     });
     const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
@@ -106,13 +105,13 @@
     });
     const quotas = QuotaDuty.of({
       quotaOf: (team) => feed.view().manifest?.document.teams[team]?.quota,
-      proxies: () => roster().length,
+      proxies: () => told.length,
     });
     const budget = BudgetDuty.of({
       quotas,
       own: startup.node,
       tenure: () => core?.tenure(),
-      isLive: (node) => roll.all().some((entry) => entry.node === node),
+      isLive: (node) => roll.get(node) !== undefined,
       passUp: (node, frame) => void mates.sendUp(node, frame),
       sendDown,
     });
--- a/src/membership/children.ts
+++ b/src/membership/children.ts
@@ -25,8 +25,7 @@
         for (const [node, link] of links) if (isFor(node)) link.send(body);
       },
       send(node, body) {
-        const via = roll.all().find((entry) => entry.node === node)?.via ?? '';
-        const link = links.get(node) ?? links.get(via);
+        const link = links.get(node) ?? links.get(roll.get(node)?.via ?? '');
         return link?.send(body) ?? false;
       },
     };
