Ask for all teams that wait in one question, and tell then of those teams alone

Cause: a question to the quota duty carried one waiting request's need and the whole of every account. And each request cost its team's whole company of accounts. What: each account keeps what waits for it; a question asks for all of that, and tells of all accounts only when due, twice a second as before, also when questions are open one after another, so the duty learns no less.

--- a/src/proxy/quotas.ts
+++ b/src/proxy/quotas.ts
@@ -1,7 +1,8 @@
 // How much of a team's quota this proxy may still let in. It asks the quota duty, one question at a time, and
 // holds each grant for two seconds. Without an answer it is cut off: then it lets in its even part of the
 // quota among the most proxies it ever knew, and no more; in its first seconds, when it may not know the
-// others, it rather waits. What it let in is remembered here and told with every question.
+// others, it rather waits. What it let in is remembered here and told: twice a second of every team, and for
+// requests that wait, at once and together, only of their teams.
 import { Ledger } from '../duty/ledger.js';
 import { Alarm } from '../kinds/alarm.js';
 import { Moment } from '../kinds/moment.js';
@@ -30,6 +31,7 @@
   readonly span: number;
   holds: Ledger.Work;
   until: Moment;
+  readonly waiting: Set<Ledger.Work>;
   lately: Ledger.Work;
   touched: Moment;
 };
@@ -62,6 +64,7 @@
     const started = Moment.now();
     const isYoung = () => Moment.since(started) < youngFor;
     let open: Question | undefined;
+    let isDue = false;
     const accountOf = (team: string, { span }: Document.Quota): Account => {
       const known = accounts.get(team);
       if (known?.span === span) {
@@ -73,6 +76,7 @@
         span,
         holds: Ledger.none,
         until: Moment.past,
+        waiting: new Set<Ledger.Work>(),
         lately: Ledger.none,
         touched: Moment.now(),
       };
@@ -81,23 +85,26 @@
     };
     const holdsOf = (account: Account): Ledger.Work =>
       Moment.isPast(account.until) ? Ledger.none : account.holds;
-    const question = (extra?: { readonly team: string; readonly work: Ledger.Work }): Question => {
+    const question = (): Question => {
       if (open) return open;
       serial += 1;
       const made = ask(serial);
       open = made;
-      const uses = [...accounts].map(([team, account]) => ({
+      const told = [...accounts].filter(([, account]) => isDue || account.waiting.size > 0);
+      isDue = false;
+      const uses = told.map(([team, account]) => ({
         team,
         used: account.ledger.total(),
         holds: holdsOf(account),
         wanted: account.lately,
-        must: extra?.team === team ? extra.work : Ledger.none,
+        must: [...account.waiting].reduce(Ledger.sum, Ledger.none),
       }));
-      for (const account of accounts.values()) account.lately = Ledger.none;
+      for (const [, account] of told) account.lately = Ledger.none;
       const late = Alarm.after(responseWithin, () => made.settle(false));
       void made.answered.then(() => {
         late.stop();
         if (open === made) open = undefined;
+        if (isDue) question();
       });
       if (!needs.send(serial, uses)) made.settle(false);
       return made;
@@ -130,10 +137,15 @@
         let isAnswered = true;
         const mayAsk = (round: number) =>
           (round < 2 && isAnswered) || (!isAnswered && isYoung() && Moment.since(asked) < waitWhileYoung);
-        for (let round = 0; mayAsk(round); round += 1) {
-          const spent = spend(account, work);
-          if (spent) return spent;
-          isAnswered = await question({ team: name, work }).answered;
+        account.waiting.add(work);
+        try {
+          for (let round = 0; mayAsk(round); round += 1) {
+            const spent = spend(account, work);
+            if (spent) return spent;
+            isAnswered = await question().answered;
+          }
+        } finally {
+          account.waiting.delete(work);
         }
         const isAlone = !isAnswered && !isYoung();
         const last = spend(account, work) ?? (isAlone ? spendAlone(account, quota, work) : undefined);
@@ -156,7 +168,9 @@
         most = Math.max(most, needs.proxies());
         for (const [team, { touched, span }] of accounts)
           if (Moment.since(touched) > 2 * span) accounts.delete(team);
-        if (accounts.size > 0) question();
+        if (accounts.size === 0) return;
+        isDue = true;
+        question();
       },
     };
   },
