--- a/tools/platform/caller-try.ts
+++ b/tools/platform/caller-try.ts
@@ -37,6 +37,11 @@
 
 const isTalk = (error: unknown): boolean => error instanceof errors.HTTPParserError;
 
+const neverCameUp = (error: unknown): boolean => {
+  const { syscall, code } = error as { syscall?: string; code?: string };
+  return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
+};
+
 export const CallerTry = {
   connect: (front: string): Client =>
     new Client(`http://${front}`, {
@@ -56,10 +61,6 @@
     };
     const deadline = setTimeout(() => giveUp('deadline'), terms.left);
     let silence = setTimeout(() => giveUp('silence'), terms.silence);
-    let hasConnected = false;
-    client.once('connect', () => {
-      hasConnected = true;
-    });
     let status = 0;
     let head: Record<string, string | string[] | undefined> = {};
     const events: Parsed[] = [];
@@ -127,8 +128,7 @@
       if (why) return tell('silent', { why });
       if (isTalk(error)) return tell('wrong', { why: text });
       if (status !== 0) return tell('broken', { why: text });
-      const isUnsent = !hasConnected && !client.closed && !/other side closed|reset/i.test(text);
-      return tell('unreached', { why: text, isUnsent });
+      return tell('unreached', { why: text, isUnsent: neverCameUp(error) });
     }
     if (status >= 200 && status < 300) return tell('whole');
     return tell([408, 421, 429, 503].includes(status) ? 'refused' : 'failed');
--- a/tools/platform/engine.ts
+++ b/tools/platform/engine.ts
@@ -6,6 +6,7 @@
 import type { EngineModel } from './engine-model.js';
 import { EngineRun } from './engine-run.js';
 import { Recording } from './recording.js';
+import { Reset } from './reset.js';
 import { Words } from './words.js';
 
 export type Engine = {
@@ -179,7 +180,7 @@
       }
       if (useFault('lost')) {
         noteRun('lost');
-        socket?.resetAndDestroy();
+        if (socket) Reset.of(socket);
         return true;
       }
       if (fault.kind === 'answer') {
@@ -208,7 +209,7 @@
     const attend = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
       const { socket } = incoming;
       const path = incoming.url ?? '/';
-      if (forgotten.has(socket)) return void socket.resetAndDestroy();
+      if (forgotten.has(socket)) return void Reset.of(socket);
       const surplus = owed.get(socket);
       if (surplus !== undefined) {
         owed.delete(socket);
@@ -269,8 +270,7 @@
       socket.setNoDelay(true);
       socket.on('error', () => {});
       socket.once('close', () => sockets.delete(socket));
-      if (sockets.size > (terms.maxConnections ?? Number.POSITIVE_INFINITY))
-        return void socket.resetAndDestroy();
+      if (sockets.size > (terms.maxConnections ?? Number.POSITIVE_INFINITY)) return void Reset.of(socket);
       if (fault.kind === 'dark') return void socket.pause();
       http.emit('connection', socket);
     });
@@ -279,7 +279,7 @@
       isUp = false;
       runs.stop();
       const closed = new Promise<void>((resolve) => server.close(() => resolve()));
-      for (const socket of sockets) socket.resetAndDestroy();
+      for (const socket of sockets) Reset.of(socket);
       http.close();
       await closed;
     };
@@ -305,7 +305,7 @@
         if (wanted.kind === 'dark') {
           runs.mute();
           for (const socket of sockets) socket.pause();
-        } else if (wasDark) for (const socket of sockets) socket.resetAndDestroy();
+        } else if (wasDark) for (const socket of sockets) Reset.of(socket);
       },
       chill(span) {
         coldUntil = now() + span;
--- /dev/null
+++ b/tools/platform/fleet.ts
@@ -0,0 +1,278 @@
+// A small fleet on the users' platform, on addresses of the loopback: control nodes and fronts as whole programs
+// from their settings files, and around them servers, the list, clients and the operator of the stand-in.
+import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { Process } from '../process.js';
+import { Random } from '../random.js';
+import { Client } from './client.js';
+import { Engine } from './engine.js';
+import { EngineModel } from './engine-model.js';
+import { PlatformList } from './list.js';
+import { Operator } from './operator.js';
+import { Recording } from './recording.js';
+import { SlotModel } from './slot-model.js';
+import type { Verdict } from './verdict.js';
+import { Words } from './words.js';
+
+export type PlatformFleet = {
+  readonly recording: Recording;
+  readonly machines: readonly PlatformFleet.Machine[];
+  readonly list: PlatformList;
+  readonly operator: Operator;
+  readonly clients: readonly Client[];
+  readonly engines: () => readonly Engine[];
+  readonly addEngine: (service: string, zone: string, coldFor?: number) => Promise<Engine>;
+  /** Shows it as draining, and ends it when its time is over. */
+  readonly retire: (engine: Engine) => Promise<void>;
+  readonly crash: (engine: Engine) => Promise<void>;
+  readonly bounds: Verdict.Bounds;
+  readonly isReady: () => Promise<boolean>;
+  readonly stop: () => Promise<void>;
+};
+
+export declare namespace PlatformFleet {
+  type Terms = {
+    readonly folder: string;
+    readonly seed: number;
+    /** Region of each zone. */
+    readonly zones: Readonly<Record<string, string>>;
+    readonly fronts: number;
+    readonly servers: Readonly<Record<string, number>>;
+    readonly drain?: number;
+  };
+  type Machine = {
+    readonly name: string;
+    readonly role: 'front' | 'control';
+    readonly zone: string;
+    readonly address: string;
+    readonly process: () => Process;
+    readonly start: () => Promise<void>;
+  };
+}
+
+const main = new URL('../../platform/main.js', import.meta.url);
+const ports = {
+  front: 8161,
+  readiness: 8167,
+  control: 8166,
+  directory: 8170,
+  list: 8169,
+  inner: [7720, 7735],
+};
+const lag = 300;
+const warmup = { perSecond: 11, span: 1500 };
+const names = { model: 'llm', plain: 'orders', host: 'serve.example' };
+
+/** A network of the loopback that no other fleet on this machine has: the one whose list can be bound. */
+const claim = async (
+  recording: Recording,
+): Promise<{ readonly net: string; readonly list: PlatformList }> => {
+  for (let number = 0; number < 200; number += 1) {
+    const net = `127.${1 + ((process.pid + number * 37) % 200)}`;
+    try {
+      const list = await PlatformList.start({
+        listen: `${net}.200.1:${ports.list}`,
+        lag,
+        perSecond: 47,
+        page: 5,
+        capacity: 64,
+        recording,
+      });
+      return { net, list };
+    } catch (error) {
+      if ((error as { code?: string }).code !== 'EADDRINUSE') throw error;
+    }
+  }
+  throw new Error('every network of the loopback is taken');
+};
+
+export const PlatformFleet = {
+  names,
+  warmup,
+  async start(terms: PlatformFleet.Terms): Promise<PlatformFleet> {
+    const recording = Recording.of();
+    const random = Random.of(terms.seed);
+    const zones = Object.keys(terms.zones);
+    const drain = terms.drain ?? 2000;
+    const bounds = {
+      'contact-ms': 5000,
+      'ack-ms': 6000,
+      'sync-time-s': 4,
+      'drain-ms': drain,
+      'grace-s': 3,
+      'config-apply-ms': 3000,
+      'revert-slack-ms': 250,
+      'retry-ratio': 0.2,
+      'retry-window-s': 10,
+      'retry-slack': 20,
+      'warmup-overshoot': 1.5,
+      'warmup-slack': 5,
+      'evacuation-ms': 2000,
+      'address-reuse-s': 2,
+      ttl_max_s: 5,
+    };
+    const { net, list } = await claim(recording);
+    const ipOf = (zone: string, number: number) => `${net}.${zones.indexOf(zone) + 1}.${number}`;
+    const seeds = zones.slice(0, 3).map((zone) => `${ipOf(zone, 1)}:${ports.control}`);
+    const spawned: PlatformFleet.Machine[] = [];
+    const spawn = async (role: 'front' | 'control', zone: string, number: number): Promise<void> => {
+      const ip = ipOf(zone, number);
+      const name = `${role}-${zone}-${number}`;
+      const data = join(terms.folder, name);
+      const file = join(terms.folder, `${name}.yaml`);
+      mkdirSync(data, { recursive: true });
+      const bindings =
+        role === 'front'
+          ? { front: `${ip}:${ports.front}`, readiness: `${ip}:${ports.readiness}` }
+          : { 'control-plane': `${ip}:${ports.control}`, directory: `${ip}:${ports.directory}` };
+      const write = (isFirst: boolean) =>
+        writeFileSync(
+          file,
+          stringify({
+            'node-name': name,
+            role,
+            'machine-class': role === 'front' ? 'edge' : 'core',
+            serves: role === 'front' ? ['edge'] : ['control', 'registry'],
+            'ip-address': ip,
+            zone,
+            region: terms.zones[zone],
+            zones: terms.zones,
+            bindings,
+            'internal-ports': ports.inner,
+            'seed-nodes': seeds,
+            'initial-start': isFirst,
+            counted: role === 'control',
+            limits: { 'cpu-fraction': 1, 'cpu-cores': 1, 'memory-mb': 350, 'file-descriptors': 4100 },
+            'data-directory': role === 'control' ? data : null,
+            resilience: { machines: 1, zones: 1, regions: 1 },
+            bounds,
+            'platform-api': { address: list.address, 'rate-per-s': 47, 'max-lag-ms': lag },
+          }),
+        );
+      write(true);
+      let running: Process;
+      const address = role === 'front' ? `${ip}:${ports.front}` : `${ip}:${ports.control}`;
+      const machine: PlatformFleet.Machine = {
+        name,
+        role,
+        zone,
+        address,
+        process: () => running,
+        async start() {
+          if (running) write(false);
+          recording.lives.push({ at: Recording.now(), front: address });
+          running = await Process.start(name, main, [role], {
+            log: join(terms.folder, `${name}.log`),
+            env: { BRAMBLEBEND_SETTINGS: file },
+            nodeArgs: ['--max-old-space-size=160'],
+          });
+        },
+      };
+      spawned.push(machine);
+      await machine.start();
+    };
+    const engines = new Map<string, Engine>();
+    let serial = 0;
+    const addEngine = async (service: string, zone: string, coldFor = 0): Promise<Engine> => {
+      serial += 1;
+      const isPlain = service === names.plain;
+      const engine = await Engine.start({
+        instance: `i-${terms.seed.toString(16)}-${serial}`,
+        service,
+        zone,
+        region: terms.zones[zone]!,
+        listen: `${ipOf(zone, 100 + serial)}:8080`,
+        model: isPlain ? SlotModel.of({ capacity: 6, queue: 24 }) : EngineModel.of({ stride: 8 }),
+        recording,
+        isPlain,
+        maxConnections: isPlain ? 110 : 370,
+        closesOneIn: 50,
+        coldFor,
+        fallsAt: 2 * (warmup.perSecond * 1.5 + 5),
+      });
+      engines.set(engine.terms.instance, engine);
+      list.show(engine);
+      return engine;
+    };
+    const crash = async (engine: Engine): Promise<void> => {
+      await engine.crash();
+      engines.delete(engine.terms.instance);
+      list.remove(engine);
+    };
+    const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
+
+    const controls = zones.slice(0, 3).map((zone) => spawn('control', zone, 1));
+    const fronts = zones.flatMap((zone) =>
+      Array.from({ length: terms.fronts }, (_none, index) => spawn('front', zone, 11 + index)),
+    );
+    await Promise.all([...controls, ...fronts]);
+    for (const [service, count] of Object.entries(terms.servers))
+      for (let index = 0; index < count; index += 1) await addEngine(service, zones[index % zones.length]!);
+    const clients = zones.map((zone, index) =>
+      Client.of({
+        directories: [zone, ...zones.filter((other) => other !== zone)]
+          .slice(0, 3)
+          .map((one) => `${ipOf(one, 1)}:${ports.directory}`),
+        name: names.host,
+        region: terms.zones[zone]!,
+        zone,
+        random: Random.of(terms.seed + 1000 + index),
+        recording,
+        ttlMax: bounds.ttl_max_s,
+        isSlack: index === 1,
+      }),
+    );
+    return {
+      recording,
+      machines: spawned,
+      list,
+      operator: Operator.of({ nodes: () => seeds, random, recording, ackWithin: bounds['ack-ms'] }),
+      clients,
+      engines: () => [...engines.values()],
+      addEngine,
+      crash,
+      async retire(engine) {
+        engine.drain();
+        list.show(engine);
+        await pause(lag + drain + 500);
+        await crash(engine);
+      },
+      bounds: {
+        drain,
+        evacuation: bounds['evacuation-ms'],
+        configApply: bounds['config-apply-ms'],
+        revertSlack: bounds['revert-slack-ms'],
+        retryRatio: bounds['retry-ratio'],
+        retryWindow: bounds['retry-window-s'] * 1000,
+        retrySlack: bounds['retry-slack'],
+        warmupOvershoot: bounds['warmup-overshoot'],
+        warmupSlack: bounds['warmup-slack'],
+        warmupPerSecond: { [names.model]: warmup.perSecond },
+      },
+      async isReady() {
+        const answers = await Promise.all(
+          spawned
+            .filter((machine) => machine.role === 'front')
+            .map(async (machine) => {
+              const address = machine.address.replace(`:${ports.front}`, `:${ports.readiness}`);
+              const answer = await request(`http://${address}${Words.paths.readiness}`);
+              await answer.body.dump();
+              return answer.statusCode === 200;
+            }),
+        );
+        return answers.every(Boolean);
+      },
+      async stop() {
+        await Promise.all(clients.map((client) => client.stop()));
+        await Promise.all(
+          spawned.map((machine) => (machine.process().isUp() ? machine.process().end('SIGKILL') : undefined)),
+        );
+        for (const engine of engines.values()) await engine.crash();
+        await list.stop();
+        rmSync(terms.folder, { recursive: true, force: true });
+      },
+    };
+  },
+};
--- a/tools/platform/list.ts
+++ b/tools/platform/list.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Engine } from './engine.js';
 import { Recording } from './recording.js';
+import { Reset } from './reset.js';
 import { Words } from './words.js';
 
 export type PlatformList = {
@@ -69,7 +70,7 @@
       });
     };
     const server = createServer((incoming, response) => {
-      if (isDown) return void incoming.socket.resetAndDestroy();
+      if (isDown) return void Reset.of(incoming.socket);
       const url = new URL(incoming.url ?? '/', 'http://list');
       const answer = (status: number, body: object) => {
         response.writeHead(status, { 'Content-Type': 'application/json' });
