--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -111,6 +111,7 @@
   'control/at-primary.ts',
   'control/core.ts',
   'control/desk.ts',
+  'control/forming.ts',
   'control/mates.ts',
   'control/office.ts',
   'control/program.ts',
