Compare ways to place prompts on the pure model of servers

Cause: placement decides what is read again and who waits; the model lets ways be compared without the bench.

--- a/test/platform-model.test.ts
+++ b/test/platform-model.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { EngineModel } from '../tools/platform/engine-model.js';
+import { Placement } from '../tools/platform/placement.js';
 
 const work = (id: string, more: Partial<EngineModel.Work> = {}): EngineModel.Work => ({
   id,
@@ -135,3 +136,19 @@
     assert.deepEqual([model.report().active, model.report().queued, model.report().used], [0, 0, 0]);
   });
 });
+
+describe('the experiment of placement', () => {
+  const terms = { site: Placement.sites.baobab!, rate: 1, span: 5000, seed: 3 };
+
+  it('gives the same figures for the same seed, and others for another', () => {
+    const first = Placement.play('cost', terms);
+    assert.deepEqual(Placement.play('cost', terms), first);
+    assert.notDeepEqual(Placement.play('cost', { ...terms, seed: 4 }), first);
+  });
+
+  it('plays the same requests for each way, and shows that agreed places save reading', () => {
+    const [random, rendezvous] = [Placement.play('random', terms), Placement.play('rendezvous', terms)];
+    assert.equal(random.asked, rendezvous.asked);
+    assert.ok(rendezvous.readPerRequest < random.readPerRequest * 0.95);
+  });
+});
--- a/tools/platform/caller-try.ts
+++ b/tools/platform/caller-try.ts
@@ -131,6 +131,7 @@
       return tell('unreached', { why: text, isUnsent: neverCameUp(error) });
     }
     if (status >= 200 && status < 300) return tell('whole');
-    return tell([408, 421, 429, 503].includes(status) ? 'refused' : 'failed');
+    const text = Buffer.concat(chunks).toString('utf8').slice(0, 200);
+    return tell([408, 421, 429, 503].includes(status) ? 'refused' : 'failed', { why: text });
   },
 };
--- a/tools/platform/day.ts
+++ b/tools/platform/day.ts
@@ -20,6 +20,7 @@
   readonly kinds: Readonly<Record<string, Day.Figures>>;
   readonly statuses: readonly number[];
   readonly notes: readonly string[];
+  readonly recording: Recording;
 };
 
 export declare namespace Day {
@@ -314,6 +315,7 @@
         kinds: Object.fromEntries(kinds.map((kind) => [kind.name, figuresOf(fleet.recording, kind)])),
         statuses: fleet.recording.orders.map((order) => order.status),
         notes,
+        recording: fleet.recording,
       };
     } finally {
       await fleet.stop();
