--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -1,6 +1,7 @@
 // A core machine's copy of the state: held in memory, rebuilt from its file at start, and extended one
 // synced change at a time. Long changes are packed, on disk and on their way to a backup. A damaged file
-// does not open: the whole folder is then untrusted.
+// does not open: the whole folder is then untrusted. After a failed write the copy is mended by writing all
+// of what it holds anew.
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
@@ -11,7 +12,9 @@
 export type Store = {
   readonly state: () => State;
   readonly isSound: () => boolean;
-  readonly take: (change: State.Change) => Promise<void>;
+  readonly take: (change: State.Change, previous?: Stamp) => Promise<void>;
+  readonly idle: () => Promise<void>;
+  readonly mend: () => Promise<void>;
   readonly close: () => Promise<void>;
 };
 
@@ -44,8 +47,15 @@
     return {
       state: () => state,
       isSound: () => file.isSound(),
-      take: (change) =>
+      idle: () => turns.take(async () => {}),
+      mend: () =>
         turns.take(async () => {
+          if (file.isBroken()) await file.rewrite([encode({ kind: 'whole', stamp: state.stamp, state })]);
+        }),
+      take: (change, previous) =>
+        turns.take(async () => {
+          if (previous && !Stamp.isSame(previous, state.stamp))
+            throw Mishap.of('stale', 'another state is held', { held: Stamp.text(state.stamp) });
           if (change.kind !== 'whole' && !Stamp.isNewer(change.stamp, state.stamp))
             throw Mishap.of('stale', 'change is not newer', {
               held: Stamp.text(state.stamp),
@@ -53,7 +63,7 @@
             });
           const next = State.apply(state, change);
           const whole = { kind: 'whole', stamp: next.stamp, state: next } as const;
-          if (change.kind === 'whole' || file.length() > rewritten + longest) {
+          if (change.kind === 'whole' || file.length() > rewritten + longest || file.isBroken()) {
             await file.rewrite([encode(whole)]);
             rewritten = file.length();
           } else await file.append(encode(change));
