--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -53,7 +53,7 @@
 const changesWithin = 20;
 const pingEvery = 200;
 const silence = 1200;
-const nextAfter = 150;
+const nextAfter = 25;
 const stayFar = 15_000;
 
 export const Uplink = {
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -46,7 +46,11 @@
       proxies: () => roster.length,
       send: (serial, uses) => sendUp({ batches: [], wanted: 0, serial, uses }),
     });
-    const budget = Budget.of((batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }));
+    const extra = startup.extra_tries;
+    const budget = Budget.of(
+      (batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }),
+      extra && { tries: extra.count, window: extra.window, proxies: () => roster.length },
+    );
     const tending = Alarm.every(500, () => {
       budget.tend();
       quotas.tend();
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -12,6 +12,7 @@
   {
     concurrent: Guard.whole({ min: 1, max: 1_000_000 }),
     drain: Guard.whole({ min: 0, max: 3_600_000 }),
+    extra_tries: Guard.record({ count: Guard.number({ min: 0 }), window: Guard.whole({ min: 1 }) }),
     linger: Guard.whole({ min: 0, max: 3_600_000 }),
     ready_path: Guard.text({ like: /^\/[^\s?#:*]*$/, as: 'a path that begins with /' }),
   },
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -2,7 +2,9 @@
 // request's first spends a whole one, and none is ever made in another way, so that over all nodes
 // together extra tries stay below a fifth of real requests. What this proxy has no use for goes to the
 // pool; one token is topped up from it, and a try that finds none asks for more. Grants from below the
-// epoch it has seen are dropped.
+// epoch it has seen are dropped. Beside the earned ones the operator may allow so many tries in any window over all
+// proxies whatever was asked: each proxy spends its even part of a portion of those, by the most proxies it ever knew
+// of, so that restarts and cuts leave the sum below the whole.
 import { Purse } from '../duty/purse.js';
 import { Moment } from '../kinds/moment.js';
 
@@ -15,22 +17,40 @@
   readonly tend: () => void;
 };
 
+export declare namespace Budget {
+  type Allowance = { readonly tries: number; readonly window: number; readonly proxies: () => number };
+}
+
 const whole = 1000;
 const earned = 200;
 const reserve = whole;
 const least = 250;
 const asked = 3 * whole;
 const askAgainAfter = 50;
+const portion = 0.35;
 
 export const Budget = {
-  of(send: (batches: readonly Purse.Batch[], wanted: number) => boolean = () => false): Budget {
+  of(
+    send: (batches: readonly Purse.Batch[], wanted: number) => boolean = () => false,
+    allowance?: Budget.Allowance,
+  ): Budget {
+    let most = 0;
+    let spent: Moment[] = [];
+    const spendAllowed = (): boolean => {
+      if (!allowance) return false;
+      most = Math.max(most, allowance.proxies());
+      spent = spent.filter((at) => Moment.since(at) < allowance.window);
+      if (most === 0 || spent.length >= Math.floor((allowance.tries * portion) / most)) return false;
+      spent.push(Moment.now());
+      return true;
+    };
     const purse = Purse.of();
     let epoch = 0;
     let askedAt = 0 as Moment;
     return {
       held: () => purse.total() / whole,
       earn: () => purse.add([{ amount: earned, age: 0 }]),
-      spend: () => purse.take(whole) !== undefined,
+      spend: () => purse.take(whole) !== undefined || spendAllowed(),
       want() {
         if (purse.total() >= whole || Moment.since(askedAt) < askAgainAfter) return;
         askedAt = Moment.now();
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -46,6 +46,11 @@
   };
 }
 
+type Holders = {
+  readonly first: string | undefined;
+  readonly second: string | undefined;
+  readonly near: string | undefined;
+};
 type Chain = { readonly key: string; readonly tokens: number };
 
 const farTrip = 110;
@@ -53,7 +58,7 @@
 const connecting = 12;
 const perJob = 0.5;
 const whenFull = 400;
-const holderBonus = 6;
+const bonuses = { first: 6, near: 4 } as const;
 const jitter = 2;
 const perLateness = { early: 0.08, late: 2 } as const;
 const keptMost = 4096;
@@ -64,7 +69,9 @@
 const perDisturbed = 0.12;
 const perPause = 1;
 const slowFrom = 1.15;
-const weights = { slow: 0.4, spared: 2.5 } as const;
+const weights = { slow: 0.8, spared: 1.2 } as const;
+
+const none: Holders = { first: undefined, second: undefined, near: undefined };
 
 const chainsOf = (parts: readonly Placement.Part[]): Chain[] => {
   const chains: Chain[] = [];
@@ -115,27 +122,32 @@
     const weightOf = ({ instance, group, region }: Compiled.Server): number =>
       (reading.paceOf(instance, group) > slowFrom ? weights.slow : 1) *
       (spared.get(group)?.has(region) ? weights.spared : 1);
-    const holderOf = (among: readonly Pick[], key: string): string | undefined => {
+    const holdersOf = (among: readonly Pick[], key: string): Holders => {
       const seed = Pick.mix(0x811c9dc5, key);
-      let best: { score: number; instance: string } | undefined;
-      for (const { server } of among) {
-        const chance = (Pick.mix(seed, server.instance) + 1) / 2 ** 32;
-        const score = Math.log(chance) / weightOf(server);
-        if (!best || score > best.score) best = { score, instance: server.instance };
-      }
-      return best?.instance;
+      const ranked = among
+        .map(({ server }) => ({
+          server,
+          score: Math.log((Pick.mix(seed, server.instance) + 1) / 2 ** 32) / weightOf(server),
+        }))
+        .sort((a, b) => b.score - a.score);
+      const near = ranked.find(({ server }) => server.region === needs.region());
+      return {
+        first: ranked[0]?.server.instance,
+        second: ranked[1]?.server.instance,
+        near: near?.server.instance,
+      };
     };
     const costOf = (
       { server }: Pick,
       want: Placement.Want,
       chains: readonly Chain[],
-      holder: string | undefined,
+      holders: Holders,
     ): number => {
       const { instance, slots } = server;
       const level = needs.busyness.of(instance);
       const told = heard(instance);
       const isFar = server.region !== needs.region();
-      const isHolder = instance === holder;
+      const isHolder = instance === holders.first;
       const tokens =
         chains.length === 0 ? want.tokens : missing(instance, chains, isHolder && isSettled(instance));
       const speed = reading.speedOf(instance, server.group);
@@ -160,7 +172,8 @@
         late * perLateness.late +
         Math.max(0, waits - want.gap / 2) * perPause +
         Math.max(0, reads - want.gap / 2) * perDisturbed * others -
-        (isHolder ? holderBonus : 0) +
+        (isHolder ? bonuses.first : 0) -
+        (instance === holders.near ? bonuses.near : 0) +
         needs.random() * jitter
       );
     };
@@ -169,10 +182,10 @@
         if (among.length <= 1) return among[0];
         const chains = chainsOf(want.parts);
         const shared = chains.at(-2)?.key;
-        const holder = shared === undefined ? undefined : holderOf(among, shared);
+        const holders = shared === undefined ? none : holdersOf(among, shared);
         let best: { readonly pick: Pick; readonly cost: number } | undefined;
         for (const pick of among) {
-          const cost = costOf(pick, want, chains, holder);
+          const cost = costOf(pick, want, chains, holders);
           if (!best || cost < best.cost) best = { pick, cost };
         }
         return best?.pick;
