--- a/test/losses.test.ts
+++ b/test/losses.test.ts
@@ -61,25 +61,36 @@
     const whole = async () => {
       await until(async () => {
         const now = await tenure();
-        const isUp = (disk: string) =>
-          up().some((core) => core.node === now.cores.find((one) => one.disk === disk)?.node);
-        return now.inSync.length === losses + 1 && now.cores.every((core) => isUp(core.disk))
-          ? true
-          : undefined;
+        const states = await Promise.all(up().map(told));
+        const nodes = up().map((core) => core.node);
+        const isJoined = states.every(({ state }) => state === 'following' || state === 'leading');
+        const isWhole =
+          now.cores.length === nodes.length && now.cores.every((core) => nodes.includes(core.node));
+        return isJoined && isWhole && now.inSync.length === losses + 1 ? true : undefined;
       });
     };
     const read = (core: Core) => FleetKit.call(core.http, 'GET', '/v1/manifest', undefined, headers);
-    const tryPut = async (core: Core, note: string, etag: string) => {
-      const put = await FleetKit.call(
+    const patient = <T>(work: Promise<T>): Promise<T> =>
+      Promise.race([
+        work,
+        new Promise<never>((_resolve, reject) => {
+          setTimeout(() => reject(new Error('a second of silence')), 1000).unref();
+        }),
+      ]);
+    const offer = (core: Core, note: string, etag: string) =>
+      FleetKit.call(
         core.http,
         'PUT',
         '/v1/manifest',
         { ...Bench.manifest, note },
         { ...headers, 'if-match': etag },
       );
-      if (put.status === 200) acknowledged = note;
-      if (put.status === 412) stale.add(note);
-      return put.status;
+    const tryPut = async (core: Core, note: string, etag: string, isPatient = true) => {
+      const offered = offer(core, note, etag);
+      const { status } = await (isPatient ? offered : patient(offered));
+      if (status === 200) acknowledged = note;
+      if (status === 412) stale.add(note);
+      return status;
     };
     const anywhere = async <T>(act: (core: Core) => Promise<T | undefined>) => {
       let turn = 0;
@@ -92,10 +103,10 @@
     const put = async (): Promise<{ note: string; took: number }> => {
       const note = `note ${++count}`;
       const { took } = await anywhere(async (core) => {
-        const now = await read(core);
+        const now = await patient(read(core));
         if (now.status !== 200) return undefined;
         if (now.body.note === note) acknowledged = note;
-        else if ((await tryPut(core, note, now.etag!)) !== 200) return undefined;
+        else if ((await tryPut(core, note, now.etag!, false)) !== 200) return undefined;
         return true;
       });
       return { note, took };
@@ -253,22 +264,25 @@
         await put();
         const first = await leader();
         const { etag } = await read(first);
+        const began = performance.now();
         const notes = ['left', 'right'].map((side) => `${side} ${round}`);
         const among = shuffled(bench.kit.cores);
         const answers: Promise<number[]>[] = notes.map(async (note, index) => {
           const statuses: number[] = [];
-          for (let turn = 0; turn < among.length * 3; turn += 1) {
+          for (let turn = 0; performance.now() - began < backWithin; turn += 1) {
             const place = among[(turn + index) % among.length]!;
             const status = await tryPut(place, note, etag!).catch(() => 0);
-            statuses.push(status);
+            if (status !== statuses.at(-1)) statuses.push(status);
             if (status === 200 || status === 412) break;
           }
           return statuses;
         });
         await end([first]);
         const statuses = await Promise.all(answers);
-        test.diagnostic(`answers ${statuses.map((one) => one.join(' ')).join(' | ')}`);
+        test.diagnostic(`both answered after ${Math.round(performance.now() - began)} ms`);
+        test.diagnostic(`last answers ${statuses.map((one) => one.at(-1)).join(' | ')}`);
         assert.ok(statuses.flat().filter((status) => status === 200).length <= 1);
+        assert.ok(statuses.flat().includes(412));
         await start([first]);
         const now = await anywhere(async (core) => {
           const one = await read(core);
@@ -302,6 +316,63 @@
       }
     });
 
+    it('goes on when a part with the leader in it is cut off, as large as may be lost', async (test) => {
+      for (const way of ['both', 'one'] as const) {
+        await whole();
+        await put();
+        const first = await leader();
+        const away = [first, ...bench.kit.cores.filter((core) => core !== first)].slice(0, losses);
+        const others = bench.kit.cores.filter((core) => !away.includes(core));
+        const ips = (cores: readonly Core[]) => cores.map((core) => core.wire.split(':')[0]!);
+        const heal = bench.faults!.cut(ips(away), ips(others), way);
+        const began = performance.now();
+        const next = await leader(others);
+        const note = `beyond the cut ${way}`;
+        await until(async () => {
+          const now = await read(next);
+          if (now.status !== 200) return undefined;
+          return (await tryPut(next, note, now.etag!)) === 200 ? true : undefined;
+        });
+        test.diagnostic(`${way}: taken ${Math.round(performance.now() - began)} ms after the cut`);
+        assert.ok(performance.now() - began < 6000);
+        for (const core of away) {
+          const late = await read(core);
+          assert.ok(late.status !== 200 || late.body.note === note);
+        }
+        heal();
+        await isKept(test.diagnostic.bind(test), `part cut off, ${way}`);
+      }
+    });
+
+    it('keeps every acknowledgement through a storm of kills, lost disks and cuts', async (test) => {
+      const rounds = Number(process.env.BRAMBLEBEND_ROUNDS ?? 8);
+      for (let round = 0; round < rounds; round += 1) {
+        await whole();
+        const order = random.pick([shuffled(bench.kit.cores), await inSyncFirst()]);
+        const lost = order.slice(0, losses);
+        const kind = random.pick(['killed', 'emptied', 'cut', 'one way', 'all'] as const);
+        const ips = (cores: readonly Core[]) => cores.map((core) => core.wire.split(':')[0]!);
+        const others = bench.kit.cores.filter((core) => !lost.includes(core));
+        const writes = random.below(3);
+        for (let turn = 0; turn <= writes; turn += 1) await put();
+        const began = performance.now();
+        let heal = () => {};
+        if (kind === 'cut') heal = bench.faults!.cut(ips(lost), ips(others), 'both');
+        else if (kind === 'one way') heal = bench.faults!.cut(ips(lost), ips(others), 'one');
+        else await end(kind === 'all' ? bench.kit.cores : lost);
+        if (kind === 'emptied') empty(lost);
+        const isDuring = kind !== 'all' && random.below(2) === 0;
+        if (isDuring) {
+          await put();
+          test.diagnostic(`${kind}: taken meanwhile after ${Math.round(performance.now() - began)} ms`);
+          assert.ok(performance.now() - began < 6000);
+        }
+        heal();
+        await start(shuffled(bench.kit.cores.filter((core) => !core.process?.isUp())));
+        await isKept(test.diagnostic.bind(test), `${round} ${kind}`);
+      }
+    });
+
     it('lets every seed be exchanged for an empty machine elsewhere, and nodes with old seeds go on', async (test) => {
       for (const place of [0, 1, 2]) {
         await whole();
