Write out frame functions at build; leave HTTP/2, TLS and perf_hooks unloaded

Cause: protobufjs parsed the schema at each start and compiled some 50 functions at the first frames; both HTTP libraries load node:http2 and with it TLS and crypto's rest (42 ms profiled); performance.now loads perf_hooks (5 ms profiled). deploy/frame-code.mjs writes out what protobufjs would generate; test/bundle holds it against the library over 3000 random and bent frames, and starts the bundle with, without and with spoilt kept code. platform/lean/http2 stands for a module that only HTTP/2 servers use. Moment reads the same clock by process.hrtime, from its own origin.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,13 +1,15 @@
 // Builds what deploy/system.toml runs, under target/platform/bin: program.cjs holds all that is loaded, with no
 // more of each package than is used; bramblebend.cjs starts it; program.cache is its code as V8 compiled it in a
-// rehearsal of both roles, so that a process that starts compiles next to nothing.
+// rehearsal of both roles, so that a process that starts compiles next to nothing. An argument names another folder.
 import { spawnSync } from 'node:child_process';
 import { readFileSync, rmSync } from 'node:fs';
-import { fileURLToPath } from 'node:url';
+import { resolve } from 'node:path';
+import { fileURLToPath, pathToFileURL } from 'node:url';
 import { build } from 'esbuild';
+import { frameCode } from './frame-code.mjs';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
-const out = `${root}target/platform/bin`;
+const out = resolve(root, process.argv[2] ?? 'target/platform/bin');
 
 const common = {
   absWorkingDir: root,
@@ -21,15 +23,27 @@
   logLevel: 'warning',
 };
 
-/** Packages of which a part does: a module of ours names the parts. */
+rmSync(out, { recursive: true, force: true });
+const schema = `${out}/schema.mjs`;
+await build({ ...common, format: 'esm', packages: 'external', entryPoints: ['src/wire/schema.ts'], outfile: schema });
+const { Schema } = await import(pathToFileURL(schema).href);
+
+/** Where a part of a module does, a smaller one of ours takes its place. */
 const lean = {
   name: 'lean',
   setup(made) {
-    made.onResolve({ filter: /^undici$/ }, () => ({ path: `${root}platform/lean/undici.cjs` }));
+    for (const name of ['undici', 'http2'])
+      made.onResolve({ filter: new RegExp(`^(node:)?${name}$`) }, () => ({
+        path: `${root}platform/lean/${name}.cjs`,
+      }));
+    made.onLoad({ filter: /src\/wire\/schema\.ts$/ }, () => ({
+      contents: frameCode(Schema.frame),
+      loader: 'js',
+      resolveDir: root,
+    }));
   },
 };
 
-rmSync(out, { recursive: true, force: true });
 await build({
   ...common,
   entryPoints: ['platform/main.ts'],
