Claim the register in two round trips; a torn head at the end of a file is no damage

Cause: after a loss of power a core led 0.85 s after it was ready: a peer's first word came with its first timer (200 ms), each of three rounds waited 60 ms more than its quorum, and the first round only asked for a number that is known.

--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -40,7 +40,6 @@
 }
 
 const within = 1000;
-const grace = 60;
 
 const bounded = (work: Promise<boolean>, span: number): Promise<boolean> =>
   new Promise((resolve) => {
@@ -78,15 +77,12 @@
     ): Promise<readonly Proposer.Vote[]> => {
       const votes: Proposer.Vote[] = [];
       await new Promise<void>((resolve) => {
-        let late: Alarm | undefined;
-        const finish = () => {
-          late?.stop();
-          resolve();
-        };
+        const finish = () => resolve();
         const take = (told: Frame.Reply | Proposer.Vote) => {
           if (!('isGranted' in told)) return;
           votes.push(told as Proposer.Vote);
-          if (isEnough(votes)) late ??= Alarm.after(grace, finish);
+          remember(votes);
+          if (isEnough(votes)) finish();
         };
         const others = needs.couriers().map((courier) => courier.ask(request, within).then(take));
         const own = bounded(mine(), within).then(vote).then(take);
@@ -96,10 +92,14 @@
         (one, index) => votes.findIndex((other) => other.core.disk === one.core.disk) === index,
       );
     };
+    let highestRound = 0;
+    const remember = (votes: readonly Proposer.Vote[]) => {
+      for (const one of votes) highestRound = Math.max(highestRound, one.promised?.round ?? 0);
+    };
     const granted = (votes: readonly Proposer.Vote[]) => votes.filter((one) => one.isGranted);
     const nextBallot = (votes: readonly Proposer.Vote[]): Ballot =>
       Ballot.after(
-        Math.max(register.promised().round, ...votes.map((one) => one.promised?.round ?? 0)),
+        Math.max(register.promised().round, highestRound, ...votes.map((one) => one.promised?.round ?? 0)),
         register.disk,
       );
     const isQuorum = (votes: readonly Proposer.Vote[]): boolean => {
@@ -146,9 +146,14 @@
           void Promise.allSettled(asked).then(() => resolve(false));
         }),
       async change(next) {
-        const ballot = nextBallot(await askAll({ kind: 'peek' }, async () => true, isQuorum));
-        const grants = granted(await prepare(ballot, false));
-        const base = highestOf(grants)?.tenure;
+        let ballot = nextBallot([]);
+        let grants = granted(await prepare(ballot, false));
+        let base = highestOf(grants)?.tenure;
+        if ((!base || !isMajority(grants, base)) && highestRound >= ballot.round + 1) {
+          ballot = nextBallot([]);
+          grants = granted(await prepare(ballot, false));
+          base = highestOf(grants)?.tenure;
+        }
         if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined };
         const wanted = next(base);
         const value = wanted ?? base;
--- a/src/store/records.ts
+++ b/src/store/records.ts
@@ -1,6 +1,7 @@
 // The bytes of the file: each record is its length, a checksum of that length, a checksum of the
-// payload, and the payload. A record cut short at the very end was never acknowledged and is cut off;
-// damage anywhere before makes the whole copy untrusted, for what follows it can't be vouched for.
+// payload, and the payload. A record torn at the very end, in its head or its
+// payload, was never acknowledged and is cut off; damage with a whole record after it makes the whole copy
+// untrusted, for what follows it can't be vouched for.
 import { crc32 } from 'node:zlib';
 import { Mishap } from '../kinds/mishap.js';
 
@@ -10,6 +11,17 @@
 
 const isBlank = (bytes: Buffer): boolean => bytes.every((byte) => byte === 0);
 
+const isFollowed = (bytes: Buffer): boolean => {
+  for (let start = 1; start + head <= bytes.length; start += 1) {
+    const length = bytes.readUInt32BE(start);
+    const end = start + head + length;
+    if (length === 0 || end > bytes.length) continue;
+    if (crc32(bytes.subarray(start, start + 4)) !== bytes.readUInt32BE(start + 4)) continue;
+    if (crc32(bytes.subarray(start + head, end)) === bytes.readUInt32BE(start + 8)) return true;
+  }
+  return false;
+};
+
 export const Records = {
   encode(payload: Uint8Array): Buffer {
     const bytes = Buffer.allocUnsafe(head + payload.length);
@@ -26,8 +38,10 @@
       const rest = bytes.subarray(offset);
       if (rest.length < head || isBlank(rest)) break;
       const length = rest.readUInt32BE(0);
-      if (crc32(rest.subarray(0, 4)) !== rest.readUInt32BE(4))
+      if (crc32(rest.subarray(0, 4)) !== rest.readUInt32BE(4)) {
+        if (!isFollowed(rest)) break;
         throw Mishap.of('store', 'damaged record', { offset });
+      }
       if (rest.length < head + length) break;
       const payload = rest.subarray(head, head + length);
       if (crc32(payload) !== rest.readUInt32BE(8)) {
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -49,6 +49,7 @@
       try {
         const hello = await greet(frames);
         late.stop();
+        link.send({ kind: 'ping', age: needs.age() });
         await needs.serve(link, hello, frames);
       } catch (error) {
         dropped += 1;
