--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -49,7 +49,7 @@
 }
 
 const oldAfter = 1500;
-const rollEvery = 500;
+const rollEvery = 1000;
 const changesWithin = 20;
 const pingEvery = 200;
 const silence = 1200;
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -56,7 +56,7 @@
 const farTrip = 110;
 const leaving = { base: 8, perKilobyte: 1 } as const;
 const connecting = 12;
-const perJob = 0.5;
+const perJob = 2;
 const whenFull = 400;
 const bonuses = { first: 6, near: 4 } as const;
 const jitter = 2;
@@ -66,10 +66,11 @@
 const heardFor = 2500;
 const fullPart = 0.9;
 const usualTokens = 2000;
+const usualQueue = 2;
 const perDisturbed = 0.12;
 const perPause = 1;
 const slowFrom = 1.15;
-const weights = { slow: 0.8, spared: 1.2 } as const;
+const weights = { slow: 1, spared: 1 } as const;
 
 const none: Holders = { first: undefined, second: undefined, near: undefined };
 
@@ -152,16 +153,14 @@
         chains.length === 0 ? want.tokens : missing(instance, chains, isHolder && isSettled(instance));
       const speed = reading.speedOf(instance, server.group);
       const reads = tokens / speed;
-      const queued = ((told?.load.queued ?? 0) * tokensUsual) / speed;
-      const waits = Math.max(level.prefill / speed, queued) + ((told?.sent ?? 0) * tokensUsual) / speed / 2;
+      const queued = (Math.max(0, (told?.load.queued ?? 0) - usualQueue) * tokensUsual) / speed;
+      const waits = Math.max(level.prefill / speed, queued);
       const until = (isFar ? farTrip : 0) + waits + reads;
       const late = Math.max(0, until - want.aim / 2);
-      const jobs = Math.max(
-        level.jobs,
-        (told?.load.active ?? 0) + (told?.load.queued ?? 0) + (told?.sent ?? 0),
-      );
+      const { jobs } = level;
       const others = Math.max(level.decode, told?.load.active ?? 0);
-      const isFull = (slots !== undefined && jobs >= slots) || (told?.load.bound ?? 0) > fullPart;
+      const running = Math.max(jobs, (told?.load.active ?? 0) + (told?.load.queued ?? 0));
+      const isFull = (slots !== undefined && running >= slots) || (told?.load.bound ?? 0) > fullPart;
       return (
         reads +
         (isFar ? leaving.base + (leaving.perKilobyte * want.bytes) / 1024 : 0) +
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -49,7 +49,7 @@
       try {
         const hello = await greet(frames);
         late.stop();
-        link.send({ kind: 'ping', age: needs.age() });
+        if (hello.aim === 'core') link.send({ kind: 'ping', age: needs.age() });
         await needs.serve(link, hello, frames);
       } catch (error) {
         dropped += 1;
