Take streams up only where it is safe, and within the rule's attempts

Cause: a review of resuming. The product's own dialect neither sent nor read Last-Event-Id; a stream whose events carry no ids was taken up from its start and so doubled; the try that takes a stream up ignored the rule's retry count (one attempt became two); a compressed event stream was held back until chance bytes looked like an event's end; a failure whose body broke off was told as a whole empty one. What: the dialect passes last-event-id; Events knows when ids no longer tell where to go on; tries count what was sent, not what was tried; compressed streams pass as bytes; a failure cut short is a lost try unless it was declared not run. A caller who left counts as client, not server.

--- a/src/proxy/dialect.ts
+++ b/src/proxy/dialect.ts
@@ -62,24 +62,26 @@
   404: 'not_found_error',
   429: 'rate_limit_error',
 };
+const lastEventId = 'last-event-id';
 const notUp = new Set(['host', 'authorization', 'api-key', 'x-api-key']);
 
 /** The product's own words: headers that begin with bramblebend-, errors as OpenAI writes them. */
 export const Dialect: Dialect = {
   isOpenAi: true,
-  read: () => ({
+  read: (headers) => ({
     id: Ident.request(),
     left: undefined,
     model: undefined,
     tokens: undefined,
     parts: [],
-    after: undefined,
+    after: Array.isArray(headers[lastEventId]) ? headers[lastEventId][0] : headers[lastEventId],
   }),
   isKept: (name) => !notUp.has(name),
-  up: ({ id, left, hops }) => ({
+  up: ({ id, left, hops, after }) => ({
     'bramblebend-request-id': id,
     'bramblebend-time-left': String(Math.max(0, Math.floor(left))),
     'bramblebend-hops': String(hops),
+    ...(after === undefined ? {} : { [lastEventId]: after }),
   }),
   isAnswerTo: () => true,
   down: ({ id, group, region, tries, stamp }) => ({
--- a/src/proxy/events.ts
+++ b/src/proxy/events.ts
@@ -1,15 +1,18 @@
 // Whole events out of the bytes of an event stream. Only whole events are let through, so that a stream that
 // breaks in the middle of one can be taken up after the last that the caller has; events that the caller has
-// already are left out.
+// already are left out. After an event that has content and no id nobody can tell where to go on.
 export type Events = {
   readonly take: (chunk: Buffer) => Buffer | undefined;
   readonly last: () => string | undefined;
+  readonly canResume: () => boolean;
   readonly restart: () => void;
   readonly rest: () => Buffer | undefined;
 };
 
 const idOf = (event: string): string | undefined => /^id:[ ]?(.*)$/m.exec(event)?.[1]?.trim();
 
+const hasContent = (event: string): boolean => /^(?!:|retry:|[\r\n]).+/m.test(event);
+
 const isAfter = (id: string, last: string): boolean => {
   const [a, b] = [Number(id), Number(last)];
   return Number.isFinite(a) && Number.isFinite(b) ? a > b : id !== last;
@@ -26,8 +29,10 @@
   of(first?: string): Events {
     let held: Buffer = Buffer.alloc(0);
     let last = first;
+    let canResume = true;
     return {
       last: () => last,
+      canResume: () => canResume,
       restart() {
         held = Buffer.alloc(0);
       },
@@ -39,9 +44,11 @@
         for (let end = endOf(held, start); end >= 0; end = endOf(held, start)) {
           const event = held.subarray(start, end);
           start = end;
-          const id = idOf(event.toString('utf8'));
+          const text = event.toString('utf8');
+          const id = idOf(text);
           if (id !== undefined && last !== undefined && !isAfter(id, last)) continue;
           if (id !== undefined) last = id;
+          if (id !== undefined || hasContent(text)) canResume = id !== undefined;
           whole.push(event);
         }
         held = held.subarray(start);
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -81,20 +81,21 @@
     });
   });
 
-const isEventStream = (trial: Streamed): boolean =>
-  String(trial.headers['content-type'] ?? '').startsWith('text/event-stream');
+const isEventStream = ({ headers }: Streamed): boolean =>
+  String(headers['content-type'] ?? '').startsWith('text/event-stream') &&
+  (headers['content-encoding'] ?? 'identity') === 'identity';
 
 const serve = async (
   needs: Filter.Needs,
   call: Call,
   first: Streamed,
-  sent: number,
+  sentBefore: number,
   outgoing: ServerResponse,
   events: Events | undefined,
 ): Promise<Commit> => {
   const { idle } = Call.need(call, 'timeouts');
   let trial = first;
-  let tries = sent;
+  let sent = sentBefore;
   for (;;) {
     const { instance } = trial.pick.server;
     const how = await stream(trial, outgoing, idle, events, (span) =>
@@ -110,11 +111,12 @@
       needs.ejector.bad(trial.pick.server, trial.pick.group);
       needs.note('stream broken', { request: call.id, by: trial.pick.server.instance });
     }
-    if (how === 'client' || !events || !call.resume || outgoing.destroyed) break;
+    if (how === 'client' || outgoing.destroyed) return 'client';
+    if (!events?.canResume() || !call.resume) break;
     events.restart();
-    const verdict = await call.resume(events.last(), tries);
-    tries += verdict.tries;
+    const verdict = await call.resume(events.last(), sent);
     if (verdict.kind !== 'stream') break;
+    sent = verdict.sent;
     if (outgoing.destroyed || !isEventStream(verdict.trial)) {
       await verdict.trial.connection.destroy();
       verdict.trial.job.end();
@@ -166,7 +168,7 @@
           outgoing.end(trial.body);
           return RESPONSE_ALREADY_SENT;
         })
-        .with({ kind: 'stream' }, async ({ trial, tries }) => {
+        .with({ kind: 'stream' }, async ({ trial, tries, sent }) => {
           if (outgoing.destroyed) {
             await trial.connection.destroy();
             trial.job.end();
@@ -180,7 +182,7 @@
           if (events) delete head['content-length'];
           outgoing.writeHead(trial.status, head);
           outgoing.flushHeaders();
-          const how = await serve(needs, call, trial, tries, outgoing, events);
+          const how = await serve(needs, call, trial, sent, outgoing, events);
           count(how === 'done' ? 'served' : `broken_by_${how}`);
           if (how !== 'done') needs.meters.breaks.inc({ side: how });
           return RESPONSE_ALREADY_SENT;
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -130,6 +130,8 @@
     finish();
     if (held === undefined) await connection.destroy();
     else needs.pool.give(connection);
+    if (held === undefined && !pick.group.isNotRun(status, headers))
+      return { kind: 'lost', why: cut.signal.aborted ? why : 'reset', pick };
     return { kind: 'response', status, headers, body: held ?? Buffer.alloc(0), pick };
   },
 };
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -15,7 +15,13 @@
 import { Weights } from './weights.js';
 
 export type Tries =
-  | { readonly kind: 'stream'; readonly trial: Extract<Trial, { kind: 'stream' }>; readonly tries: number }
+  | {
+      readonly kind: 'stream';
+      readonly trial: Extract<Trial, { kind: 'stream' }>;
+      readonly tries: number;
+      /** How many servers the request was sent to in all, those before a stream broke among them. */
+      readonly sent: number;
+    }
   | {
       readonly kind: 'response';
       readonly trial: Extract<Trial, { kind: 'response' }>;
@@ -31,7 +37,7 @@
     };
 
 export declare namespace Tries {
-  type Why = Trial.Why | 'no_server' | 'budget' | 'dropped';
+  type Why = Trial.Why | 'no_server' | 'budget' | 'dropped' | 'attempts';
   type Plan = {
     readonly rule: Compiled.Rule;
     readonly regions: readonly Ident.Region[];
@@ -117,6 +123,8 @@
   };
   const isOver = () => plan.signal.aborted || Moment.isPast(plan.deadline);
 
+  if (sent > rule.retry.count) return verdict('attempts');
+  if (sent > 0 && isOver()) return verdict('total');
   let next = choose(0, true);
   if (!next) {
     const needs = plan.pick();
@@ -138,7 +146,7 @@
     last = trial;
     const isFree = trial.kind === 'unsent' && trial.pick.group.proof !== undefined;
     if (!isFree) sent += 1;
-    if (trial.kind === 'stream') return { kind: 'stream', trial, tries };
+    if (trial.kind === 'stream') return { kind: 'stream', trial, tries, sent };
     if (!isSurelyNotRun(trial)) mayHaveRun = true;
     if (trial.kind === 'response') {
       const asked = RetryAfter.read(trial.headers);
--- /dev/null
+++ b/test/resuming.test.ts
@@ -0,0 +1,253 @@
+// Streams that break: a resumable one is taken up at another server within the same answer, with no event missing,
+// doubled, joined or shown by half; any other ends with the caller's connection, and never looks whole.
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import { after, before, beforeEach, describe, it } from 'node:test';
+import { gunzipSync, gzipSync } from 'node:zlib';
+import { request } from 'undici';
+import type { Document } from '../src/manifest/document.js';
+import { Bench } from './bench.js';
+
+const regions = ['a', 'b'];
+const rule = (name: string, runs: string, more: object = {}) => ({
+  name,
+  match: { host: 'streams.example', path: `/${name}/*` },
+  groups: ['reader'],
+  runs,
+  home: { regions },
+  aim: 1000,
+  gap: 500,
+  timeouts: { connect: 1000, first_byte: 5000, per_try: 8000, total: 9000, idle: 5000 },
+  retry: { retry_on: ['connect-failure', 'refused-stream', 'reset', '5xx'], count: 3, base: 1, max: 2 },
+  ...more,
+});
+const manifest = {
+  zones: Bench.manifest.zones,
+  groups: {
+    reader: {
+      kind: 'plain',
+      regions,
+      proof: { header: 'x-wanted-instance', misdirected: 421 },
+      not_run: [{ status: 421 }],
+      ejection: { consecutive_5xx: 1000 },
+    },
+  },
+  homes: { all: { regions } },
+  teams: { everybody: { keys: [], home: 'all', open: true } },
+  rules: [
+    rule('resumable', 'resumable'),
+    rule('single', 'resumable', { retry: { retry_on: ['reset'], count: 0 } }),
+    rule('once', 'once'),
+  ],
+} as unknown as Document;
+
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const events = (from: number, to: number) =>
+  Array.from({ length: to - from + 1 }, (_none, index) => event(from + index)).join('');
+const open = (response: ServerResponse, head: Record<string, string> = {}) =>
+  response.writeHead(200, { 'content-type': 'text/event-stream', ...head });
+const lastOf = (headers: Record<string, unknown>) => Number(headers['last-event-id'] ?? 0);
+const cutAfter =
+  (text: string, head: Record<string, string> = {}): Bench.Handle =>
+  (_request, response) => {
+    open(response, { 'x-run': 'first', ...head });
+    response.write(text, () => response.socket?.destroy());
+  };
+const goOn: Bench.Handle = (incoming, response) => {
+  open(response, { 'x-run': 'next' });
+  response.end(events(lastOf(incoming.headers) + 1, 6));
+};
+
+describe('streams that break', () => {
+  let bench: Bench;
+  let servers: Bench.BackEnd[];
+  let script: Bench.Handle[] = [];
+
+  const call = (name: string, headers: Record<string, string> = {}) =>
+    Bench.call(bench.kit.fronts[0]!.listen, `/${name}/x`, 'prompt', {
+      host: 'streams.example',
+      authorization: '',
+      'content-type': 'text/plain',
+      ...headers,
+    });
+  const reached = () => servers.flatMap((one) => one.reached.map((run) => ({ by: one.instance, ...run })));
+
+  before(async () => {
+    bench = await Bench.start({ manifest });
+    const handle: Bench.Handle = (incoming, response, body) =>
+      (script.shift() ?? goOn)(incoming, response, body);
+    servers = await Promise.all(
+      ['r1', 'r2', 'r3'].map((instance, index) =>
+        bench.backEnd({ instance, group: 'reader', region: regions[index % 2]!, handle }),
+      ),
+    );
+    await bench.list(servers);
+  });
+  after(() => bench.stop());
+  beforeEach(() => {
+    script = [];
+    for (const one of servers) one.reached.length = 0;
+  });
+  const earn = async () => {
+    await Promise.all(Array.from({ length: 20 }, () => call('once')));
+    for (const one of servers) one.reached.length = 0;
+  };
+
+  it('breaks the caller off without a token for the extra try', async () => {
+    script = [cutAfter(events(1, 3))];
+    const answer = await call('resumable');
+    assert.deepEqual([answer.isBroken, answer.text], [true, events(1, 3)]);
+    assert.equal(reached().length, 1);
+  });
+
+  it('takes a resumable stream up elsewhere after the last whole event, under the head of the first', async () => {
+    await earn();
+    script = [cutAfter(`${events(1, 3)}id: 4\ndata: pie`)];
+    const answer = await call('resumable');
+    assert.deepEqual([answer.status, answer.isBroken, answer.text], [200, false, events(1, 6)]);
+    assert.equal(answer.headers['x-run'], 'first');
+    const runs = reached();
+    assert.equal(new Set(runs.map((run) => run.by)).size, 2);
+    assert.deepEqual(runs.map((run) => run.headers['last-event-id']).sort(), ['3', undefined]);
+    assert.ok(runs.every((run) => run.body === 'prompt' && run.url === '/resumable/x'));
+  });
+
+  it('takes it up twice, and leaves out what a server sends again', async () => {
+    await earn();
+    const again: Bench.Handle = (_incoming, response) => {
+      open(response);
+      response.end(events(1, 6));
+    };
+    script = [cutAfter(events(1, 2)), cutAfter(`${events(1, 4)}id: 5`), again];
+    const answer = await call('resumable');
+    assert.deepEqual([answer.isBroken, answer.text], [false, events(1, 6)]);
+    assert.equal(reached().length, 3);
+  });
+
+  it('does not take up a stream whose events the caller has cannot be told by ids', async () => {
+    await earn();
+    script = [cutAfter('data: one\n\ndata: two\n\n')];
+    const bare = await call('resumable');
+    assert.deepEqual([bare.isBroken, bare.text], [true, 'data: one\n\ndata: two\n\n']);
+    assert.equal(reached().length, 1);
+    script = [cutAfter(`${events(1, 2)}data: between\n\n`)];
+    const mixed = await call('resumable');
+    assert.deepEqual([mixed.isBroken, mixed.text], [true, `${events(1, 2)}data: between\n\n`]);
+    assert.equal(reached().length, 2);
+  });
+
+  it('takes a stream up after comments, which no run repeats', async () => {
+    await earn();
+    script = [cutAfter(`${events(1, 2)}: still here\n\n`)];
+    const answer = await call('resumable');
+    assert.deepEqual(
+      [answer.isBroken, answer.text],
+      [false, `${events(1, 2)}: still here\n\n${events(3, 6)}`],
+    );
+  });
+
+  it('sends a stream to no more servers than the rule has attempts', async () => {
+    await earn();
+    script = [cutAfter(events(1, 3))];
+    const answer = await call('single');
+    assert.deepEqual([answer.isBroken, answer.text], [true, events(1, 3)]);
+    assert.equal(reached().length, 1);
+  });
+
+  it('never takes up a once stream', async () => {
+    await earn();
+    script = [cutAfter(events(1, 3))];
+    const answer = await call('once');
+    assert.deepEqual([answer.isBroken, answer.text], [true, events(1, 3)]);
+    assert.equal(reached().length, 1);
+  });
+
+  it('passes no length of the first run on, since the answer may come from two', async () => {
+    await earn();
+    script = [cutAfter(events(1, 2), { 'content-length': String(events(1, 6).length) })];
+    const answer = await call('resumable');
+    assert.deepEqual([answer.isBroken, answer.text], [false, events(1, 6)]);
+    assert.equal(answer.headers['content-length'], undefined);
+  });
+
+  it('starts after the event that the caller names itself', async () => {
+    await earn();
+    const again: Bench.Handle = (_incoming, response) => {
+      open(response);
+      response.end(events(1, 6));
+    };
+    script = [cutAfter(events(3, 4)), again];
+    const answer = await call('resumable', { 'last-event-id': '2' });
+    assert.deepEqual([answer.isBroken, answer.text], [false, events(3, 6)]);
+    assert.deepEqual(
+      reached()
+        .map((run) => run.headers['last-event-id'])
+        .sort(),
+      ['2', '4'],
+    );
+  });
+
+  it('passes a compressed stream on as it comes', async () => {
+    const first = gzipSync(events(1, 2));
+    let finish = () => {};
+    script = [
+      (_incoming, response) => {
+        open(response, { 'content-encoding': 'gzip' });
+        response.write(first);
+        finish = () => void response.end(gzipSync(events(3, 6)));
+      },
+    ];
+    const answer = await request(`http://${bench.kit.fronts[0]!.listen}/resumable/x`, {
+      headers: { host: 'streams.example', 'accept-encoding': 'gzip' },
+      bodyTimeout: 3000,
+    });
+    const chunks: Buffer[] = [];
+    for await (const chunk of answer.body) {
+      chunks.push(chunk as Buffer);
+      finish();
+    }
+    assert.equal(gunzipSync(Buffer.concat(chunks)).toString(), events(1, 6));
+  });
+
+  it('lets the server go when the caller leaves while a stream is taken up', async () => {
+    await earn();
+    const abort = new AbortController();
+    const left = new Promise<void>((resolve) => {
+      script = [
+        cutAfter(events(1, 2)),
+        (_incoming, response) => {
+          response.once('close', resolve);
+          abort.abort();
+        },
+      ];
+    });
+    const answer = await request(`http://${bench.kit.fronts[0]!.listen}/resumable/x`, {
+      headers: { host: 'streams.example' },
+      signal: abort.signal,
+    });
+    await assert.rejects(answer.body.text());
+    await left;
+    assert.equal(reached().length, 2);
+    assert.equal((await call('once')).text, events(1, 6));
+  });
+
+  it('breaks off an answer cut short by a server that said it would close', async () => {
+    for (const head of [{ connection: 'close' }, { connection: 'close', 'content-length': '900' }]) {
+      script = [cutAfter(events(1, 3), head)];
+      const answer = await call('once');
+      assert.deepEqual([answer.isBroken, answer.text], [true, events(1, 3)]);
+    }
+  });
+
+  it('does not tell a failure whose body was cut short as a whole one', async () => {
+    script = [
+      (_incoming, response) => {
+        response.writeHead(400, { 'content-length': '100' });
+        response.write('{"error"', () => response.socket?.destroy());
+      },
+    ];
+    const answer = await call('once');
+    assert.equal(answer.status, 502);
+    assert.equal(reached().length, 1);
+  });
+});
