Count what waits to be sent against a warming server's bound

Cause: a proxy asked whether a cold server may take one more when it chose the server, but counted only what was sent; requests that waited for their new connections all passed at once. What: a choice is counted until it is sent or given up, so that no window of sends can hold more than the proxy's part. test/proxying.test.ts runs three proxies in the product's own words: rules by host and prefix, weights, home regions, the open team, proof by header, 421, 5xx, extra tries, warm-up.

--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -130,6 +130,7 @@
           async run(pick, tier, hops) {
             tried.push(pick.server.instance);
             const placed = needs.placement.sent(pick.server, pick.group, want);
+            const place = needs.warmup.enter(pick.server.instance);
             let sentAt = Moment.now();
             const trial = await Trial.run(pick, {
               pool: needs.pool,
@@ -144,11 +145,11 @@
               isAnswer: (headers) => call.dialect.isAnswerTo(call.id, headers),
               onSend() {
                 sentAt = Moment.now();
-                needs.warmup.sent(pick.server.instance);
+                place.sent();
               },
               settle: needs.stall.settle,
               onWait: () => needs.prover.suspect(pick.server),
-            });
+            }).finally(place.leave);
             if (trial.kind === 'stream') placed.answered(Moment.since(sentAt));
             return trial;
           },
--- a/src/upstream/warmup.ts
+++ b/src/upstream/warmup.ts
@@ -1,7 +1,8 @@
 // Servers that warm up may get so many requests in any second, over all live proxies together. Each proxy's part
 // follows from the roster alone, by rank in a hash of (server, proxy), so the parts add up to the bound without
 // talk; a part that rounds down to nothing is nothing. A proxy counts what it sent in the last second and a bit,
-// since what it sent may be on its way for a while.
+// since what it sent may be on its way for a while, and what it has chosen the server for and not sent yet, since
+// many requests may wait for their connections at once.
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import { Pick } from './pick.js';
@@ -10,11 +11,15 @@
   readonly begin: (instance: string, span: number) => void;
   readonly isCold: (instance: string) => boolean;
   readonly allows: (server: Compiled.Server, group: Compiled.Group) => boolean;
-  readonly sent: (instance: string) => void;
+  readonly enter: (instance: string) => Warmup.Place;
   readonly cold: () => readonly string[];
   readonly retain: (isHeld: (instance: string) => boolean) => void;
 };
 
+export declare namespace Warmup {
+  type Place = { readonly sent: () => void; readonly leave: () => void };
+}
+
 const window = 1100;
 const margin = 500;
 const portion = 1.15;
@@ -23,6 +28,7 @@
   of(own: string, roster: () => readonly string[]): Warmup {
     const until = new Map<string, Moment>();
     const sends = new Map<string, Moment[]>();
+    const entered = new Map<string, number>();
     const isCold = (instance: string): boolean => {
       const end = until.get(instance);
       if (end === undefined) return false;
@@ -50,10 +56,26 @@
         if (!group.warmup || !isCold(server.instance)) return true;
         const recent = (sends.get(server.instance) ?? []).filter((at) => Moment.since(at) < window);
         sends.set(server.instance, recent);
-        return recent.length < partOf(server.instance, Math.floor(group.warmup.per_second * portion));
+        const open = entered.get(server.instance) ?? 0;
+        return recent.length + open < partOf(server.instance, Math.floor(group.warmup.per_second * portion));
       },
-      sent(instance) {
-        if (isCold(instance)) sends.set(instance, [...(sends.get(instance) ?? []), Moment.now()]);
+      enter(instance) {
+        let isIn = true;
+        entered.set(instance, (entered.get(instance) ?? 0) + 1);
+        const leave = () => {
+          if (!isIn) return;
+          isIn = false;
+          const left = (entered.get(instance) ?? 1) - 1;
+          if (left > 0) entered.set(instance, left);
+          else entered.delete(instance);
+        };
+        return {
+          leave,
+          sent() {
+            leave();
+            if (isCold(instance)) sends.set(instance, [...(sends.get(instance) ?? []), Moment.now()]);
+          },
+        };
       },
       cold: () => [...until.keys()].filter(isCold),
       retain(isHeld) {
--- /dev/null
+++ b/test/proxying.test.ts
@@ -0,0 +1,231 @@
+// Proxying in the product's own words: which rule takes a request by host and path, how weights and homes bind it,
+// what the proof by header saves and who may answer, what is repeated, and how gently a server warms up.
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, describe, it } from 'node:test';
+import type { Document } from '../src/manifest/document.js';
+import { FleetKit } from '../tools/fleet-kit.js';
+import { InForce } from '../tools/in-force.js';
+import { Bench } from './bench.js';
+
+const regions = ['a', 'b', 'c'];
+const group = (more: object = {}) => ({
+  kind: 'plain',
+  regions,
+  proof: { header: 'x-wanted-instance', misdirected: 421 },
+  not_run: [{ status: 421 }],
+  ejection: { consecutive_5xx: 1000 },
+  ...more,
+});
+const rule = (name: string, host: string, path: string, groups: string[], more: object = {}) => ({
+  name,
+  match: { host, path },
+  groups,
+  runs: 'repeatable',
+  home: { regions },
+  aim: 1000,
+  timeouts: { connect: 1000, first_byte: 5000, per_try: 8000, total: 9000, idle: 5000 },
+  retry: { retry_on: ['connect-failure', 'refused-stream', 'reset', '5xx'], count: 3, base: 1, max: 2 },
+  ...more,
+});
+const warming = 20;
+const manifest = {
+  zones: Bench.manifest.zones,
+  groups: {
+    left: group(),
+    right: group(),
+    idle: group(),
+    cold: group({ warmup: { per_second: warming, span: 60_000 } }),
+  },
+  homes: { all: { regions } },
+  teams: { everybody: { keys: [], home: 'all', open: true } },
+  rules: [
+    rule('deep', 'one.example', '/p/deep/*', ['left']),
+    rule('shallow', 'one.example', '/p/*', ['right']),
+    rule('other', 'two.example', '/p/*', ['idle']),
+    rule('split', 'one.example', '/split/*', ['left', 'right', 'idle'], {
+      weights: { left: 2, right: 1, idle: 0 },
+    }),
+    rule('bound', 'one.example', '/bound/*', ['left'], { home: { regions: ['b'] } }),
+    rule('once', 'one.example', '/once/*', ['left'], { runs: 'once' }),
+    rule('again', 'one.example', '/again/*', ['left']),
+    rule('cold', 'one.example', '/cold/*', ['cold']),
+  ],
+} as unknown as Document;
+
+const serve: Bench.Handle = (_incoming, response) => void response.end('whole');
+const fail: Bench.Handle = (_incoming, response) => void response.writeHead(500).end('{}');
+
+describe('proxying', () => {
+  let bench: Bench;
+  let left: Bench.BackEnd[];
+  let right: Bench.BackEnd;
+  let idle: Bench.BackEnd;
+  let cold: Bench.BackEnd;
+  let serial = 100;
+
+  const callAt = (front: number, path: string, host = 'one.example') =>
+    Bench.call(bench.kit.fronts[front % 3]!.listen, path, 'body', {
+      host,
+      authorization: '',
+      'content-type': 'text/plain',
+    });
+  const groupOf = async (path: string, host?: string) =>
+    (await callAt(0, path, host)).headers['bramblebend-group'];
+  const list = async (among: readonly Bench.BackEnd[]) => {
+    serial += 1;
+    const servers = among.map(({ instance, group: of, address, region }) => ({
+      ...{ instance, group: of, address, region, zone: `${region}-1` },
+      ...(of === 'cold' ? { warming: 60_000 } : {}),
+    }));
+    const notice = { authorization: `Bearer ${FleetKit.platformToken}` };
+    const put = await bench.kit.operate('PUT', '/v1/servers', { serial, servers }, notice);
+    assert.equal(put.status, 200);
+    await InForce.everywhere(bench.kit);
+  };
+  const earn = async () => {
+    await Promise.all(Array.from({ length: 20 }, () => callAt(0, '/p/deep/earn')));
+    for (const one of left) one.reached.length = 0;
+  };
+  const total = () => left.reduce((sum, one) => sum + one.reached.length, 0);
+
+  before(async () => {
+    bench = await Bench.start({ fronts: 3, manifest });
+    const make = (instance: string, of: string, region: string) =>
+      bench.backEnd({ instance, group: of, region, handle: serve });
+    left = await Promise.all([make('l1', 'left', 'a'), make('l2', 'left', 'b'), make('l3', 'left', 'c')]);
+    right = await make('r1', 'right', 'a');
+    idle = await make('i1', 'idle', 'a');
+    cold = await make('c1', 'cold', 'a');
+    await list([...left, right, idle]);
+  });
+  after(() => bench.stop());
+  beforeEach(() => {
+    for (const one of [...left, right, idle, cold]) {
+      one.handle = serve;
+      one.reached.length = 0;
+    }
+  });
+
+  it('keeps extra tries within a fifth of the requests, summed over the proxies', async () => {
+    for (const one of left) one.handle = fail;
+    const count = 90;
+    const answers = await Promise.all(
+      Array.from({ length: count }, (_none, index) => callAt(index, '/again/x')),
+    );
+    assert.ok(answers.every((one) => one.status === 502));
+    assert.ok(total() > count, 'some were tried again');
+    assert.ok(total() <= count * 1.2, `${total()} sends for ${count} requests`);
+  });
+
+  it('takes the first rule whose host and path prefix fit, and tells no one else’s', async () => {
+    assert.equal(await groupOf('/p/deep/x'), 'left');
+    assert.equal(await groupOf('/p/deeper'), 'right');
+    assert.equal(await groupOf('/p/x', 'ONE.example:8080'), 'right');
+    assert.equal(await groupOf('/p/deep/x', 'two.example'), 'idle');
+    const nowhere = await callAt(0, '/p/x', 'three.example');
+    assert.equal(nowhere.status, 404);
+    assert.equal(nowhere.headers['bramblebend-ran'], 'no');
+  });
+
+  it('splits by weight: a group of weight 0 gets nothing, and one without servers leaves its part', async () => {
+    const sent = async () => {
+      right.reached.length = 0;
+      for (const one of left) one.reached.length = 0;
+      const answers = await Promise.all(
+        Array.from({ length: 90 }, (_none, index) => callAt(index, '/split/x')),
+      );
+      assert.ok(answers.every((one) => one.status === 200));
+      return [total(), right.reached.length, idle.reached.length];
+    };
+    const [ofLeft, ofRight, ofIdle] = await sent();
+    assert.equal(ofIdle, 0);
+    assert.ok(ofLeft! > ofRight! && ofRight! > 0, `${ofLeft} and ${ofRight}, where 2 to 1 was asked`);
+    await list([right, idle]);
+    assert.deepEqual(await sent(), [0, 90, 0]);
+    await list([idle]);
+    assert.equal((await callAt(0, '/split/x')).status, 503);
+    assert.equal(idle.reached.length, 0);
+    await list([...left, right, idle]);
+  });
+
+  it('keeps a rule to its home regions from every proxy', async () => {
+    const answers = await Promise.all(
+      Array.from({ length: 30 }, (_none, index) => callAt(index, '/bound/x')),
+    );
+    assert.ok(answers.every((one) => one.headers['bramblebend-region'] === 'b'));
+    assert.deepEqual(
+      left.map((one) => one.reached.length),
+      [0, 30, 0],
+    );
+    await list([left[0]!, left[2]!, right]);
+    assert.equal((await callAt(1, '/bound/x')).status, 503);
+    await list([...left, right, idle]);
+  });
+
+  it('names the wanted instance to the server, and asks no question on a new connection', async () => {
+    const asked: (string | undefined)[] = [];
+    const fresh = await bench.backEnd({ instance: 'l9', group: 'left', region: 'a', handle: serve });
+    fresh.server.on('request', (incoming) => asked.push(incoming.url));
+    await list([fresh]);
+    assert.equal((await callAt(0, '/once/x')).text, 'whole');
+    assert.deepEqual(asked, ['/once/x']);
+    assert.equal(fresh.reached[0]?.headers['x-wanted-instance'], 'l9');
+    await list([...left, right, idle]);
+  });
+
+  it('takes a 421 of another instance as not run, and tries even a once request elsewhere', async () => {
+    await earn();
+    const other = await bench.backEnd({
+      instance: 'l8',
+      group: 'left',
+      region: 'a',
+      handle: (incoming, response) => {
+        response.writeHead(incoming.headers['x-wanted-instance'] === 'l7' ? 200 : 421).end('{}');
+      },
+    });
+    await list([other, left[1]!]);
+    for (let count = 0; other.reached.length === 0; count += 1) {
+      const answer = await callAt(0, '/once/x');
+      assert.deepEqual([answer.status, answer.text], [200, 'whole']);
+      assert.ok(count < 200, 'it is tried now and then');
+    }
+    assert.equal(left[1]!.reached.length >= 1, true);
+    await list([...left, right, idle]);
+  });
+
+  it('repeats a 5xx of a server for a repeatable request alone', async () => {
+    await earn();
+    let failures = 1;
+    for (const one of left)
+      one.handle = (incoming, response, body) => (failures-- > 0 ? fail : serve)(incoming, response, body);
+    const again = await callAt(0, '/again/x');
+    assert.deepEqual([again.status, again.headers['bramblebend-tries'], total()], [200, '2', 2]);
+    failures = 1;
+    const once = await callAt(0, '/once/x');
+    assert.deepEqual([once.status, once.headers['bramblebend-ran'], total()], [502, 'unknown', 3]);
+  });
+
+  it('sends a server that warms up no more than its bound in any second, over all proxies', async () => {
+    const arrivals: number[] = [];
+    cold.server.on('request', () => arrivals.push(performance.now()));
+    await list([...left, right, idle, cold]);
+    const began = performance.now();
+    let served = 0;
+    const press = async (front: number, until: number) => {
+      do {
+        const answer = await callAt(front, '/cold/x');
+        assert.ok(answer.status === 200 || answer.status === 503, String(answer.status));
+        if (answer.status === 200) served += 1;
+      } while (performance.now() < until);
+    };
+    await Promise.all(
+      Array.from({ length: 90 }, (_none, index) => press(index, index < 6 ? began + 2500 : began)),
+    );
+    const bound = Math.floor(warming * 1.15);
+    const first = arrivals.filter((at) => at < arrivals[0]! + 900).length;
+    assert.ok(first <= bound, `${first} requests at once, where ${bound} may be`);
+    const spans = Math.ceil((performance.now() - began) / 1000);
+    assert.ok(arrivals.length <= bound * spans, `${arrivals.length} within ${spans} s of ${bound} each`);
+    assert.ok(served >= warming, `${served} served in 2.5 s`);
+  });
+});
