End soon after the last stream of a drain, and settle after any freeze

Cause: a proxy that drains closed idle connections once; one whose stream ended later kept the process up for its keep-alive time, taking requests that the end of the drain would cut. After a freeze the heartbeat may be handled first and hid the gap from the send. Retry-After in fractions was not read. What: idle connections are closed ten times a second while draining; the stall remembers a gap for three turns of the loop; fractions are read. Tests: draining.test.ts with a proxy inside the test; upstream.test.ts for weights, warm-up, the operator's allowance, placement, reading and the stall, with clock and chance of their own.

--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -246,10 +246,12 @@
         const late = Alarm.after((startup.drain ?? 30_000) - (startup.linger ?? 0), () =>
           server.closeAllConnections(),
         );
+        const idle = Alarm.every(100, () => server.closeIdleConnections());
         await new Promise<void>((resolve) => {
           server.close(() => resolve());
           server.closeIdleConnections();
         });
+        idle.stop();
         late.stop();
         uplink.stop();
         await uplink.done;
--- a/src/proxy/stall.ts
+++ b/src/proxy/stall.ts
@@ -1,6 +1,6 @@
 // A process that was frozen must not send old work. When the event loop has just resumed after a gap,
 // what happened meanwhile (a client that left, alarms that rang) is still waiting to be handled, so
-// sending first lets the loop turn until it has been.
+// sending first lets the loop turn until it has been; also when the beat was the first to be handled.
 import { Alarm } from '../kinds/alarm.js';
 import { Moment } from '../kinds/moment.js';
 
@@ -9,19 +9,27 @@
 const beat = 100;
 const gap = 300;
 
-const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+const turns = async (): Promise<void> => {
+  for (let count = 0; count < 3; count += 1) await new Promise<void>((resolve) => setImmediate(resolve));
+};
 
 export const Stall = {
   of(): Stall {
     let last = Moment.now();
+    let hasJustWoken = false;
+    const wake = async () => {
+      hasJustWoken = true;
+      await turns();
+      hasJustWoken = false;
+    };
     const beats = Alarm.every(beat, () => {
+      if (Moment.since(last) >= gap) void wake();
       last = Moment.now();
     });
     return {
       stop: () => beats.stop(),
       async settle() {
-        if (Moment.since(last) < gap) return;
-        for (let count = 0; count < 3; count += 1) await turn();
+        if (hasJustWoken || Moment.since(last) >= gap) await turns();
       },
     };
   },
--- a/src/upstream/retry-after.ts
+++ b/src/upstream/retry-after.ts
@@ -6,7 +6,7 @@
   read(headers: IncomingHttpHeaders): number | undefined {
     const text = headers['retry-after'];
     if (text === undefined) return undefined;
-    if (/^\d{1,6}$/.test(text)) return Number(text) * 1000;
+    if (/^\d{1,6}(\.\d{1,6})?$/.test(text)) return Number(text) * 1000;
     const span = Date.parse(text) - Date.parse(headers.date ?? '');
     return Number.isFinite(span) && span >= 0 ? span : undefined;
   },
--- /dev/null
+++ b/test/upstream.test.ts
@@ -0,0 +1,271 @@
+// The pure parts of the way upstream, each with a clock or a chance of the test's own: draws by weight, warm-up and
+// the operator's allowance over any window, placement, reading speeds, Retry-After, and a process that was frozen.
+import assert from 'node:assert/strict';
+import { afterEach, describe, it, mock } from 'node:test';
+import type { Compiled } from '../src/manifest/compiled.js';
+import { Stall } from '../src/proxy/stall.js';
+import { Budget } from '../src/upstream/budget.js';
+import { Busyness } from '../src/upstream/busyness.js';
+import type { Pick } from '../src/upstream/pick.js';
+import { Placement } from '../src/upstream/placement.js';
+import { Reading } from '../src/upstream/reading.js';
+import { RetryAfter } from '../src/upstream/retry-after.js';
+import { Warmup } from '../src/upstream/warmup.js';
+import { Weights } from '../src/upstream/weights.js';
+import { Random } from '../tools/random.js';
+
+const clock = (from = 1000) => {
+  let now = from;
+  mock.method(performance, 'now', () => now);
+  return {
+    now: () => now,
+    pass(span: number) {
+      now += span;
+    },
+  };
+};
+afterEach(() => mock.restoreAll());
+
+const chance = (seed: number) => {
+  const random = Random.of(seed);
+  return () => random.below(1_000_000) / 1_000_000;
+};
+const pickOf = (instance: string, group = 'g', region = 'a'): Pick =>
+  ({
+    server: { instance, group, region, zone: `${region}-1`, isOpen: true, slots: undefined, warming: 0 },
+    group: { name: group, memory: undefined, warmup: { per_second: 20, span: 60_000 } },
+  }) as unknown as Pick;
+const most = (times: readonly number[], span: number): number =>
+  Math.max(...times.map((from) => times.filter((at) => at >= from && at < from + span).length));
+
+describe('weights', () => {
+  it('draw groups in proportion among those with an open server, and never one of weight 0', () => {
+    const random = chance(7);
+    const draw = (open: Pick[], weights: Record<string, number>) => {
+      const counts: Record<string, number> = {};
+      for (let count = 0; count < 6000; count += 1)
+        for (const name of new Set(Weights.draw(open, weights, random).map(({ group }) => group.name)))
+          counts[name] = (counts[name] ?? 0) + 1;
+      return counts;
+    };
+    const open = [pickOf('x1', 'x'), pickOf('x2', 'x'), pickOf('y1', 'y'), pickOf('z1', 'z')];
+    const { x, y, z } = draw(open, { x: 1, y: 2, z: 0 });
+    assert.equal(z, undefined);
+    assert.ok(Math.abs(x! - 2000) < 150 && Math.abs(y! - 4000) < 150, `${x} and ${y} of 6000`);
+    assert.deepEqual(draw(open.slice(0, 2), { x: 1, y: 2 }), { x: 6000 });
+    assert.deepEqual(draw(open.slice(3), { x: 1, z: 0 }), {});
+  });
+});
+
+describe('warm-up', () => {
+  const proxies = ['p1', 'p2', 'p3'];
+  const start = () => proxies.map((own) => Warmup.of(own, () => proxies));
+
+  it('lets through no more than its bound in any second, however long a choice waits to be sent', () => {
+    const time = clock();
+    const random = Random.of(3);
+    const warmups = start();
+    const cold = pickOf('cold');
+    for (const one of warmups) one.begin('cold', 60_000);
+    const waiting: { at: number; send: () => void }[] = [];
+    const sent: number[] = [];
+    for (let step = 0; step < 1500; step += 1) {
+      time.pass(5);
+      for (const one of warmups) {
+        if (!one.allows(cold.server, cold.group)) continue;
+        const place = one.enter('cold');
+        const send = () => {
+          if (random.below(10) === 0) return place.leave();
+          place.sent();
+          sent.push(time.now());
+        };
+        waiting.push({ at: time.now() + random.below(400), send });
+      }
+      for (const one of waiting.filter(({ at }) => at <= time.now())) {
+        waiting.splice(waiting.indexOf(one), 1);
+        one.send();
+      }
+    }
+    const bound = 20 * 1.15;
+    assert.ok(most(sent, 1000) <= bound, `${most(sent, 1000)} in a second, where ${bound} may be`);
+    assert.ok(sent.length > 80, `${sent.length} in 7.5 s`);
+  });
+
+  it('is over after its span, and forgets servers that are gone', () => {
+    const time = clock();
+    const [one] = start();
+    const cold = pickOf('cold');
+    one!.begin('cold', 1000);
+    while (one!.allows(cold.server, cold.group)) one!.enter('cold').sent();
+    one!.begin('gone', 60_000);
+    one!.retain((instance) => instance === 'cold');
+    assert.deepEqual(one!.cold(), ['cold']);
+    time.pass(2000);
+    assert.equal(one!.isCold('cold'), false);
+    assert.equal(one!.allows(cold.server, cold.group), true);
+  });
+});
+
+describe('the allowance for extra tries', () => {
+  it('stays below its count in any window over all proxies, each restarted twice within it', () => {
+    const time = clock();
+    const random = Random.of(11);
+    const tries = 60;
+    const window = 10_000;
+    const make = () => Budget.of(() => false, { tries, window, proxies: () => 4 });
+    const budgets = Array.from({ length: 4 }, make);
+    const starts = budgets.map(() => [] as number[]);
+    const spent: number[] = [];
+    for (let step = 0; step < 4000; step += 1) {
+      time.pass(10);
+      budgets.forEach((budget, index) => {
+        const recent = starts[index]!.filter((at) => time.now() - at < window);
+        if (recent.length < 2 && random.below(100) === 0) {
+          starts[index] = [...recent, time.now()];
+          budgets[index] = make();
+        } else if (random.below(2) === 0 && budget.spend()) spent.push(time.now());
+      });
+    }
+    assert.ok(spent.length > 0);
+    assert.ok(most(spent, window) <= tries, `${most(spent, window)} in a window of ${tries}`);
+  });
+
+  it('is nothing while no proxy is known, and beside what was earned', () => {
+    clock();
+    let proxies = 0;
+    const budget = Budget.of(() => false, { tries: 10, window: 1000, proxies: () => proxies });
+    assert.equal(budget.spend(), false);
+    proxies = 1;
+    for (let count = 0; count < 5; count += 1) budget.earn();
+    assert.deepEqual(
+      Array.from({ length: 6 }, () => budget.spend()),
+      [true, true, true, true, false, false],
+    );
+  });
+});
+
+describe('placement', () => {
+  const servers = ['s1', 's2', 's3', 's4'].map((instance) => pickOf(instance));
+  const compiled = (among: readonly Pick[]) =>
+    ({
+      servers: new Map(among.map(({ server }) => [server.instance, server])),
+      rules: [],
+      regions: ['a'],
+    }) as unknown as Compiled;
+  const make = (seed: number) => {
+    const busyness = Busyness.of();
+    const placement = Placement.of({
+      region: () => 'a',
+      busyness,
+      hasIdle: () => true,
+      random: chance(seed),
+    });
+    placement.retain(compiled(servers));
+    return { busyness, placement };
+  };
+  const want = (shared: string, own: string): Placement.Want => ({
+    parts: [
+      { key: shared, tokens: 3000 },
+      { key: own, tokens: 500 },
+    ],
+    tokens: 3500,
+    bytes: 0,
+    aim: 2000,
+    gap: 1000,
+  });
+
+  it('sends the same shared part to the same server from every proxy, and different ones about', () => {
+    const proxies = [1, 2, 3].map(make);
+    const chosen = Array.from({ length: 40 }, (_none, index) => {
+      const names = proxies.map(
+        ({ placement }, proxy) =>
+          placement.choose(servers, want(`k${index}`, `own${proxy}`))?.server.instance,
+      );
+      assert.equal(new Set(names).size, 1, names.join());
+      return names[0];
+    });
+    assert.equal(new Set(chosen).size, servers.length);
+  });
+
+  it('spreads when the holder is busy', () => {
+    const { busyness, placement } = make(4);
+    const holder = placement.choose(servers, want('k', 'x'))!.server.instance;
+    for (let count = 0; count < 8; count += 1) busyness.begin(holder, 4000);
+    assert.notEqual(placement.choose(servers, want('k', 'y'))!.server.instance, holder);
+  });
+
+  it('counts the tokens a server has not read yet by parts, and forgets a server that is gone', () => {
+    const { placement } = make(5);
+    const [one] = servers;
+    const sent = (shared: string, own: string) =>
+      placement.sent(one!.server, one!.group, want(shared, own)).uncached;
+    assert.deepEqual([sent('k', 'x'), sent('k', 'y'), sent('other', 'z')], [3500, 500, 3500]);
+    placement.retain(compiled(servers.slice(1)));
+    placement.retain(compiled(servers));
+    assert.equal(sent('k', 'w'), 3500);
+  });
+});
+
+describe('reading', () => {
+  it('shows the slower server by its events, within bounds, and forgets it', () => {
+    const reading = Reading.of();
+    const random = Random.of(9);
+    for (const instance of ['fast', 'slow']) reading.paceOf(instance, 'g');
+    for (let count = 0; count < 3000; count += 1) {
+      reading.event('fast', 9 + random.below(3));
+      reading.event('slow', 18 + random.below(5));
+    }
+    const pace = reading.paceOf('slow', 'g');
+    assert.ok(pace > 1.7 && pace < 2.3, String(pace));
+    assert.equal(reading.paceOf('fast', 'g'), 1);
+    for (let count = 0; count < 3000; count += 1) reading.event('slow', 5000);
+    assert.equal(reading.paceOf('slow', 'g'), 4);
+    reading.retain((instance) => instance === 'fast');
+    assert.equal(reading.paceOf('slow', 'g'), 1);
+  });
+
+  it('learns the speed of a group within bounds', () => {
+    const reading = Reading.of();
+    for (let count = 0; count < 200; count += 1) reading.first('g', 4000, 100);
+    assert.ok(Math.abs(reading.speedOf('one', 'g') - 40) < 1, String(reading.speedOf('one', 'g')));
+    const before = reading.speedOf('one', 'g');
+    reading.first('g', 100, 1);
+    reading.first('g', 4000, -5);
+    assert.equal(reading.speedOf('one', 'g'), before);
+    for (let count = 0; count < 400; count += 1) reading.first('g', 1_000_000, 0.001);
+    assert.ok(reading.speedOf('one', 'g') <= 2000);
+    for (let count = 0; count < 400; count += 1) reading.first('g', 400, 1_000_000);
+    assert.ok(reading.speedOf('one', 'g') >= 0.5);
+  });
+});
+
+describe('retry-after', () => {
+  it('is read in seconds, fractions among them, and as a date against the answer’s own', () => {
+    const date = 'Wed, 21 Oct 2015 07:28:00 GMT';
+    assert.equal(RetryAfter.read({ 'retry-after': '2' }), 2000);
+    assert.equal(RetryAfter.read({ 'retry-after': '0.25' }), 250);
+    assert.equal(RetryAfter.read({ 'retry-after': 'Wed, 21 Oct 2015 07:28:03 GMT', date }), 3000);
+    for (const text of ['soon', '-1', '1.', '.5', '1e3'])
+      assert.equal(RetryAfter.read({ 'retry-after': text, date }), undefined, text);
+  });
+});
+
+describe('a process that was frozen', () => {
+  it('lets what happened meanwhile be handled before it sends, also when its beat comes first', async () => {
+    const stall = Stall.of();
+    const settled = new Promise<boolean>((resolve) => {
+      setTimeout(async () => {
+        let isHandled = false;
+        setImmediate(() => {
+          isHandled = true;
+        });
+        await stall.settle();
+        resolve(isHandled);
+      }, 150);
+    });
+    const until = performance.now() + 500;
+    while (performance.now() < until);
+    assert.equal(await settled, true);
+    stall.stop();
+  });
+});
