--- a/test/bench.ts
+++ b/test/bench.ts
@@ -200,6 +200,7 @@
       readonly manifest?: Document;
       readonly hasFaults?: boolean;
       readonly losses?: number;
+      readonly builtIn?: (name: string) => URL;
     } = {},
   ): Promise<Bench> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-test-'));
@@ -212,6 +213,7 @@
     const kit = await FleetKit.start({
       folder,
       ...(faults ? { faults } : {}),
+      ...(terms.builtIn ? { builtIn: terms.builtIn } : {}),
       losses: terms.losses ?? 1,
       deployment: { name: 'bench', zones, backEnds: [], manifest: terms.manifest ?? manifest, mix: [] },
     });
--- a/test/proxying.test.ts
+++ b/test/proxying.test.ts
@@ -205,6 +205,28 @@
     assert.deepEqual([once.status, once.headers['bramblebend-ran'], total()], [502, 'unknown', 3]);
   });
 
+  it('never takes a connection that the server said it closes, nor takes that for trouble', async () => {
+    const connections = new Set<unknown>();
+    const heads = [{ connection: 'close' }, { 'keep-alive': 'timeout=1' }];
+    let answered = 0;
+    const brief = await bench.backEnd({
+      instance: 'l6',
+      group: 'left',
+      region: 'a',
+      handle: (_incoming, response) => {
+        answered += 1;
+        response.writeHead(200, heads[answered % 2]).end('whole');
+      },
+    });
+    brief.server.on('connection', (socket) => connections.add(socket));
+    await list([brief]);
+    const count = 60;
+    for (let index = 0; index < count; index += 1) assert.equal((await callAt(0, '/once/x')).text, 'whole');
+    assert.equal(brief.reached.length, count);
+    assert.equal(connections.size, count, 'one connection for each request and none beside');
+    await list([...left, right, idle]);
+  });
+
   it('sends a server that warms up no more than its bound in any second, over all proxies', async () => {
     const arrivals: number[] = [];
     cold.server.on('request', () => arrivals.push(performance.now()));
