Take bodies as long as the manifest's limits say

Cause: limits.body_bytes was read into the compiled manifest and used nowhere; a body over 4 MiB that the manifest allows was refused with 413. What: a rule without a limit of its own takes the manifest's, then 4 MiB.

--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -94,7 +94,7 @@
   idle: 15_000,
 };
 
-const compileRule = (rule: Document.Rule): Compiled.Rule => {
+const compileRule = (rule: Document.Rule, limits: Document.Limits = {}): Compiled.Rule => {
   const own = { ...timeouts, ...rule.timeouts };
   return {
     name: rule.name,
@@ -131,7 +131,7 @@
       max: rule.retry?.max ?? 1000,
     },
     isAffine: rule.affinity ?? true,
-    body: rule.body ?? 4 * 1024 * 1024,
+    body: rule.body ?? limits.body_bytes ?? 4 * 1024 * 1024,
     teams: rule.teams,
   };
 };
@@ -203,7 +203,7 @@
     const { zones } = document;
     return {
       stamp: view.stamp,
-      rules: document.rules.map(compileRule),
+      rules: document.rules.map((rule) => compileRule(rule, document.limits)),
       groups,
       servers,
       homes: new Map(Object.entries(document.homes).map(([name, home]) => [name, home.regions])),
--- a/test/proxying.test.ts
+++ b/test/proxying.test.ts
@@ -49,7 +49,9 @@
     rule('once', 'one.example', '/once/*', ['left'], { runs: 'once' }),
     rule('again', 'one.example', '/again/*', ['left']),
     rule('cold', 'one.example', '/cold/*', ['cold']),
+    rule('short', 'one.example', '/short/*', ['left'], { body: 1000 }),
   ],
+  limits: { body_bytes: 5 * 1024 * 1024 },
 } as unknown as Document;
 
 const serve: Bench.Handle = (_incoming, response) => void response.end('whole');
@@ -63,8 +65,8 @@
   let cold: Bench.BackEnd;
   let serial = 100;
 
-  const callAt = (front: number, path: string, host = 'one.example') =>
-    Bench.call(bench.kit.fronts[front % 3]!.listen, path, 'body', {
+  const callAt = (front: number, path: string, host = 'one.example', body = 'body') =>
+    Bench.call(bench.kit.fronts[front % 3]!.listen, path, body, {
       host,
       authorization: '',
       'content-type': 'text/plain',
@@ -227,6 +229,14 @@
     await list([...left, right, idle]);
   });
 
+  it('takes bodies as long as the manifest or the rule says', async () => {
+    const send = async (path: string, length: number) =>
+      (await callAt(0, path, 'one.example', 'x'.repeat(length))).status;
+    assert.equal(await send('/again/x', 5 * 1024 * 1024), 200);
+    assert.equal(left.find((one) => one.reached.length > 0)?.reached[0]?.body.length, 5 * 1024 * 1024);
+    assert.deepEqual([await send('/short/x', 1000), await send('/short/x', 1001)], [200, 413]);
+  });
+
   it('sends a server that warms up no more than its bound in any second, over all proxies', async () => {
     const arrivals: number[] = [];
     cold.server.on('request', () => arrivals.push(performance.now()));
