Test answers without a body, after a 102 and with trailers

What: HEAD with a length, 204, an empty 200, a 102 before the answer and trailers behind it pass through a proxy as whole answers. No fault was found.

--- a/test/proxying.test.ts
+++ b/test/proxying.test.ts
@@ -2,6 +2,7 @@
 // what the proof by header saves and who may answer, what is repeated, and how gently a server warms up.
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, it } from 'node:test';
+import { request } from 'undici';
 import type { Document } from '../src/manifest/document.js';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
@@ -237,6 +238,35 @@
     assert.deepEqual([await send('/short/x', 1000), await send('/short/x', 1001)], [200, 413]);
   });
 
+  it('passes answers without a body, after a 102 and with trailers on as whole ones', async () => {
+    const ask = async (handle: Bench.Handle, method: 'GET' | 'HEAD') => {
+      for (const one of left) one.handle = handle;
+      const answer = await request(`http://${bench.kit.fronts[0]!.listen}/once/x`, {
+        method,
+        headers: { host: 'one.example' },
+      });
+      return [answer.statusCode, answer.headers['content-length'], await answer.body.text()];
+    };
+    const head: Bench.Handle = (_incoming, response) =>
+      void response.writeHead(200, { 'content-length': '5', 'content-type': 'text/event-stream' }).end();
+    assert.deepEqual(await ask(head, 'HEAD'), [200, '5', '']);
+    assert.deepEqual(await ask(serve, 'GET'), [200, '5', 'whole']);
+    const empty: Bench.Handle = (_incoming, response) => void response.writeHead(204).end();
+    assert.deepEqual(await ask(empty, 'GET'), [204, undefined, '']);
+    const none: Bench.Handle = (_incoming, response) =>
+      void response.writeHead(200, { 'content-length': '0' }).end();
+    assert.deepEqual(await ask(none, 'GET'), [200, '0', '']);
+    const early: Bench.Handle = (_incoming, response) => {
+      response.writeProcessing();
+      response.writeHead(200, { trailer: 'x-sum' });
+      response.write('who');
+      response.addTrailers({ 'x-sum': '1' });
+      response.end('le');
+    };
+    assert.deepEqual(await ask(early, 'GET'), [200, undefined, 'whole']);
+    assert.equal(total(), 5);
+  });
+
   it('sends a server that warms up no more than its bound in any second, over all proxies', async () => {
     const arrivals: number[] = [];
     cold.server.on('request', () => arrivals.push(performance.now()));
