Judge a stated body length in the control node itself

Cause: the library's body limit looks at the request's body stream first, which makes a whole fetch request: the first operator's call loaded all of Node.js's fetch in each control node, and each later one built a stream. A body with a stated length is judged by it, as the library does; one of unknown length is still read by the library. Both tested against a control node.

--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -95,13 +95,15 @@
       key: context.req.header('idempotency-key'),
       by: context.var.person,
     });
-    app.use(
-      bodyLimit({
-        maxSize: longestBody,
-        onError: (context) =>
-          context.json(Responses.fail(413, 'body_too_long', 'the body is too long').body, 413),
-      }),
-    );
+    const tooLong = (context: Context) =>
+      context.json(Responses.fail(413, 'body_too_long', 'the body is too long').body, 413);
+    const limitRead = bodyLimit({ maxSize: longestBody, onError: tooLong });
+    // A body that states its length is judged by that; the library would make a whole fetch request of it first.
+    app.use((context, next) => {
+      if (context.req.header('transfer-encoding') !== undefined) return limitRead(context, next);
+      const length = Number.parseInt(context.req.header('content-length') ?? '0', 10);
+      return length > longestBody ? Promise.resolve(tooLong(context)) : next();
+    });
     app.get(
       '/v1/manifest',
       serve(operators, () => ReadManifest.run(office, {})),
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -1,6 +1,7 @@
 // The control plane's interface: what is acknowledged, what is refused and with which findings, and
 // that the newest acknowledged manifest is what is read back, through any core and after restarts.
 import assert from 'node:assert/strict';
+import { request } from 'node:http';
 import { after, before, describe, it } from 'node:test';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
@@ -121,6 +122,37 @@
     assert.equal((await bench.kit.operate('GET', '/v1/manifest/999999')).status, 404);
   });
 
+  it('turns a body over the limit away with 413, by its stated length or as it is read', async () => {
+    const [host, port] = bench.kit.cores[0]!.http.split(':');
+    const ask = (headers: Record<string, string | number>, chunks: readonly Buffer[]): Promise<unknown> =>
+      new Promise((resolve, reject) => {
+        const whole = { ...headers, authorization: 'Bearer nobody-at-all' };
+        const asked = request({
+          host,
+          port,
+          method: 'PUT',
+          path: '/v1/manifest',
+          headers: whole,
+          agent: false,
+        });
+        asked.once('response', async (answer) => {
+          let text = '';
+          for await (const chunk of answer) text += chunk;
+          asked.destroy();
+          resolve([answer.statusCode, (JSON.parse(text) as { error: { code: string } }).error.code]);
+        });
+        asked.once('error', reject);
+        for (const chunk of chunks) asked.write(chunk);
+      });
+    const most = 16 * 1024 * 1024;
+    const mebibyte = Buffer.alloc(1024 * 1024, 32);
+    const over = [413, 'body_too_long'];
+    assert.deepEqual(await ask({ 'content-length': most + 1 }, [mebibyte]), over);
+    const stream = Array.from({ length: 17 }, () => mebibyte);
+    assert.deepEqual(await ask({ 'transfer-encoding': 'chunked' }, stream), over);
+    assert.equal((await bench.kit.operate('GET', '/v1/manifest')).status, 200);
+  });
+
   it('drops unknown tokens, and keeps operators and the platform apart', async () => {
     const asNobody = { authorization: 'Bearer nobody-at-all' };
     const asPlatform = { authorization: `Bearer ${FleetKit.platformToken}` };
