--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -22,6 +22,7 @@
 const makers: Readonly<Record<string, () => unknown>> = {
   string: () => random.pick(['', 'a', 'ä—', 'x'.repeat(200)]),
   double: () => random.pick([0, -0, 1.5, -2e300]),
+  float: () => random.pick([0, -0, 1.5, -0.25]),
   bool: () => random.next() < 0.5,
   uint32: () => random.pick([0, 1, 2 ** 32 - 1]),
   uint64: () => random.pick([0, 1, 2 ** 40, Number.MAX_SAFE_INTEGER]),
