--- a/tools/scale/run.ts
+++ b/tools/scale/run.ts
@@ -94,8 +94,11 @@
       const at = Counts.now();
       if (response?.status === 422) throw new Error(JSON.stringify(response.body).slice(0, 2000));
       if (response?.status === 200) {
-        const status = await stage.operate('GET', '/v1/status');
-        return { stamp: status.body.stamp as Stamp, at };
+        for (;;) {
+          const status = await stage.operate('GET', '/v1/status').catch(() => undefined);
+          if (status?.status === 200) return { stamp: status.body.stamp as Stamp, at };
+          await Stage.pause(50);
+        }
       }
       await Stage.pause(50);
     }
