--- a/src/control/rights.ts
+++ b/src/control/rights.ts
@@ -16,10 +16,13 @@
 
 const common = (rule: Document.Rule): boolean => rule.teams === undefined;
 
-const changedRules = (before: readonly Document.Rule[], after: readonly Document.Rule[]) => [
-  ...before.filter((one) => !after.some((other) => isDeepStrictEqual(one, other))),
-  ...after.filter((one) => !before.some((other) => isDeepStrictEqual(one, other))),
-];
+const changedRules = (before: readonly Document.Rule[], after: readonly Document.Rule[]) => {
+  const missingFrom = (rules: readonly Document.Rule[]) => {
+    const named = new Map(rules.map((rule) => [rule.name, rule]));
+    return (one: Document.Rule) => !isDeepStrictEqual(one, named.get(one.name));
+  };
+  return [...before.filter(missingFrom(after)), ...after.filter(missingFrom(before))];
+};
 
 export const Rights = {
   touched(before: Document | undefined, after: Document): Rights {
