--- a/tools/scale/host.ts
+++ b/tools/scale/host.ts
@@ -1,6 +1,8 @@
 // A process that holds many hollow machines and does what the run tells it over the channel it was forked
 // with. Copies of one view are kept once for the whole process, or hundreds of nodes would not fit into
-// memory; each node still reads and mends its own first, so the work of that is all there.
+// memory, and what was read or mended once is not again: a process that read a megabyte hundreds of times in a row
+// would fall silent meanwhile, as no fleet does. The two real machines show what reading and mending cost a node.
+import { createHash } from 'node:crypto';
 import { Stamp } from '../../src/kinds/stamp.js';
 import { View } from '../../src/manifest/view.js';
 import { Ranges } from '../../src/repair/ranges.js';
@@ -42,10 +44,22 @@
   views.set(name, new WeakRef(view));
   return view;
 };
-const { decode } = View;
-View.decode = (bytes) => shared(decode(bytes));
+const known = new Map<string, WeakRef<View>>();
+const once = (key: string, make: () => View): View => {
+  const made = known.get(key)?.deref() ?? shared(make());
+  known.set(key, new WeakRef(made));
+  return made;
+};
+const { decode, encode } = View;
+View.decode = (bytes) => once(createHash('sha1').update(bytes).digest('hex'), () => decode(bytes));
 const { mend } = Ranges;
-Ranges.mend = (held, patch) => shared(mend(held, patch));
+Ranges.mend = (held, patch) => once(patch.seal, () => mend(held, patch));
+const encoded = new WeakMap<View, Uint8Array>();
+View.encode = (view) => {
+  const bytes = encoded.get(view) ?? encode(view);
+  encoded.set(view, bytes);
+  return bytes;
+};
 
 const counts = Counts.of();
 const { encode: encodeFrame, decode: decodeFrame } = Frame;
--- a/tools/scale/run.ts
+++ b/tools/scale/run.ts
@@ -80,6 +80,8 @@
   }
 };
 
+const tell = (text: string) => void process.stderr.write(`${new Date().toISOString()} ${text}\n`);
+
 const measure = async (size: Run.Size, world: World, stage: Stage, crowd: Crowd): Promise<Run.Report> => {
   let change = 0;
   const took: Record<'manifest' | 'servers', number> = { manifest: 0, servers: 0 };
@@ -92,6 +94,8 @@
       const headers = what === 'manifest' ? { 'if-match': now?.etag ?? '"0"' } : undefined;
       const response = await stage.operate('PUT', `/v1/${what}`, body, headers).catch(() => undefined);
       const at = Counts.now();
+      if (response && response.status !== 200)
+        tell(`${what}: ${response.status} ${JSON.stringify(response.body).slice(0, 200)}`);
       if (response?.status === 422) throw new Error(JSON.stringify(response.body).slice(0, 2000));
       if (response?.status === 200) {
         for (;;) {
@@ -150,7 +154,9 @@
   await Promise.all([crowd.reach(first.stamp), stage.reach(first.stamp)]);
   await hearAll(0);
   const startedIn = Counts.now() - began;
+  tell(`${size.nodes} nodes started in ${Math.round(startedIn)} ms`);
   await settle(stage);
+  tell('settled');
 
   const start = await samples();
   await Stage.pause(size.seconds * 1000);
@@ -190,6 +196,7 @@
     );
     const kinds = Object.fromEntries(Object.entries(spent).map(([role, rate]) => [role, rate.kinds]));
     const seconds = spent.primary?.seconds ?? 0;
+    tell(`${name}: ${why ?? `${Math.round(last ?? 0)} ms`}`);
     events.push({ name, last, seconds, extra, kinds, ...(why === undefined ? {} : { why }) });
   };
   const does = (name: string) => size.events.includes(name);
