--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -49,7 +49,7 @@
       const patch = Ranges.patch(ranges, held);
       const isWorthIt = patch.ranges.some(({ body }) => body === '');
       if (isWorthIt) link.send({ kind: 'patch', ...patch });
-      else link.send({ kind: 'news', view: View.encode(feed.view()) });
+      else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
       held = new Set(Ranges.digests(ranges));
       link.send({ kind: 'ping', age: needs.age() });
     };
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -129,7 +129,7 @@
           }
         })
         .with({ kind: 'ask' }, () => {
-          link.send({ kind: 'news', view: View.encode(feed.view()) });
+          link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
         })
         .with({ kind: 'ping' }, ({ age, stamp }) => {
           feed.hear(age, stamp);
