--- a/tools/scale/host.ts
+++ b/tools/scale/host.ts
@@ -50,16 +50,10 @@
   known.set(key, new WeakRef(made));
   return made;
 };
-const { decode, encode } = View;
+const { decode } = View;
 View.decode = (bytes) => once(createHash('sha1').update(bytes).digest('hex'), () => decode(bytes));
 const { mend } = Ranges;
 Ranges.mend = (held, patch) => once(patch.seal, () => mend(held, patch));
-const encoded = new WeakMap<View, Uint8Array>();
-View.encode = (view) => {
-  const bytes = encoded.get(view) ?? encode(view);
-  encoded.set(view, bytes);
-  return bytes;
-};
 
 const counts = Counts.of();
 const { encode: encodeFrame, decode: decodeFrame } = Frame;
