Send a child that comes with the view held here only what changes of it

What: the stamp of its hello says that it holds the ranges held here; a child that does not can't mend and asks for the whole, as before.

--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,6 +1,7 @@
 // The upper end of a session: one task per child. The child says who it is, gets the mates and the
 // newest view, and from then on every newer one; what the child tells of the nodes below it goes on
-// the roll. When the child holds a newer view than we do, we ask for it.
+// the roll. When the child holds a newer view than we do, we ask for it. A child that came with the view that
+// is held here is sent only what changes of it.
 import { match } from 'ts-pattern';
 import { Alarm } from '../kinds/alarm.js';
 import { Mishap } from '../kinds/mishap.js';
@@ -43,7 +44,8 @@
     const { feed, roll } = needs;
     const node = hello.self.node;
     const isMate = hello.self.program === 'control';
-    let held = new Set<string>();
+    const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
+    let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
     const sendNews = () => {
       const ranges = Copies.of(feed.view());
       const patch = Ranges.patch(ranges, held);
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -2,11 +2,15 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { Stamp } from '../src/kinds/stamp.js';
+import { View } from '../src/manifest/view.js';
+import { Children } from '../src/membership/children.js';
+import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
 import type { Frame } from '../src/wire/frame.js';
+import { Link } from '../src/wire/link.js';
 
 const below = 40;
 const nameOf = (index: number) => `below-${index}`;
@@ -105,4 +109,58 @@
     assert.equal(roll.get('near')?.stamp.revision, 2);
     assert.equal(roll.get('nobody'), undefined);
   });
+  it('sends a child that came with the view held here only what changes of it', async () => {
+    const rules = Array.from({ length: 320 }, (_none, index) => ({ name: `rule-${index}` }));
+    const viewOf = (revision: number) => {
+      const stamp = Stamp.of(1, revision);
+      const document = { rules, note: `change ${revision}` };
+      const platform = { ...View.empty.platform, ...stamp };
+      return { stamp, platform, manifest: { ...stamp, document } } as unknown as View;
+    };
+    const feed = Feed.of(viewOf(1));
+    const roll = rollOf('parent');
+    const children = Children.of(roll);
+    const doorway = await Doorway.open({
+      address: { host: '127.0.0.1', port: 0 },
+      stamp: feed.stamp,
+      age: () => 0,
+      note: () => {},
+      serve: (link, hello, frames) =>
+        Downlink.serve(link, hello, frames, {
+          feed,
+          roll,
+          children,
+          mates: () => [],
+          relays: () => [],
+          roster: () => [],
+          version: '',
+          age: () => 0,
+          onTokens: () => {},
+          onCold: () => {},
+        }),
+    });
+    const firstNews = async (held: Stamp) => {
+      const link = await Link.open(doorway.address, { stamp: () => held, age: () => 0 });
+      const self = { ...rollOf(`child-${held.revision}`).self(), stamp: held };
+      link.send({ kind: 'hello', self, version: '', aim: 'session' });
+      for await (const frame of link.frames()) {
+        if (frame.kind === 'roster') feed.offer(viewOf(feed.stamp().revision + 1));
+        if (frame.kind === 'news' || frame.kind === 'patch') return frame;
+      }
+      return undefined;
+    };
+    try {
+      const patch = await firstNews(Stamp.of(1, 1));
+      assert.equal(patch?.kind, 'patch');
+      const sent = patch?.kind === 'patch' ? patch.ranges.filter(({ body }) => body !== '') : [];
+      assert.deepEqual(
+        sent.map(({ name }) => name),
+        ['meta', 'part:note'],
+      );
+      const whole = await firstNews(Stamp.of(1, 1));
+      assert.equal(whole?.kind, 'news');
+    } finally {
+      await doorway.close();
+    }
+  });
 });
