--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,6 +1,7 @@
 // The upper end of a session: one task per child. The child says who it is, gets the mates and the
-// newest view, and from then on every newer one, and the mates again when they are others; what the child tells of the nodes below it goes on
-// the roll. When the child holds a newer view than we do, we ask for it.
+// newest view, and from then on every newer one, and the mates again when they are others; what the child
+// tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
+// child that came with the view that is held here is sent only what changes of it.
 import { match } from 'ts-pattern';
 import { Alarm } from '../kinds/alarm.js';
 import { Mishap } from '../kinds/mishap.js';
@@ -43,13 +44,14 @@
     const { feed, roll } = needs;
     const node = hello.self.node;
     const isMate = hello.self.program === 'control';
-    let held = new Set<string>();
+    const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
+    let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
     const sendNews = () => {
       const ranges = Copies.of(feed.view());
       const patch = Ranges.patch(ranges, held);
       const isWorthIt = patch.ranges.some(({ body }) => body === '');
       if (isWorthIt) link.send({ kind: 'patch', ...patch });
-      else link.send({ kind: 'news', view: View.encode(feed.view()) });
+      else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
       held = new Set(Ranges.digests(ranges));
       link.send({ kind: 'ping', age: needs.age() });
     };
