--- a/src/control/commands/rollback.ts
+++ b/src/control/commands/rollback.ts
@@ -1,6 +1,7 @@
-// Take back a kept manifest as a new revision.
+// Take back a kept manifest as a new revision. Walls are never taken back: those in force stay.
 import { Guard } from '../../kinds/guard.js';
 import { Revision } from '../../kinds/revision.js';
+import { State } from '../../store/state.js';
 import type { Office } from '../office.js';
 import { Responses } from '../responses.js';
 import { PutManifest } from './put-manifest.js';
@@ -18,7 +19,8 @@
     const state = await office.confirm();
     const kept = state.manifests.find((one) => one.revision === wanted);
     if (!kept) return Responses.fail(404, 'not_kept', `the manifest of revision ${wanted} is not kept`);
-    const body = { ...kept.document, note: `rollback to revision ${wanted}` };
+    const walls = State.newest(state)?.document.walls ?? kept.document.walls;
+    const body = { ...kept.document, ...(walls ? { walls } : {}), note: `rollback to revision ${wanted}` };
     return PutManifest.run(office, { ...rollback, body });
   },
 };
--- a/src/control/folder.ts
+++ b/src/control/folder.ts
@@ -8,6 +8,7 @@
 import { Register } from '../epoch/register.js';
 import { Mishap } from '../kinds/mishap.js';
 import { File } from '../store/file.js';
+import type { Seal } from '../store/seal.js';
 import { Store } from '../store/store.js';
 
 export type Folder = { readonly register: Register; readonly store: Store };
@@ -22,9 +23,9 @@
   return aside;
 };
 
-const open = async (folder: string): Promise<Folder> => {
+const open = async (folder: string, seal: Seal | undefined): Promise<Folder> => {
   const register = await Register.open(await File.open(folder, 'register.log'));
-  const store = await Store.open(folder);
+  const store = await Store.open(folder, seal);
   return { register, store };
 };
 
@@ -34,18 +35,22 @@
     await handle.sync();
     await handle.close();
   },
-  async open(folder: string, alert: (text: string, facts: Record<string, unknown>) => void): Promise<Folder> {
+  async open(
+    folder: string,
+    alert: (text: string, facts: Record<string, unknown>) => void,
+    seal?: Seal,
+  ): Promise<Folder> {
     if (existsSync(join(folder, retired))) {
       alert('this core was retired; it begins anew as a spare', { aside: await setAside(folder, retired) });
       await rm(join(folder, retired));
     }
     try {
-      return await open(folder);
+      return await open(folder, seal);
     } catch (error) {
       if (!Mishap.text(error).startsWith('damaged')) throw error;
       const aside = await setAside(folder, 'damaged');
       alert('the data folder is damaged and set aside', { aside, why: Mishap.text(error) });
-      return open(folder);
+      return open(folder, seal);
     }
   },
 };
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -67,7 +67,7 @@
 
     const serve =
       (
-        people: readonly { name: string; token: string; teams?: readonly string[] }[],
+        people: readonly { name: string; token: string; teams?: readonly string[]; secrets?: boolean }[],
         handle: Handle,
         isLocal = false,
       ) =>
@@ -76,7 +76,11 @@
         const person = people.find((one) => isSame(one.token, token));
         if (!person)
           return give(context, Responses.fail(401, 'bad_token', 'the token is missing or unknown'));
-        context.set('person', { name: person.name, teams: person.teams });
+        context.set('person', {
+          name: person.name,
+          teams: person.teams,
+          maySeeSecrets: person.secrets === true,
+        });
         if (!isLocal && !core.leading()) return atPrimary.pass(context);
         if (context.req.method !== 'GET') {
           try {
@@ -94,6 +98,7 @@
       ifMatch: readTag(context.req.header('if-match')),
       key: context.req.header('idempotency-key'),
       by: context.var.person,
+      isSealed: startup.key_file !== undefined,
     });
     app.use(
       bodyLimit({
@@ -104,7 +109,7 @@
     );
     app.get(
       '/v1/manifest',
-      serve(operators, () => ReadManifest.run(office, {})),
+      serve(operators, (context) => ReadManifest.run(office, { by: context.var.person })),
     );
     app.put(
       '/v1/manifest',
@@ -131,7 +136,10 @@
     app.get(
       '/v1/manifest/:revision',
       serve(operators, (context) =>
-        ReadManifest.run(office, { revision: context.req.param('revision') ?? '' }),
+        ReadManifest.run(office, {
+          revision: context.req.param('revision') ?? '',
+          by: context.var.person,
+        }),
       ),
     );
     app.get(
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -25,6 +25,7 @@
 import type { Program } from '../startup/program.js';
 import type { Startup } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
+import { Seal } from '../store/seal.js';
 import { Doorway } from '../wire/doorway.js';
 import { Frame } from '../wire/frame.js';
 import type { Adapter } from './adapter.js';
@@ -55,7 +56,8 @@
 export const Control: Control = {
   async start(startup, ring, adapter = {}) {
     const began = Moment.now();
-    const { register, store } = await Folder.open(startup.data, ring.alert);
+    const seal = startup.key_file === undefined ? undefined : await Seal.read(startup.key_file);
+    const { register, store } = await Folder.open(startup.data, ring.alert, seal);
     const feed = Feed.of();
     const boot = Ident.boot();
     let wire = startup.wire;
--- a/src/control/queries/read-manifest.ts
+++ b/src/control/queries/read-manifest.ts
@@ -1,11 +1,20 @@
 // The manifest in force, or a kept one by its revision. Both are answered only after a majority has
-// confirmed the epoch, so the newest acknowledged one is what is read.
+// confirmed the epoch, so the newest acknowledged one is what is read. The secret of the walls is left out for
+// all who have no right to it.
 import { Revision } from '../../kinds/revision.js';
+import type { Document } from '../../manifest/document.js';
 import { State } from '../../store/state.js';
 import type { Office } from '../office.js';
 import { Responses } from '../responses.js';
+import type { Rights } from '../rights.js';
 
-export type ReadManifest = { readonly revision?: string };
+export type ReadManifest = { readonly revision?: string; readonly by: Rights.Person };
+
+const withoutSecret = (document: Document): Document => {
+  if (!document.walls) return document;
+  const { secret: _secret, ...walls } = document.walls;
+  return { ...document, walls };
+};
 
 export const ReadManifest = {
   async run(office: Office, query: ReadManifest): Promise<Responses> {
@@ -24,7 +33,7 @@
       };
     return {
       status: 200,
-      body: found.document,
+      body: query.by.maySeeSecrets ? found.document : withoutSecret(found.document),
       headers: { etag: `"${found.revision}"`, 'bramblebend-by': found.by, 'bramblebend-at': found.at },
     };
   },
--- a/src/control/queries/read-status.ts
+++ b/src/control/queries/read-status.ts
@@ -1,5 +1,6 @@
 // Which nodes are members, and which revision is in force at each.
 import { Stamp } from '../../kinds/stamp.js';
+import type { Document } from '../../manifest/document.js';
 import type { Roll } from '../../membership/roll.js';
 import type { Frame } from '../../wire/frame.js';
 import type { Core } from '../core.js';
@@ -21,6 +22,19 @@
   age: Math.round(age),
 });
 
+const describeWalls = ({ walls, groups, rules }: Document) =>
+  walls && {
+    generation: walls.generation,
+    owners: walls.owners ?? {},
+    groups: Object.fromEntries(
+      Object.entries(groups).map(([name, { wall, kind }]) => [
+        name,
+        wall ?? (kind === 'plain' ? 'keeps no prompts' : 'refused'),
+      ]),
+    ),
+    shared: rules.filter((rule) => rule.wall === 'shared').map((rule) => rule.name),
+  };
+
 export const ReadStatus = {
   nodes: ({ roll }: ReadStatus): Responses => ({ status: 200, body: { nodes: roll.all().map(describe) } }),
   async run(office: Office, { roll, core }: ReadStatus): Promise<Responses> {
@@ -28,11 +42,13 @@
     const proxies = roll.all().filter((entry) => entry.program === 'proxy');
     const behind = proxies.filter((entry) => Stamp.isNewer(state.stamp, entry.stamp));
     const tenure = core.tenure();
+    const document = state.manifests.at(-1)?.document;
     return {
       status: 200,
       body: {
         stamp: state.stamp,
         manifest: state.manifests.at(-1)?.revision ?? 0,
+        walls: document ? describeWalls(document) : undefined,
         platform: { serial: state.platform.serial, revision: state.platform.revision },
         tenure,
         everywhere: behind.length === 0,
--- a/src/control/rights.ts
+++ b/src/control/rights.ts
@@ -6,7 +6,11 @@
 export type Rights = { readonly teams: readonly string[]; readonly others: readonly string[] };
 
 export declare namespace Rights {
-  type Person = { readonly name: string; readonly teams: readonly string[] | undefined };
+  type Person = {
+    readonly name: string;
+    readonly teams: readonly string[] | undefined;
+    readonly maySeeSecrets?: boolean;
+  };
 }
 
 const changedKeys = (before: Readonly<Record<string, unknown>>, after: Readonly<Record<string, unknown>>) =>
@@ -28,9 +32,10 @@
       ...changedKeys(before?.teams ?? {}, after.teams),
       ...rules.flatMap((rule) => rule.teams ?? []),
     ]);
-    const others = (['zones', 'groups', 'homes', 'evacuations'] as const).filter(
-      (part) => !isDeepStrictEqual(before?.[part] ?? (part === 'evacuations' ? [] : {}), after[part] ?? []),
-    );
+    const others = (['zones', 'groups', 'homes', 'evacuations', 'walls'] as const).filter((part) => {
+      const empty = part === 'evacuations' ? [] : {};
+      return !isDeepStrictEqual(before?.[part] ?? empty, after[part] ?? empty);
+    });
     const quotas = (document: Document | undefined) =>
       Object.entries(document?.teams ?? {}).map(([name, team]) => [name, team.quota]);
     const isQuotaChanged = !isDeepStrictEqual(
--- a/src/manifest/check.ts
+++ b/src/manifest/check.ts
@@ -96,6 +96,44 @@
       Guard.report(findings, `${place}/bounds/${name}`, 'is below the timeout of the rule itself');
 };
 
+const checkWalls = (document: Document, findings: Guard.Finding[]) => {
+  const { walls } = document;
+  const isTeam: Known = (name) => Object.hasOwn(document.teams, name);
+  const owned = new Map<string, string>();
+  for (const [name, { teams }] of Object.entries(walls?.owners ?? {})) {
+    const place = `/walls/owners/${name}`;
+    if (isTeam(name)) Guard.report(findings, place, 'is the name of a team');
+    checkNames(teams, `${place}/teams`, isTeam, 'team', findings);
+    teams.forEach((team, index) => {
+      const other = owned.get(team);
+      if (other !== undefined && other !== name)
+        Guard.report(findings, `${place}/teams/${index}`, `is already behind the wall of ${other}`);
+      owned.set(team, name);
+    });
+  }
+  for (const [name, { kind, wall }] of Object.entries(document.groups)) {
+    const place = `/groups/${name}/wall`;
+    if (!wall && walls && kind === 'model')
+      Guard.report(findings, place, 'is missing: say how its servers keep walls, or that they keep none');
+    if (wall && !walls) Guard.report(findings, place, 'is of no use without /walls');
+    if (!wall || !walls) continue;
+    if (wall.by === 'header' && wall.name === undefined)
+      Guard.report(findings, `${place}/name`, 'is missing for a wall by header');
+    if (wall.by === 'none' && wall.name !== undefined)
+      Guard.report(findings, `${place}/name`, 'is of no use for servers that keep no walls');
+    if (wall.by !== 'none' && wall.for !== undefined)
+      Guard.report(findings, `${place}/for`, 'is of no use for servers that keep walls');
+    if (wall.for !== undefined && owned.has(wall.for))
+      Guard.report(findings, `${place}/for`, `is behind the wall of ${owned.get(wall.for)}: name that`);
+    else if (wall.for !== undefined && !isTeam(wall.for) && !Object.hasOwn(walls.owners ?? {}, wall.for))
+      Guard.report(findings, `${place}/for`, `names no team and no owner: ${wall.for}`);
+  }
+  document.rules.forEach((rule, index) => {
+    if (rule.wall !== undefined && !walls)
+      Guard.report(findings, `/rules/${index}/wall`, 'is of no use without /walls');
+  });
+};
+
 export const Check = {
   manifest(value: unknown): Check {
     const findings: Guard.Finding[] = [];
@@ -106,6 +144,7 @@
     for (const [name, home] of Object.entries(document.homes))
       checkNames(home.regions, `/homes/${name}/regions`, isRegion, 'region of any zone', findings);
     checkTeams(document, findings);
+    checkWalls(document, findings);
     const names = document.rules.map((rule) => rule.name);
     checkNames(names, '/rules', () => true, 'rule', findings);
     document.rules.forEach((rule, index) => {
--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -7,6 +7,7 @@
 import type { Stamp } from '../kinds/stamp.js';
 import type { Document } from './document.js';
 import type { View } from './view.js';
+import { Wall } from './wall.js';
 
 export type Compiled = {
   readonly stamp: Stamp;
@@ -18,6 +19,7 @@
   readonly regionOf: (zone: string) => Ident.Region | undefined;
   readonly regions: readonly Ident.Region[];
   readonly limits: Document.Limits;
+  readonly walls: Wall.Walls | undefined;
   readonly openTeam: Compiled.Team | undefined;
   readonly findTeam: (key: string) => Compiled.Team | undefined;
 };
@@ -40,6 +42,7 @@
     readonly warmup: Document.Warmup | undefined;
     readonly connections: number | undefined;
     readonly memory: number | undefined;
+    readonly wall: Wall.Way | undefined;
     readonly isNotRun: (status: number, headers: Readonly<Record<string, unknown>>) => boolean;
     readonly concurrent: number;
     readonly ejection: Ejection;
@@ -81,6 +84,7 @@
     readonly bounds: Document.Timeouts;
     readonly retry: Retry;
     readonly isAffine: boolean;
+    readonly isShared: boolean;
     readonly body: number;
     readonly teams: readonly Ident.Team[] | undefined;
   };
@@ -131,6 +135,7 @@
       max: rule.retry?.max ?? 1000,
     },
     isAffine: rule.affinity ?? true,
+    isShared: rule.wall === 'shared',
     body: rule.body ?? 4 * 1024 * 1024,
     teams: rule.teams,
   };
@@ -140,6 +145,7 @@
   name: string,
   group: Document.Group,
   servers: readonly Compiled.Server[],
+  walls: Document.Walls | undefined,
 ): Compiled.Group => ({
   name: name as Ident.Group,
   kind: group.kind,
@@ -150,6 +156,7 @@
   warmup: group.warmup,
   connections: group.connections,
   memory: group.memory,
+  wall: walls && Wall.wayOf(walls, group),
   isNotRun: (status, headers) =>
     (group.not_run ?? []).some(
       (one) =>
@@ -191,6 +198,7 @@
           name,
           group,
           [...servers.values()].filter((one) => one.group === name),
+          document.walls,
         ),
       );
     const teams = new Map<string, Compiled.Team>();
@@ -211,6 +219,7 @@
       regionOf: (zone) => zones[zone]?.region,
       regions: [...new Set(Object.values(zones).map((zone) => zone.region))],
       limits: document.limits ?? {},
+      walls: Wall.of(document),
       openTeam,
       findTeam: (key) => teams.get(createHash('sha256').update(key).digest('hex')),
     };
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -43,6 +43,14 @@
 const proof = Guard.record({ header }, { misdirected: status });
 const warmup = Guard.record({ per_second: Guard.number({ min: 0, max: 1_000_000 }), span });
 
+const wall = Guard.record(
+  { by: Guard.oneOf('field', 'header', 'none') },
+  {
+    name: Guard.text({ like: /^[a-z0-9_-]{1,64}$/, as: 'a field or header name in lower case' }),
+    for: Guard.text(word),
+  },
+);
+
 const catalogueEntry = Guard.record(
   { kind: Guard.oneOf('model', 'plain'), regions: Guard.list(region, { min: 1 }) },
   {
@@ -54,6 +62,7 @@
     models: Guard.list(Guard.text({ max: 128 }), { min: 1 }),
     adapters: Guard.list(Guard.text({ max: 128 })),
     identity,
+    wall,
     not_run: Guard.list(Guard.record({ status }, { header, is: Guard.text({ max: 128 }) })),
     concurrent: Guard.whole({ min: 1, max: 100_000 }),
     ejection,
@@ -111,6 +120,7 @@
     bounds: Guard.record({}, timeouts),
     retry,
     affinity: Guard.flag,
+    wall: Guard.oneOf('own', 'shared'),
     body: Guard.whole({ min: 0, max: 64 * 1024 * 1024 }),
     teams: Guard.list(team, { min: 1 }),
   },
@@ -131,6 +141,14 @@
   },
 );
 
+const walls = Guard.record(
+  { generation: Guard.whole({ min: 1 }) },
+  {
+    secret: Guard.text({ like: /^([0-9a-f]{64}|new)$/, as: '32 bytes in hexadecimal, or new' }),
+    owners: Guard.map(Guard.record({ teams: Guard.list(team, { min: 1 }) }), Guard.text(word)),
+  },
+);
+
 const source = Guard.record({
   format: Guard.text(word),
   number: Guard.whole({ min: 0 }),
@@ -156,7 +174,7 @@
     ),
     rules: Guard.list(rule, { max: 5000 }),
   },
-  { evacuations: Guard.list(zone), note: Guard.text({ max: 4096 }), limits, source },
+  { evacuations: Guard.list(zone), note: Guard.text({ max: 4096 }), limits, source, walls },
 );
 
 const server = Guard.record(
@@ -176,6 +194,7 @@
   type Group = Guard.Of<typeof catalogueEntry>;
   type Rule = Guard.Of<typeof rule>;
   type Quota = Guard.Of<typeof quota>;
+  type Walls = Guard.Of<typeof walls>;
   type Source = Guard.Of<typeof source>;
   type Limits = Guard.Of<typeof limits>;
   type Proof = Guard.Of<typeof proof>;
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -4,6 +4,7 @@
 import type { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Document } from '../manifest/document.js';
+import type { Wall } from '../manifest/wall.js';
 import type { Tries } from '../upstream/tries.js';
 import type { Dialect } from './dialect.js';
 import type { Prompt } from './prompt.js';
@@ -16,6 +17,7 @@
   readonly asked: Dialect.Asked;
   compiled?: Compiled;
   team?: Compiled.Team;
+  wall?: Wall | undefined;
   body?: Buffer;
   prompt?: Prompt;
   rule?: Compiled.Rule;
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -1,5 +1,6 @@
 // Pick and try: gives the call to the upstream layer and keeps the verdict for the commit.
 import type { Compiled } from '../../manifest/compiled.js';
+import { Wall } from '../../manifest/wall.js';
 import type { Exchange } from '../../upstream/exchange.js';
 import type { Pick } from '../../upstream/pick.js';
 import { Trial } from '../../upstream/trial.js';
@@ -8,6 +9,7 @@
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
 import { Responses } from '../responses.js';
+import { Walled } from '../walled.js';
 
 export type Attempt = { readonly verdict: Tries };
 
@@ -24,17 +26,14 @@
   incoming: Call.Env['Bindings']['incoming'],
   { pick, step, left, hops, after }: Sending,
 ): Exchange.Request => {
-  const body =
-    step.model !== undefined && call.prompt?.json
-      ? Buffer.from(JSON.stringify({ ...call.prompt.json, model: step.model }))
-      : (call.body ?? null);
+  const body = Walled.body(call, step.model, pick.group.wall);
   const { dialect, id, rule } = call;
   const proof = pick.group.proof;
   return {
     method: incoming.method ?? 'GET',
     path: incoming.url ?? '/',
     headers: {
-      ...Hygiene.up(incoming.headers, dialect.isKept),
+      ...Walled.headers(call, pick.group.wall, Hygiene.up(incoming.headers, dialect.isKept)),
       ...dialect.up({ id, left, hops, priority: rule?.priority, after }),
       ...(proof ? { [proof.header]: pick.server.instance } : {}),
     },
@@ -43,11 +42,15 @@
 };
 
 const isStillOpen =
-  (needs: Filter.Needs, regions: readonly string[]) =>
+  (needs: Filter.Needs, regions: readonly string[], mayGo: (group: Compiled.Group) => boolean) =>
   ({ server }: Pick): boolean => {
-    const newest = needs.compiled()?.servers.get(server.instance);
+    const compiled = needs.compiled();
+    const newest = compiled?.servers.get(server.instance);
+    const group = newest && compiled?.groups.get(newest.group);
     return (
       newest?.isOpen === true &&
+      group !== undefined &&
+      mayGo(group) &&
       newest.group === server.group &&
       newest.address.host === server.address.host &&
       newest.address.port === server.address.port &&
@@ -82,7 +85,8 @@
       const regions = Call.need(call, 'regions');
       const timeouts = Call.need(call, 'timeouts');
       const deadline = Call.need(call, 'deadline');
-      const isOpen = isStillOpen(needs, regions);
+      const mayGo = (group: Compiled.Group) => Wall.mayGo(call.wall, group.wall, Walled.hasForeignBody(call));
+      const isOpen = isStillOpen(needs, regions, mayGo);
       const compiled = Call.need(call, 'compiled');
       const share = needs.shares.enter(
         rule.steps[0]?.groups.join() ?? '',
@@ -97,9 +101,12 @@
           retryAfter: 1000,
         });
       context.env.outgoing.once('close', share);
-      const parts = call.asked.parts;
+      const { wall } = call;
+      const parts = call.asked.parts.map((part) => ({ ...part, key: Wall.key(wall, part.key) }));
+      const key = call.prompt?.key;
       const want = {
         parts,
+        wall: wall?.name ?? '',
         tokens: call.asked.tokens?.read ?? 0,
         bytes: call.body?.length ?? 0,
         aim: rule.aim ?? timeouts.total,
@@ -109,7 +116,7 @@
         Tries.run({
           rule,
           regions,
-          key: call.prompt?.key,
+          key: key === undefined ? undefined : Wall.key(wall, key),
           want,
           before: { tried: [...tried], sent },
           deadline,
@@ -122,6 +129,7 @@
             allowance: needs.ramp.allowance,
             isDark: needs.prover.isDark,
             mayWarm: needs.warmup.allows,
+            mayGo,
             placement: needs.placement,
             random: Math.random,
           }),
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -60,6 +60,7 @@
           text: `${overrides} must read name=milliseconds, with names out of ${Object.keys(rule.timeouts).join(', ')}`,
         });
       call.rule = rule;
+      if (rule.isShared) call.wall = call.compiled?.walls?.shared();
       call.timeouts = timeouts;
       const left = Math.min(timeouts.total, call.asked.left ?? timeouts.total);
       call.deadline = Moment.after(left, call.arrived);
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -27,18 +27,21 @@
 });
 
 const token = Guard.text({ min: 8, max: 256 });
-const operator = Guard.record({ name, token }, { teams: Guard.list(name, { min: 1 }) });
+const operator = Guard.record({ name, token }, { teams: Guard.list(name, { min: 1 }), secrets: Guard.flag });
 
-const control = Guard.record({
-  node: name,
-  zone: name,
-  wire: Guard.address,
-  http: Guard.address,
-  seeds,
-  data: Guard.text({ max: 4096 }),
-  operators: Guard.list(operator, { min: 1, max: 100 }),
-  platform: Guard.list(Guard.record({ name, token }), { min: 1, max: 100 }),
-});
+const control = Guard.record(
+  {
+    node: name,
+    zone: name,
+    wire: Guard.address,
+    http: Guard.address,
+    seeds,
+    data: Guard.text({ max: 4096 }),
+    operators: Guard.list(operator, { min: 1, max: 100 }),
+    platform: Guard.list(Guard.record({ name, token }), { min: 1, max: 100 }),
+  },
+  { key_file: Guard.text({ max: 4096 }) },
+);
 
 export type Startup = {
   readonly proxy: Guard.Of<typeof proxy>;
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -1,11 +1,13 @@
 // A core machine's copy of the state: held in memory, rebuilt from its file at start, and extended one
 // synced change at a time. Long changes are packed, on disk and on their way to a backup. A damaged file
-// does not open: the whole folder is then untrusted.
+// does not open: the whole folder is then untrusted. Under a key file each record is sealed on the disk, and
+// without one no manifest with walls is kept, for its secret may not lie there in plain.
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
 import { File } from './file.js';
+import type { Seal } from './seal.js';
 import { State } from './state.js';
 
 export type Store = {
@@ -20,6 +22,7 @@
 
 const packedFrom = 64 * 1024;
 const packed = 0;
+const sealed = 1;
 
 const encode = (change: State.Change): Buffer => {
   const plain = Buffer.from(JSON.stringify(change));
@@ -32,14 +35,37 @@
   return JSON.parse(plain.toString('utf8')) as State.Change;
 };
 
+const hasSecret = (change: State.Change): boolean => {
+  const documents =
+    change.kind === 'whole'
+      ? change.state.manifests.map(({ document }) => document)
+      : change.kind === 'manifest'
+        ? [change.document]
+        : change.kind === 'settled' && change.view.manifest
+          ? [change.view.manifest.document]
+          : [];
+  return documents.some(({ walls }) => walls?.secret !== undefined);
+};
+const rest = (change: State.Change, seal: Seal | undefined): Buffer => {
+  if (seal) return Buffer.concat([Buffer.of(sealed), seal.seal(encode(change))]);
+  if (hasSecret(change))
+    throw Mishap.of('store', 'a manifest with walls is not kept without a key file', { key_file: 'missing' });
+  return encode(change);
+};
+const read = (payload: Uint8Array, seal: Seal | undefined): State.Change => {
+  if (payload[0] !== sealed) return decode(payload);
+  if (!seal) throw Mishap.of('store', 'the state is sealed: name its key file in the startup file');
+  return decode(seal.open(payload.subarray(1)));
+};
+
 export const Store = {
   encode,
   decode,
-  async open(folder: string): Promise<Store> {
+  async open(folder: string, seal?: Seal): Promise<Store> {
     const file = await File.open(folder, name);
     let state = State.empty;
     let rewritten = 0;
-    for (const payload of file.payloads) state = State.apply(state, decode(payload));
+    for (const payload of file.payloads) state = State.apply(state, read(payload, seal));
     const turns = Turns.of();
     return {
       state: () => state,
@@ -54,9 +80,9 @@
           const next = State.apply(state, change);
           const whole = { kind: 'whole', stamp: next.stamp, state: next } as const;
           if (change.kind === 'whole' || file.length() > rewritten + longest) {
-            await file.rewrite([encode(whole)]);
+            await file.rewrite([rest(whole, seal)]);
             rewritten = file.length();
-          } else await file.append(encode(change));
+          } else await file.append(rest(change, seal));
           state = next;
         }),
       close: () => file.close(),
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -22,6 +22,7 @@
     readonly allowance: (instance: string) => number;
     readonly isDark: (instance: string) => boolean;
     readonly mayWarm: (server: Compiled.Server, group: Compiled.Group) => boolean;
+    readonly mayGo: (group: Compiled.Group) => boolean;
     readonly placement: Placement;
     readonly random: () => number;
   };
@@ -51,7 +52,7 @@
   open(tier: Pick.Tier, needs: Pick.Needs): readonly Pick[] {
     return tier.step.groups.flatMap((name) => {
       const group = needs.compiled.groups.get(name);
-      if (!group) return [];
+      if (!group || !needs.mayGo(group)) return [];
       return group.servers
         .filter(
           (server) =>
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -19,6 +19,8 @@
   type Part = { readonly key: string; readonly tokens: number };
   type Want = {
     readonly parts: readonly Part[];
+    /** Behind which wall; each wall has its own part of what is remembered of a server. */
+    readonly wall: string;
     readonly tokens: number;
     readonly bytes: number;
     readonly aim: number;
@@ -57,13 +59,13 @@
 
 export const Placement = {
   of(needs: Placement.Needs): Placement {
-    const kept = new Map<string, Map<string, number>>();
+    const kept = new Map<string, Map<string, Map<string, number>>>();
     const seenSince = new Map<string, Moment>();
     let isFirst = true;
     const isSettled = (instance: string) =>
       Moment.since(seenSince.get(instance) ?? Moment.now()) > settledAfter;
-    const missing = (instance: string, chains: readonly Chain[], isHolder: boolean): number => {
-      const held = kept.get(instance);
+    const missing = (instance: string, wall: string, chains: readonly Chain[], isHolder: boolean): number => {
+      const held = kept.get(instance)?.get(wall);
       let tokens = 0;
       let isKept = true;
       chains.forEach(({ key, tokens: own }, index) => {
@@ -93,7 +95,7 @@
       const tokens =
         chains.length === 0
           ? want.tokens
-          : missing(server.instance, chains, isHolder && isSettled(server.instance));
+          : missing(server.instance, want.wall, chains, isHolder && isSettled(server.instance));
       const reading = tokens / tokensPerMillisecond;
       const until = (isFar ? farTrip : 0) + level.prefill / tokensPerMillisecond + reading;
       const late = Math.max(0, until - want.aim / 2);
@@ -124,17 +126,19 @@
       },
       sent({ instance }, group, want) {
         const chains = chainsOf(want.parts);
-        const uncached = chains.length === 0 ? want.tokens : missing(instance, chains, false);
-        const held = kept.get(instance) ?? new Map<string, number>();
-        kept.set(instance, held);
+        const uncached = chains.length === 0 ? want.tokens : missing(instance, want.wall, chains, false);
+        const walls = kept.get(instance) ?? new Map<string, Map<string, number>>();
+        kept.set(instance, walls);
+        const held = walls.get(want.wall) ?? new Map<string, number>();
+        walls.set(want.wall, held);
         for (const { key, tokens } of chains.slice(0, -1)) {
           held.delete(key);
           held.set(key, tokens);
         }
-        const room = (group.memory ?? Number.POSITIVE_INFINITY) / 2;
+        const room = (group.memory ?? Number.POSITIVE_INFINITY) / 2 / walls.size;
         let sum = [...held.values()].reduce((total, one) => total + one, 0);
         for (const [key, tokens] of held) {
-          if (sum <= room && held.size <= keptMost) break;
+          if (sum <= room && held.size <= keptMost / walls.size) break;
           held.delete(key);
           sum -= tokens;
         }
--- a/tools/fleet-kit.ts
+++ b/tools/fleet-kit.ts
@@ -1,5 +1,6 @@
 // A fleet on one machine: each machine of a deployment has a loopback address of its own, and each
 // program runs as its own process with a startup file, exactly as it would be installed.
+import { randomBytes } from 'node:crypto';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { request } from 'undici';
@@ -70,6 +71,7 @@
 
 const operatorToken = 'operator-token-of-the-fleet';
 const platformToken = 'platform-token-of-the-fleet';
+const keeperToken = 'keeper-token-of-the-fleet';
 
 const script = (path: string): URL => new URL(`../${path}`, import.meta.url);
 
@@ -108,6 +110,8 @@
 export const FleetKit = {
   operatorToken,
   platformToken,
+  /** Of the one operator who may see secrets. */
+  keeperToken,
   call,
   lay(terms: FleetKit.Terms): Pick<FleetKit, 'cores' | 'fronts' | 'servers'> {
     const { folder, deployment } = terms;
@@ -149,6 +153,9 @@
     mkdirSync(folder, { recursive: true });
     const { cores, fronts, servers } = FleetKit.lay(terms);
     const seeds = cores.map((core) => core.wire);
+    const keyFile = join(folder, 'walls.key');
+    const hasWalls = deployment.manifest.walls !== undefined;
+    if (hasWalls) writeFileSync(keyFile, randomBytes(32).toString('hex'), { mode: 0o600 });
     const outside = (name: string, values: readonly unknown[]) => {
       const log = join(folder, `${name}.log`);
       const { faults } = terms;
@@ -179,7 +186,11 @@
         http,
         data,
         seeds,
-        operators: [{ name: 'operator', token: operatorToken }],
+        operators: [
+          { name: 'operator', token: operatorToken },
+          ...(hasWalls ? [{ name: 'keeper', token: keeperToken, secrets: true }] : []),
+        ],
+        ...(hasWalls ? { key_file: keyFile } : {}),
         platform: [{ name: 'platform', token: platformToken }],
       });
     };
@@ -244,7 +255,12 @@
       operate,
       async putManifest(document, among = cores) {
         const now = await operate('GET', '/v1/manifest', undefined, {}, among);
-        return operate('PUT', '/v1/manifest', document, { 'if-match': now.etag ?? '"0"' }, among);
+        const held = (now.body.walls as Document['walls'])?.generation ?? 0;
+        const { walls } = document;
+        const next = walls
+          ? { ...document, walls: { ...walls, generation: Math.max(walls.generation, held) } }
+          : document;
+        return operate('PUT', '/v1/manifest', next, { 'if-match': now.etag ?? '"0"' }, among);
       },
       putServers: (serial) =>
         operate(
