--- a/tools/caller.ts
+++ b/tools/caller.ts
@@ -15,7 +15,7 @@
     readonly at: number;
     readonly id: string;
     readonly kind: string;
-    readonly runs: 'once' | 'repeatable';
+    readonly runs: Deployment.Kind['runs'];
     readonly home: string;
     readonly proxy: string;
     readonly outcome: Outcome;
@@ -74,8 +74,13 @@
             model: kind.model,
             stream: true,
             max_tokens: kind.tokens,
+            ...(kind.forged === undefined ? {} : { cache_salt: kind.forged }),
+            ...(kind.runs === 'resumable' ? { stream_options: { resumable: true } } : {}),
             messages: [
-              { role: 'system', content: filler(`${kind.name}-${terms.prefix}`, kind.prefixLength) },
+              {
+                role: 'system',
+                content: filler(`${kind.text ?? kind.name}-${terms.prefix}`, kind.prefixLength),
+              },
               { role: 'user', content: filler(id, kind.ownLength) },
             ],
           });
--- a/tools/campaign/actors.ts
+++ b/tools/campaign/actors.ts
@@ -1,5 +1,6 @@
 // Who acts during a campaign besides the callers: two operators that race, a reader, the platform that
 // replaces servers and says which leave, and a monitor of what each proxy holds.
+import type { Document } from '../../src/manifest/document.js';
 import { FleetKit } from '../fleet-kit.js';
 import { Journal } from '../journal.js';
 import type { Random } from '../random.js';
@@ -10,6 +11,8 @@
 const headers = { authorization: `Bearer ${FleetKit.operatorToken}` };
 const platformHeaders = { authorization: `Bearer ${FleetKit.platformToken}` };
 
+const rotating = 0.15;
+
 let notes = 0;
 
 const call = (
@@ -29,6 +32,8 @@
     notes += 1;
     const note = `n:${notes}`;
     const isInvalid = random.next() < 0.1;
+    const held = (read.body.walls as Document['walls'])?.generation ?? 1;
+    const generation = random.next() < rotating ? held + 1 : held;
     const { manifest, zones } = world.kit.deployment;
     if (random.next() < 0.1)
       world.list.evacuated = world.list.evacuated.length > 0 ? [] : [random.pick(zones).zone];
@@ -41,12 +46,20 @@
       ? [...manifest.rules, { ...manifest.rules[0]!, name: 'bad', groups: ['ghost'] }]
       : [...manifest.rules, ...extra];
     const at = Journal.now();
-    world.operators.write({ event: 'put', note, by: name, ifMatch: read.etag, isInvalid, evacuations });
+    world.operators.write({
+      event: 'put',
+      note,
+      by: name,
+      ifMatch: read.etag,
+      isInvalid,
+      evacuations,
+      generation,
+    });
     const put = await call(
       place,
       'PUT',
       '/v1/manifest',
-      { ...manifest, rules, evacuations, note },
+      { ...manifest, rules, evacuations, note, walls: { ...manifest.walls, generation } },
       {
         'if-match': read.etag ?? '"0"',
       },
@@ -62,6 +75,7 @@
       ifMatch: read.etag,
       isInvalid,
       evacuations,
+      generation,
     });
   }
 };
@@ -77,6 +91,7 @@
         begun,
         revision: Number(answer.etag?.replaceAll('"', '')),
         note: answer.body.note,
+        generation: (answer.body.walls as Document['walls'])?.generation,
         rules: (answer.body.rules as { name: string }[]).some((rule) => rule.name === 'bad'),
       });
   }
--- a/tools/campaign/judge.ts
+++ b/tools/campaign/judge.ts
@@ -19,6 +19,7 @@
     readonly ifMatch?: string;
     readonly isInvalid?: boolean;
     readonly evacuations?: readonly string[];
+    readonly generation?: number;
     readonly instance?: string;
     readonly rules?: boolean;
   };
--- a/tools/campaign/recovery.ts
+++ b/tools/campaign/recovery.ts
@@ -14,13 +14,15 @@
 const within = 12_000;
 const giveUp = 3 * within;
 
-const serveEach = async (kit: FleetKit, tag: string, span: number): Promise<void> => {
+const serveEach = async ({ kit, callers }: World, tag: string, span: number): Promise<void> => {
   const began = performance.now();
   const serve = async (front: FleetKit.Front) => {
     for (const kind of kit.deployment.mix)
       for (let count = 0; ; count += 1) {
+        const id = `${tag}-${front.node}-${kind.name}-${count}`;
+        callers.write({ event: 'probe', id, kind: kind.name });
         const entry = await Caller.once(kind, {
-          id: `${tag}-${front.node}-${kind.name}-${count}`,
+          id,
           proxy: front.listen,
           home: kind.homes[0]!,
           prefix: 0,
@@ -63,7 +65,7 @@
   mark('servers');
   await InForce.everywhere(kit, kit.fronts, left());
   mark('inForce');
-  await serveEach(kit, tag, left());
+  await serveEach(world, tag, left());
   mark('served');
   return stages;
 };
--- a/tools/campaign/season.ts
+++ b/tools/campaign/season.ts
@@ -16,6 +16,7 @@
 import { Actors } from './actors.js';
 import { Breakers } from './breakers.js';
 import { Recovery } from './recovery.js';
+import { Tenants } from './tenants.js';
 import { Verdicts } from './verdicts.js';
 import { World } from './world.js';
 
@@ -143,6 +144,7 @@
         homes: Object.fromEntries(
           Object.entries(chosen.manifest.homes).map(([name, home]) => [name, home.regions]),
         ),
+        tenants: Tenants.of(chosen),
         startedAt,
         finalAt,
         final,
--- a/tools/campaign/verdicts.ts
+++ b/tools/campaign/verdicts.ts
@@ -8,6 +8,7 @@
 import { Judge } from './judge.js';
 import { Reach } from './reach.js';
 import { Recovery } from './recovery.js';
+import { Tenants } from './tenants.js';
 import type { World } from './world.js';
 
 export type Verdicts = {
@@ -23,6 +24,7 @@
     readonly extraTries: number;
     readonly unsentTries: number;
     readonly changes: number;
+    readonly walls: Tenants.Figures;
     readonly final: string;
     readonly backAfterFaults: Readonly<Record<string, number>> | string;
     readonly backAfterFinal: Readonly<Record<string, number>> | string;
@@ -37,6 +39,8 @@
       readonly zone: string;
     }[];
     readonly homes: Readonly<Record<string, readonly string[]>>;
+    /** The tenant that each kind of request comes from. */
+    readonly tenants: Readonly<Record<string, string>>;
     readonly startedAt: number;
     readonly finalAt: number;
     readonly final: string;
@@ -99,9 +103,17 @@
       ...readTimes(facts.healed, 'after the faults'),
       ...readTimes(facts.back, `after the final fault (${facts.final})`),
     ];
+    const walls = Tenants.judge({
+      asked: calls.filter((entry) => entry.event === 'sent' || entry.event === 'probe'),
+      ended: journals.ended.filter((entry) => entry.at < facts.finalAt),
+      lookups: runs.filter((run) => run.event === 'lookup'),
+      tenants: facts.tenants,
+      generations: records.operators,
+    });
     const verdicts: Record<string, Checkers.Verdict> = {
       ...Object.fromEntries(Object.entries(Checkers).map(([name, check]) => [name, check(journals)])),
       ...Object.fromEntries(Object.entries(Judge).map(([name, check]) => [name, check(records)])),
+      tenantsStayApart: walls.verdict,
       backInTime: { occasions: facts.back === 'off' ? 1 : 2, breaches: late },
     };
     const tries = journals.ended.reduce((sum, { tries: count }) => sum + Math.max(0, count - 1), 0);
@@ -117,6 +129,7 @@
         extraTries,
         unsentTries: Math.max(0, tries - extraTries),
         changes: records.operators.filter((one) => one.event === 'answer' && one.status === 200).length,
+        walls: walls.figures,
         final: facts.final,
         backAfterFaults: facts.healed,
         backAfterFinal: facts.back,
--- a/tools/checkers.ts
+++ b/tools/checkers.ts
@@ -15,6 +15,9 @@
     readonly caller?: string;
     readonly request?: string;
     readonly warm?: boolean;
+    readonly matched?: number;
+    readonly of?: readonly string[];
+    readonly alike?: readonly string[];
   };
   type Journals = {
     readonly sent: readonly { readonly at: number; readonly id: string; readonly home: string }[];
--- a/tools/deployments/baobab.ts
+++ b/tools/deployments/baobab.ts
@@ -18,7 +18,7 @@
       zone: 'dakar-1',
       region: 'dakar',
       count: 3,
-      models: ['renewal', 'counter'],
+      models: ['renewal', 'counter', 'follow'],
     },
     {
       kind: 'model',
@@ -26,7 +26,7 @@
       zone: 'thies-1',
       region: 'thies',
       count: 2,
-      models: ['renewal', 'counter'],
+      models: ['renewal', 'counter', 'follow'],
     },
     {
       kind: 'model',
@@ -34,7 +34,7 @@
       zone: 'saint-louis-1',
       region: 'saint-louis',
       count: 1,
-      models: ['renewal', 'counter'],
+      models: ['renewal', 'counter', 'follow'],
     },
     { kind: 'ordering', group: 'ordering', zone: 'dakar-1', region: 'dakar', count: 1, models: [] },
     { kind: 'ordering', group: 'ordering', zone: 'thies-1', region: 'thies', count: 1, models: [] },
@@ -56,7 +56,7 @@
     groups: {
       'pharma-llm': {
         kind: 'model',
-        models: ['renewal', 'counter'],
+        models: ['renewal', 'counter', 'follow'],
         regions: ['dakar', 'thies', 'saint-louis'],
         identity: {
           path: '/v1/models',
@@ -68,6 +68,7 @@
           { status: 503, header: 'x-not-run' },
         ],
         concurrent: 8,
+        wall: { by: 'field', name: 'cache_salt' },
       },
       ordering: {
         kind: 'plain',
@@ -107,6 +108,15 @@
         spill: ['dakar', 'thies', 'saint-louis'],
         timeouts: { connect: 1000, first_byte: 4000, per_try: 5000, total: 12_000, idle: 5000 },
       },
+      {
+        name: 'follow',
+        match: { path: '/v1/chat/completions', method: 'POST', models: ['follow'] },
+        groups: ['pharma-llm'],
+        runs: 'resumable',
+        home: { header: 'x-home' },
+        spill: ['dakar', 'thies', 'saint-louis'],
+        timeouts: { connect: 1000, first_byte: 4000, per_try: 5000, total: 12_000, idle: 5000 },
+      },
       {
         name: 'stock',
         match: { path: '/stock/*', method: 'GET' },
@@ -120,6 +130,7 @@
       },
     ],
     evacuations: [],
+    walls: { generation: 1 },
   } as unknown as Deployment['manifest'],
   mix: [
     {
@@ -163,5 +174,6 @@
       ownLength: 0,
       tokens: 0,
     },
+    ...Deployment.alike(keys, 'counter', ['dakar', 'dakar', 'thies', 'saint-louis']),
   ],
 };
--- a/tools/deployments/likhet.ts
+++ b/tools/deployments/likhet.ts
@@ -4,7 +4,7 @@
 
 const keys = { teacher: 'likhet-teacher-key', student: 'likhet-student-key' };
 
-const models = ['compare', 'check'];
+const models = ['compare', 'check', 'follow'];
 
 export const Likhet: Deployment = {
   name: 'likhet',
@@ -39,6 +39,7 @@
           { status: 503, header: 'x-not-run' },
         ],
         concurrent: 8,
+        wall: { by: 'field', name: 'cache_salt' },
       },
     },
     homes: {
@@ -69,8 +70,18 @@
         spill: ['stockholm', 'gothenburg'],
         timeouts: { connect: 1000, first_byte: 4000, per_try: 5000, total: 12_000, idle: 5000 },
       },
+      {
+        name: 'follow',
+        match: { path: '/v1/chat/completions', method: 'POST', models: ['follow'] },
+        groups: ['thesis-llm'],
+        runs: 'resumable',
+        home: { header: 'x-home' },
+        spill: ['stockholm', 'gothenburg'],
+        timeouts: { connect: 1000, first_byte: 4000, per_try: 5000, total: 12_000, idle: 5000 },
+      },
     ],
     evacuations: [],
+    walls: { generation: 1 },
   } as unknown as Deployment['manifest'],
   mix: [
     {
@@ -101,5 +112,6 @@
       ownLength: 800,
       tokens: 70,
     },
+    ...Deployment.alike(keys, 'check', ['sweden-east', 'sweden-west', 'norway']),
   ],
 };
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -6,6 +6,7 @@
 import sade from 'sade';
 import { Caller } from './caller.js';
 import { Baobab } from './deployments/baobab.js';
+import { Deployment } from './deployments/deployment.js';
 import { Likhet } from './deployments/likhet.js';
 import { FleetKit } from './fleet-kit.js';
 import { InForce } from './in-force.js';
@@ -20,13 +21,15 @@
   seconds: number;
   rate: number;
   affinity: string;
+  walls: string;
 };
 
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
 const run = async (flags: Flags): Promise<number> => {
-  const chosen = { baobab: Baobab, likhet: Likhet }[flags.deployment];
-  if (!chosen) throw new Error('--deployment must be baobab or likhet');
+  const named = { baobab: Baobab, likhet: Likhet }[flags.deployment];
+  if (!named) throw new Error('--deployment must be baobab or likhet');
+  const chosen = flags.walls === 'off' ? Deployment.withoutWalls(named) : named;
   const manifest =
     flags.affinity === 'off'
       ? { ...chosen.manifest, rules: chosen.manifest.rules.map((rule) => ({ ...rule, affinity: false })) }
@@ -75,6 +78,7 @@
   .option('--seconds', 'how long the callers call', 30)
   .option('--rate', 'times the deployment’s rate of requests', 1)
   .option('--affinity', 'on or off', 'on')
+  .option('--walls', 'on or off', 'on')
   .action((flags: Flags) => {
     Main(run(flags));
   })
--- a/tools/mixed.ts
+++ b/tools/mixed.ts
@@ -9,6 +9,7 @@
 import sade from 'sade';
 import { Caller } from './caller.js';
 import { Baobab } from './deployments/baobab.js';
+import { Deployment } from './deployments/deployment.js';
 import { Likhet } from './deployments/likhet.js';
 import { FleetKit } from './fleet-kit.js';
 import { InForce } from './in-force.js';
@@ -49,7 +50,7 @@
 };
 
 const run = async (flags: Flags): Promise<number> => {
-  const deployment = { baobab: Baobab, likhet: Likhet }[flags.deployment];
+  const deployment = Deployment.withoutWalls({ baobab: Baobab, likhet: Likhet }[flags.deployment]);
   const folder = mkdtempSync(join(tmpdir(), 'bramblebend-mixed-'));
   const earlier = buildEarlier(flags.commit, folder);
   const isNew = new Set<string>();
--- a/tools/standin.ts
+++ b/tools/standin.ts
@@ -1,12 +1,12 @@
 // A stand-in for a back end, as its own process. As a model server it speaks the published OpenAI-style
-// format: prefill takes time by what its small KV cache lacks, decode goes at a pace, slots are limited,
+// format: prefill takes time by what its small prefix cache lacks, with each lookup in the journal, decode goes at a pace, slots are limited,
 // and a cold start is slow under a flood. As an ordering server it answers stock lookups. Faults come by
 // command over HTTP. Its journal holds each run with the request's id and each token sent.
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import sade from 'sade';
+import { BlockCache } from './block-cache.js';
 import { Journal } from './journal.js';
-import { KvCache } from './kv-cache.js';
 
 type Flags = {
   kind: 'model' | 'ordering';
@@ -33,11 +33,15 @@
   model?: string;
   messages?: { role: string; content: string }[];
   prompt?: string;
-  prompt_cache_key?: string;
+  cache_salt?: string;
+  stream_options?: { resumable?: boolean };
   max_tokens?: number;
   stream?: boolean;
 };
 
+const cacheBlocks = 4096;
+const charactersPerToken = 4;
+
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
 const readBody = async (request: IncomingMessage): Promise<string> => {
@@ -49,7 +53,7 @@
 const run = (flags: Flags): void => {
   const journal = Journal.open(flags.journal);
   const models = String(flags.models).split(',');
-  const cache = KvCache.of(8);
+  const cache = BlockCache.of(cacheBlocks);
   const started = performance.now();
   let fault: Fault = { kind: 'none' };
   let busy = 0;
@@ -121,9 +125,15 @@
       if (isGone) return journal.write({ event: 'abandoned', instance: flags.instance, ...ids });
       const whole = body.messages ? body.messages.map((one) => one.content).join('\n') : (body.prompt ?? '');
       const shared = body.messages?.[0]?.role === 'system' ? body.messages[0].content : '';
-      const key = body.prompt_cache_key ?? shared;
-      const isWarm = key !== '' && cache.use(key);
-      const uncached = whole.length - (isWarm ? shared.length : 0);
+      const lookup = cache.look(
+        body.cache_salt ?? '',
+        whole,
+        ids.caller === undefined ? '' : String(ids.caller),
+      );
+      const cached = lookup.matched * BlockCache.size;
+      const isWarm = shared !== '' && cached > shared.length - BlockCache.size;
+      const uncached = whole.length - cached;
+      journal.write({ event: 'lookup', instance: flags.instance, run: runId, ...lookup, ...ids });
       const slow = isCold() ? 1 + busy : 1;
       journal.write({
         event: 'run',
@@ -137,7 +147,9 @@
       if (now.kind === 'stall') await new Promise<void>((resolve) => response.once('close', resolve));
       if (isGone || response.destroyed) return journal.write({ event: 'left', run: runId, ...ids });
       const count = body.max_tokens ?? 16;
-      const token = (index: number) => `${runId}:${index} `;
+      const isResumable = body.stream_options?.resumable === true;
+      const speaker = isResumable ? ids.caller : runId;
+      const token = (index: number) => `${speaker}:${index} `;
       if (!body.stream) {
         await pause(count * flags.pace);
         const content = Array.from({ length: count }, (_none, index) => token(index)).join('');
@@ -146,6 +158,11 @@
           object: 'chat.completion',
           model: body.model,
           choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: 'stop' }],
+          usage: {
+            prompt_tokens: Math.ceil(whole.length / charactersPerToken),
+            completion_tokens: count,
+            prompt_tokens_details: { cached_tokens: cached / charactersPerToken },
+          },
         });
         return journal.write({ event: 'done', run: runId, tokens: count, ...ids });
       }
@@ -163,7 +180,8 @@
           object: 'chat.completion.chunk',
           choices: [{ index: 0, delta: { content: token(index) } }],
         };
-        if (!response.write(`data: ${JSON.stringify(chunk)}\n\n`))
+        const eventId = isResumable ? `id: ${index}\n` : '';
+        if (!response.write(`${eventId}data: ${JSON.stringify(chunk)}\n\n`))
           await new Promise<void>((resolve) => {
             response.once('drain', resolve);
             response.once('close', resolve);
