--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -14,6 +14,11 @@
   key?: string;
   within?: string;
   lose?: string;
+  model?: string;
+  path?: string;
+  keys?: string;
+  through?: string;
+  rounds?: string;
 };
 
 const clientOf = (flags: Flags): Client => {
@@ -94,6 +99,28 @@
   .action((file: string | undefined, flags: Flags) =>
     tell(Commands.trace(clientOf(flags), file, Number(flags.within ?? 5000))),
   );
+cli
+  .command(
+    'walls',
+    'Ask the fleet the same prompts as two tenants and see whether one matches the other’s work',
+  )
+  .option('--keys', 'keys of two tenants, comma-separated (or BRAMBLEBEND_PROBE_KEYS)')
+  .option('--model', 'a model that both may ask')
+  .option('--path', 'path of the calls (/v1/chat/completions)')
+  .option('--through', 'addresses of proxies, comma-separated (one of each zone)')
+  .option('--rounds', 'most rounds for each pair of proxies (16)')
+  .action((flags: Flags) => {
+    const list = (text: string | undefined) => (text ?? '').split(',').filter((one) => one !== '');
+    const [first, second, ...more] = list(flags.keys ?? process.env.BRAMBLEBEND_PROBE_KEYS);
+    const rounds = Number(flags.rounds ?? 16);
+    if (!first || !second || more.length > 0 || !flags.model || !(rounds >= 1)) {
+      process.stderr.write('say two keys (--keys A,B or BRAMBLEBEND_PROBE_KEYS) and --model\n');
+      process.exit(2);
+    }
+    const { model, path = '/v1/chat/completions' } = flags;
+    const terms = { keys: [first, second] as const, model, path, rounds, through: list(flags.through) };
+    tell(Commands.walls(() => clientOf(flags), terms));
+  });
 cli
   .command('cores force', 'LOSES STATE: make two cores go on when the third is gone for good')
   .option('--lose', 'must read: what only the missing core holds')
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -7,6 +7,7 @@
 import { Diff } from './diff.js';
 import { Import } from './import.js';
 import { Trace } from './trace.js';
+import { Walls } from './walls.js';
 
 export type Commands = { readonly text: string; readonly notes?: string; readonly code: number };
 
@@ -74,6 +75,11 @@
   return (response.body as { nodes: Entry[] }).nodes;
 };
 
+const oneOfEachZone = async (client: Client): Promise<readonly string[]> => {
+  const proxies = (await listNodes(client)).filter((one) => one.program === 'proxy' && one.ready);
+  return [...new Map(proxies.map((one) => [one.zone, one.http])).values()].sort();
+};
+
 const changeZone = async (client: Client, zone: string, isEvacuated: boolean): Promise<Commands> => {
   const { document, tag, response } = await getManifest(client);
   if (!document) return judge(response);
@@ -166,6 +172,25 @@
     ]);
     return { text: table([['TEAM', 'REQUESTS', 'PROMPT BYTES', 'SPAN'], ...rows]), code: 0 };
   },
+  async walls(
+    client: () => Client,
+    terms: Omit<Walls.Terms, 'proxies'> & { readonly through: readonly string[] },
+  ): Promise<Commands> {
+    const proxies = terms.through.length > 0 ? terms.through : await oneOfEachZone(client());
+    const checked = await Walls.check({ ...terms, proxies });
+    const span = (value: number | undefined) => (value === undefined ? '-' : `${value.toFixed(0)} ms`);
+    const rows = checked.map((one) => [
+      ...[one.from, one.to],
+      ...[one.rounds, one.failed, one.met, one.seen, one.across].map(String),
+      ...[span(one.own), span(one.other), one.verdict],
+    ]);
+    const head = ['FIRST THROUGH', 'SECOND THROUGH', 'ROUNDS', 'FAILED', 'MET', 'OWN SEEN', 'ACROSS'];
+    const isSome = (verdict: Walls['verdict']) => checked.some((one) => one.verdict === verdict);
+    return {
+      text: table([[...head, 'OWN AGAIN', 'SECOND', 'VERDICT'], ...rows]),
+      code: isSome('MATCH') ? 1 : isSome('unsure') || checked.length === 0 ? 3 : 0,
+    };
+  },
   async audit(client: Client): Promise<Commands> {
     return judge(await client.call('GET', '/v1/audit'));
   },
--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -11,10 +11,20 @@
 const manifest = {
   zones: { 'here-1': { region: 'here' }, 'there-1': { region: 'there' } },
   groups: {
-    demo: { kind: 'model', models: ['demo'], regions: ['here', 'there'], identity: { path: '/v1/models' } },
+    demo: {
+      kind: 'model',
+      models: ['demo'],
+      regions: ['here', 'there'],
+      identity: { path: '/v1/models' },
+      wall: { by: 'field', name: 'cache_salt' },
+    },
   },
   homes: { anywhere: { regions: ['here', 'there'] } },
-  teams: { demo: { keys: [Deployment.hash('demo-key')], home: 'anywhere' } },
+  teams: {
+    demo: { keys: [Deployment.hash('demo-key')], home: 'anywhere' },
+    other: { keys: [Deployment.hash('other-key')], home: 'anywhere' },
+  },
+  walls: { generation: 1 },
   rules: [
     {
       name: 'chat',
@@ -49,10 +59,11 @@
 await InForce.everywhere(kit);
 process.stdout.write(`the demo is up, in ${kit.folder}
 
-callers:    http://${kit.fronts[0]!.listen} and http://${kit.fronts[1]!.listen}, key demo-key, model demo
+callers:    http://${kit.fronts[0]!.listen} and http://${kit.fronts[1]!.listen}, keys demo-key and other-key, model demo
 operators:  export BRAMBLEBEND_CONTROL=${kit.cores.map((core) => core.http).join(',')}
             export BRAMBLEBEND_TOKEN=${FleetKit.operatorToken}
             node dist/src/bin/bramblebend.js status
+            node dist/src/bin/bramblebend.js walls --keys demo-key,other-key --model demo
 end it with Ctrl-C
 `);
 process.once('SIGINT', () => void kit.stop().then(() => process.exit(0)));
