--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,10 +1,10 @@
 // A control node as a program: its disk, its part of the register, replication, sessions with agents,
 // and the HTTP interface.
 import type { Server } from 'node:http';
-import { Registry } from 'prom-client';
 import { BudgetDuty } from '../duty/budget-duty.js';
 import { ListDuty } from '../duty/list-duty.js';
 import { QuotaDuty } from '../duty/quota-duty.js';
+import { ReportDuty } from '../duty/report-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -20,7 +20,7 @@
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
-import { Gauges } from '../startup/gauges.js';
+import { Metrics } from '../startup/metrics.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Startup } from '../startup/startup.js';
@@ -103,6 +103,7 @@
       age,
       roll,
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
+      onLoads: (loads) => children.broadcast({ kind: 'loads', loads }, isBelow),
       onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
       note: ring.note,
     });
@@ -139,9 +140,19 @@
       join: (joining) => core?.join(joining) ?? Promise.resolve('this core has just started'),
       note: ring.note,
     });
-    const places = () => [
-      ...new Set([...(core?.tenure()?.cores.map((one) => one.wire) ?? []), ...startup.seeds]),
-    ];
+    const controls = () =>
+      roll
+        .all()
+        .filter((one) => one.program === 'control' && one.wire !== '')
+        .map((one) => one.wire);
+    const places = () => {
+      const cores =
+        core
+          ?.tenure()
+          ?.cores.map((one) => one.wire)
+          .filter((place) => place !== '') ?? [];
+      return [...new Set([...cores, ...controls().sort(), ...(cores.length > 0 ? [] : startup.seeds)])];
+    };
     const nearby = (child: Frame.Entry) => {
       const agents = roll.all().filter((one) => one.program === 'agent' && one.node !== child.node);
       const far = agents.filter((one) => one.zone !== child.zone);
@@ -163,7 +174,7 @@
               feed,
               roll,
               children,
-              mates: () => [...places(), ...nearby(hello.self)],
+              mates: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               age,
@@ -176,15 +187,14 @@
     core = Core.of({
       register,
       store,
+      losses: startup.losses ?? 1,
+      isInitial: startup.initial ?? false,
+      seeds: startup.seeds,
       proposer,
       self,
       courierTo: (one) => mates.at(one.wire),
       tend: mates.tend,
-      places: () =>
-        roll
-          .all()
-          .filter((one) => one.program === 'control' && one.wire !== '')
-          .map((one) => one.wire),
+      places: controls,
       offered: feed.view,
       quietFor: roll.quietFor,
       retire: () => Folder.retire(startup.data),
@@ -195,8 +205,8 @@
       alert: ring.alert,
     });
     const running = core;
-    const registry = new Registry();
-    const gauge = Gauges.of(registry);
+    const metrics = Metrics.of();
+    const { gauge } = metrics;
     gauge('epoch', 'epoch of the register', () => running.tenure()?.epoch ?? 0);
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
@@ -208,7 +218,7 @@
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
     gauge('news_dropped', 'news dropped as not newer', feed.dropped);
     const ops = Ops.of({
-      registry,
+      metrics,
       ring,
       isReady: () =>
         running.isRetired()
@@ -256,12 +266,23 @@
         renew: async (servers) => (await RenewList.run(office, { servers })).status === 200,
         note: ring.note,
       });
+    const reports =
+      adapter.reports &&
+      ReportDuty.run({
+        source: adapter.reports,
+        isHeld: () => (running.confirmedFor() ?? Number.POSITIVE_INFINITY) < confirmedWithin,
+        servers: () => {
+          const { manifest, platform } = feed.view();
+          return platform.servers.filter(({ group }) => manifest?.document.groups[group]?.kind === 'model');
+        },
+        tell: (loads) => children.broadcast({ kind: 'loads', loads }),
+      });
     running.begin();
     return {
       ready: { wire, http },
       async drain() {
         rosters.stop();
-        await list?.stop();
+        await Promise.all([list?.stop(), reports?.stop()]);
         await running.stop();
         await mates.stop();
         await doorway.close();
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -38,8 +38,10 @@
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
+    readonly onMates?: (mates: readonly string[]) => void;
     readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
+    readonly onLoads?: (loads: readonly Frame.Load[]) => void;
     readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
@@ -82,10 +84,14 @@
       link.close();
       return true;
     };
+    const learnMates = (mates: readonly string[]) => {
+      places.learn(mates);
+      needs.onMates?.(mates);
+    };
     const take = (frame: Frame, link: Link) =>
       match(frame)
         .with({ kind: 'welcome' }, ({ self, mates, relays, stamp, age }) => {
-          places.learn(mates);
+          learnMates(mates);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
           if (isBelowAgent && age > oldAfter && isFree())
@@ -98,6 +104,7 @@
           tell(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
+        .with({ kind: 'mates' }, ({ mates }) => learnMates(mates))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
         .with({ kind: 'news' }, ({ view }) => {
           feed.offer(View.decode(view));
@@ -124,6 +131,7 @@
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
+        .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'drop' }, ({ reason }) => {
           throw Mishap.of('link', `dropped by parent: ${reason}`);
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -181,7 +181,7 @@
     const ops = Ops.of({
       isReady,
       readyPath: startup.ready_path,
-      registry: meters.registry,
+      metrics: meters.metrics,
       ring,
       describe: () => ({
         node: startup.node,
@@ -220,6 +220,7 @@
       onRoster(proxies) {
         roster = proxies;
       },
+      onLoads: placement.hear,
       onCold({ instance, age, dark }) {
         if (dark) {
           prover.hear(instance);
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -40,7 +40,7 @@
     operators: Guard.list(operator, { min: 1, max: 100 }),
     platform: Guard.list(Guard.record({ name, token }), { min: 1, max: 100 }),
   },
-  { key_file: Guard.text({ max: 4096 }) },
+  { losses: Guard.whole({ min: 0, max: 4 }), initial: Guard.flag, key_file: Guard.text({ max: 4096 }) },
 );
 
 export type Startup = {
--- a/test/walls.test.ts
+++ b/test/walls.test.ts
@@ -305,7 +305,7 @@
     ];
     await Promise.all(all.map((one) => one?.end('SIGKILL')));
     writeFileSync(keyFile, '0'.repeat(64));
-    const started = await Promise.allSettled(kit.cores.map(kit.startCore));
+    const started = await Promise.allSettled(kit.cores.map((core) => kit.startCore(core)));
     assert.equal(
       started.filter((one) => one.status === 'rejected').length,
       2,
@@ -313,7 +313,7 @@
     );
     await Promise.all(kit.cores.map((one) => one.process?.end('SIGKILL')));
     writeFileSync(keyFile, key);
-    await Promise.all(kit.cores.map(kit.startCore));
+    await Promise.all(kit.cores.map((core) => kit.startCore(core)));
     await Promise.all([...kit.fronts.map(kit.startAgent), ...kit.fronts.map(kit.startProxy)]);
     await InForce.everywhere(kit);
     assert.deepEqual([await saltOf('testers'), await saltOf('others')], before);
