--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -76,7 +76,9 @@
 };
 
 const oneOfEachZone = async (client: Client): Promise<readonly string[]> => {
-  const proxies = (await listNodes(client)).filter((one) => one.program === 'proxy' && one.ready);
+  const proxies = (await listNodes(client))
+    .filter((one) => one.program === 'proxy')
+    .sort((a, b) => Number(a.ready) - Number(b.ready));
   return [...new Map(proxies.map((one) => [one.zone, one.http])).values()].sort();
 };
 
--- a/test/walls-check.test.ts
+++ b/test/walls-check.test.ts
@@ -58,6 +58,14 @@
     await InForce.putWhenReady(kit, chosen.manifest);
     await kit.putServers(1);
     await InForce.everywhere(kit);
+    const began = performance.now();
+    const listed = async () => {
+      const { body } = await kit.operate('GET', '/v1/nodes');
+      const nodes = (body.nodes ?? []) as { program: string; ready: boolean }[];
+      return nodes.filter(({ program: kind, ready }) => kind === 'proxy' && ready).length;
+    };
+    while ((await listed()) < kit.fronts.length && performance.now() - began < 10_000)
+      await new Promise((resolve) => setTimeout(resolve, 20));
     const control = [
       '--control',
       kit.cores.map((core) => core.http).join(),
--- a/tools/campaign/server-breakers.ts
+++ b/tools/campaign/server-breakers.ts
@@ -128,6 +128,7 @@
   serverRefuses: one({ kind: 'status', status: 429, isNotRun: true, retryAfter: 1 } as { kind: string }),
   groupFails: many('group-fails', { kind: 'status', status: 503 }),
   groupRefuses: many('group-refuses', { kind: 'status', status: 429, isNotRun: true }),
+  groupCuts: many('group-cuts', { kind: 'cut', after: 4 } as { kind: string }),
   groupResets: many('group-resets', { kind: 'reset' }),
   removedAtShortNotice: (world, span) =>
     Actors.replace(world, world.random, pickServer(world), Math.min(span, 1500)),
--- a/tools/plants/plants.ts
+++ b/tools/plants/plants.ts
@@ -1,5 +1,7 @@
 // Defects to plant in copies of the built programs, at least one for each thing that must never happen, with
 // the judge that must find it and the breakers that give it the occasion.
+import { WallPlants } from './wall-plants.js';
+
 export type Plants = {
   readonly name: string;
   readonly file: string;
@@ -195,4 +197,5 @@
     seconds: 4,
     final: 'alive',
   },
+  ...WallPlants,
 ];
