--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -83,13 +83,15 @@
       call.compiled = compiled;
       call.team = team;
       call.wall = compiled.walls?.of(team.name);
-      if (compiled.walls && !call.wall)
+      if (compiled.walls && !call.wall) {
+        needs.meters.drops.inc({ code: 'no_wall' });
         return Responses.drop(context, {
           status: 503,
           code: 'no_wall',
           text: 'the wall around this tenant can’t be told',
           retryAfter: 1000,
         });
+      }
       const { method, path } = context.req;
       const like = compiled.rules.filter((rule) => Admit.isLike(rule, method, path, incoming.headers));
       if (like.length === 0) return next();
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -89,6 +89,16 @@
       const mayGo = (group: Compiled.Group) => Wall.mayGo(call.wall, group.wall, Walled.hasForeignBody(call));
       const isOpen = isStillOpen(needs, regions, mayGo);
       const compiled = Call.need(call, 'compiled');
+      const groups = rule.steps.flatMap((step) => step.groups.map((name) => compiled.groups.get(name)));
+      if (!groups.some((group) => group && mayGo(group))) {
+        needs.meters.drops.inc({ code: 'no_wall' });
+        return Responses.drop(context, {
+          status: 503,
+          code: 'no_wall',
+          text: 'no servers of this rule keep the wall around this tenant',
+          retryAfter: 1000,
+        });
+      }
       const share = needs.shares.enter(
         rule.steps[0]?.groups.join() ?? '',
         Call.need(call, 'team').name,
--- a/test/rights.test.ts
+++ b/test/rights.test.ts
@@ -25,6 +25,7 @@
     assert.match(denied({ ...manifest, rules: [...manifest.rules].reverse() })!, /rules of all teams/);
     assert.match(denied({ ...manifest, evacuations: ['a-1'] as never })!, /evacuations/);
     assert.match(denied({ ...manifest, homes: {} })!, /homes/);
+    assert.match(denied({ ...manifest, walls: { generation: 1 } } as Document)!, /walls/);
     const shared = { ...rule, name: 'shared', teams: ['testers', 'others'] } as unknown as Document.Rule;
     assert.match(denied({ ...manifest, rules: [...manifest.rules, shared] })!, /others/);
   });
--- a/test/walls.test.ts
+++ b/test/walls.test.ts
@@ -217,8 +217,10 @@
   it('refuses as not run what servers without walls might keep, and serves the one that has them alone', async () => {
     const bare = await ask('once', 'testers', {}, { 'x-to': 'bare' });
     assert.deepEqual([bare.status, bare.headers['bramblebend-ran']], [503, 'no']);
+    assert.equal(JSON.parse(bare.text).error.code, 'no_wall');
     const foreign = await ask('once', 'others', {}, { 'x-to': 'alone' });
     assert.deepEqual([foreign.status, foreign.headers['bramblebend-ran']], [503, 'no']);
+    assert.equal(JSON.parse(foreign.text).error.code, 'no_wall');
     assert.equal((await ask('once', 'testers', {}, { 'x-to': 'alone' })).status, 200);
     assert.equal(JSON.parse(made.o1!.reached[0]!.body).cache_salt, undefined);
     assert.deepEqual([made.n1!.reached.length, made.o1!.reached.length], [0, 1]);
