--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -1,6 +1,7 @@
 // Pick and try: gives the call to the upstream layer and keeps the verdict for the commit.
 import { Moment } from '../../kinds/moment.js';
 import type { Compiled } from '../../manifest/compiled.js';
+import { Wall } from '../../manifest/wall.js';
 import type { Exchange } from '../../upstream/exchange.js';
 import type { Pick } from '../../upstream/pick.js';
 import { Trial } from '../../upstream/trial.js';
@@ -9,6 +10,7 @@
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
 import { Responses } from '../responses.js';
+import { Walled } from '../walled.js';
 
 export type Attempt = { readonly verdict: Tries };
 
@@ -25,17 +27,14 @@
   incoming: Call.Env['Bindings']['incoming'],
   { pick, step, left, hops, after }: Sending,
 ): Exchange.Request => {
-  const body =
-    step.model !== undefined && call.prompt?.json
-      ? Buffer.from(JSON.stringify({ ...call.prompt.json, model: step.model }))
-      : (call.body ?? null);
+  const body = Walled.body(call, step.model, pick.group.wall);
   const { dialect, id, rule } = call;
   const proof = pick.group.proof;
   return {
     method: incoming.method ?? 'GET',
     path: incoming.url ?? '/',
     headers: {
-      ...Hygiene.up(incoming.headers, dialect.isKept),
+      ...Walled.headers(call, pick.group.wall, Hygiene.up(incoming.headers, dialect.isKept)),
       ...dialect.up({ id, left, hops, priority: rule?.priority, after }),
       ...(proof ? { [proof.header]: pick.server.instance } : {}),
     },
@@ -44,11 +43,15 @@
 };
 
 const isStillOpen =
-  (needs: Filter.Needs, regions: readonly string[]) =>
+  (needs: Filter.Needs, regions: readonly string[], mayGo: (group: Compiled.Group) => boolean) =>
   ({ server }: Pick): boolean => {
-    const newest = needs.compiled()?.servers.get(server.instance);
+    const compiled = needs.compiled();
+    const newest = compiled?.servers.get(server.instance);
+    const group = newest && compiled?.groups.get(newest.group);
     return (
       newest?.isOpen === true &&
+      group !== undefined &&
+      mayGo(group) &&
       newest.group === server.group &&
       newest.address.host === server.address.host &&
       newest.address.port === server.address.port &&
@@ -83,8 +86,19 @@
       const regions = Call.need(call, 'regions');
       const timeouts = Call.need(call, 'timeouts');
       const deadline = Call.need(call, 'deadline');
-      const isOpen = isStillOpen(needs, regions);
+      const mayGo = (group: Compiled.Group) => Wall.mayGo(call.wall, group.wall, Walled.hasForeignBody(call));
+      const isOpen = isStillOpen(needs, regions, mayGo);
       const compiled = Call.need(call, 'compiled');
+      const groups = rule.steps.flatMap((step) => step.groups.map((name) => compiled.groups.get(name)));
+      if (!groups.some((group) => group && mayGo(group))) {
+        needs.meters.drops.inc({ code: 'no_wall' });
+        return Responses.drop(context, {
+          status: 503,
+          code: 'no_wall',
+          text: 'no servers of this rule keep the wall around this tenant',
+          retryAfter: 1000,
+        });
+      }
       const share = needs.shares.enter(
         rule.steps[0]?.groups.join() ?? '',
         Call.need(call, 'team').name,
@@ -98,9 +112,12 @@
           retryAfter: 1000,
         });
       context.env.outgoing.once('close', share);
-      const parts = call.asked.parts;
+      const { wall } = call;
+      const parts = call.asked.parts.map((part) => ({ ...part, key: Wall.key(wall, part.key) }));
+      const key = call.prompt?.key;
       const want = {
         parts,
+        wall: wall?.name ?? '',
         tokens: call.asked.tokens?.read ?? 0,
         bytes: call.body?.length ?? 0,
         aim: rule.aim ?? timeouts.total,
@@ -111,7 +128,7 @@
         Tries.run({
           rule,
           regions,
-          key: call.prompt?.key,
+          key: key === undefined ? undefined : Wall.key(wall, key),
           want,
           before: { tried: [...tried], sent },
           deadline,
@@ -124,6 +141,7 @@
             allowance: needs.ramp.allowance,
             isDark: needs.prover.isDark,
             mayWarm: needs.warmup.allows,
+            mayGo,
             placement: needs.placement,
             random: Math.random,
           }),
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -28,7 +28,7 @@
 });
 
 const token = Guard.text({ min: 8, max: 256 });
-const operator = Guard.record({ name, token }, { teams: Guard.list(name, { min: 1 }) });
+const operator = Guard.record({ name, token }, { teams: Guard.list(name, { min: 1 }), secrets: Guard.flag });
 
 const control = Guard.record(
   {
@@ -41,7 +41,7 @@
     operators: Guard.list(operator, { min: 1, max: 100 }),
     platform: Guard.list(Guard.record({ name, token }), { min: 1, max: 100 }),
   },
-  { losses: Guard.whole({ min: 0, max: 4 }), initial: Guard.flag },
+  { losses: Guard.whole({ min: 0, max: 4 }), initial: Guard.flag, key_file: Guard.text({ max: 4096 }) },
 );
 
 export type Startup = {
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -33,6 +33,8 @@
   type Part = { readonly key: string; readonly tokens: number };
   type Want = {
     readonly parts: readonly Part[];
+    /** Behind which wall; each wall has its own part of what is remembered of a server. */
+    readonly wall: string;
     readonly tokens: number;
     readonly bytes: number;
     readonly aim: number;
@@ -97,7 +99,7 @@
 
 export const Placement = {
   of(needs: Placement.Needs): Placement {
-    const kept = new Map<string, Map<string, number>>();
+    const kept = new Map<string, Map<string, Map<string, number>>>();
     const seenSince = new Map<string, Moment>();
     const loads = new Map<string, { readonly load: Placement.Load; readonly at: Moment; sent: number }>();
     const reading = Reading.of();
@@ -110,8 +112,8 @@
     };
     const isSettled = (instance: string) =>
       Moment.since(seenSince.get(instance) ?? Moment.now()) > settledAfter;
-    const missing = (instance: string, chains: readonly Chain[], isHolder: boolean): number => {
-      const held = kept.get(instance);
+    const missing = (instance: string, wall: string, chains: readonly Chain[], isHolder: boolean): number => {
+      const held = kept.get(instance)?.get(wall);
       let tokens = 0;
       let isKept = true;
       chains.forEach(({ key, tokens: own }, index) => {
@@ -150,7 +152,9 @@
       const isFar = server.region !== needs.region();
       const isHolder = instance === holders.first;
       const tokens =
-        chains.length === 0 ? want.tokens : missing(instance, chains, isHolder && isSettled(instance));
+        chains.length === 0
+          ? want.tokens
+          : missing(instance, want.wall, chains, isHolder && isSettled(instance));
       const speed = reading.speedOf(instance, server.group);
       const reads = tokens / speed;
       const queued = (Math.max(0, (told?.load.queued ?? 0) - usualQueue) * tokensUsual) / speed;
@@ -191,25 +195,27 @@
       },
       sent({ instance, region }, group, want) {
         const chains = chainsOf(want.parts);
-        const uncached = chains.length === 0 ? want.tokens : missing(instance, chains, false);
+        const walls = kept.get(instance) ?? new Map<string, Map<string, number>>();
+        kept.set(instance, walls);
+        const held = walls.get(want.wall) ?? new Map<string, number>();
+        walls.set(want.wall, held);
+        const uncached = chains.length === 0 ? want.tokens : missing(instance, want.wall, chains, false);
         if (chains.length > 0) tokensUsual += (uncached - tokensUsual) / 50;
         const told = heard(instance);
         const isSure =
           chains.length > 1 &&
-          chains.slice(0, -1).every(({ key }) => kept.get(instance)?.has(key) === true) &&
+          chains.slice(0, -1).every(({ key }) => held.has(key)) &&
           needs.busyness.of(instance).prefill === 0 &&
           (told?.load.queued ?? 0) + (told?.sent ?? 0) === 0;
         if (told) told.sent += 1;
-        const held = kept.get(instance) ?? new Map<string, number>();
-        kept.set(instance, held);
         for (const { key, tokens } of chains.slice(0, -1)) {
           held.delete(key);
           held.set(key, tokens);
         }
-        const room = (group.memory ?? Number.POSITIVE_INFINITY) / 2;
+        const room = (group.memory ?? Number.POSITIVE_INFINITY) / 2 / walls.size;
         let sum = [...held.values()].reduce((total, one) => total + one, 0);
         for (const [key, tokens] of held) {
-          if (sum <= room && held.size <= keptMost) break;
+          if (sum <= room && held.size <= keptMost / walls.size) break;
           held.delete(key);
           sum -= tokens;
         }
