--- a/test/store.test.ts
+++ b/test/store.test.ts
@@ -63,6 +63,21 @@
     }
   });
 
+  it('cuts a last record of which only some bytes came, be they of its head', async () => {
+    const whole = await fill(makeFolder(), 3);
+    const last = Math.floor((whole.length / 3) * 2);
+    for (let from = last; from < whole.length; from += 1)
+      for (let until = from + 1; until <= whole.length; until += 5) {
+        const folder = makeFolder();
+        const torn = Buffer.from(whole);
+        torn.fill(0, from, until);
+        writeFileSync(join(folder, 'one.log'), torn);
+        const kept = await readAll(folder);
+        assert.deepEqual(kept.slice(0, 2), ['payload 0', 'payload 1'], `bytes ${from} to ${until} missing`);
+        assert.ok(kept.length === 2 || torn.equals(whole));
+      }
+  });
+
   it('rewrites to what is given and keeps it', async () => {
     const folder = makeFolder();
     await fill(folder, 50);
