--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -3,8 +3,7 @@
 // another region, a new connection, what of this proxy's runs there, and a charge that grows steeply once the
 // first token is likely to come late. What a server keeps is learned from where this proxy sent the same parts,
 // within the server's memory; where it knows nothing, rendezvous hashing on the shared parts names one holder, the
-// same for all proxies and regions; slow servers are named more seldom, and those that some rule may not use, for
-// its homes, more often. A server that came lately is not taken to keep anything by hashing alone.
+// same for all proxies and regions. A server that came lately is not taken to keep anything by hashing alone.
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Busyness } from './busyness.js';
@@ -50,7 +49,6 @@
 
 type Holders = {
   readonly first: string | undefined;
-  readonly second: string | undefined;
   readonly near: string | undefined;
 };
 type Chain = { readonly key: string; readonly tokens: number };
@@ -71,10 +69,8 @@
 const usualQueue = 2;
 const perDisturbed = 0.12;
 const perPause = 1;
-const slowFrom = 1.15;
-const weights = { slow: 1, spared: 1 } as const;
 
-const none: Holders = { first: undefined, second: undefined, near: undefined };
+const none: Holders = { first: undefined, near: undefined };
 
 const chainsOf = (parts: readonly Placement.Part[]): Chain[] => {
   const chains: Chain[] = [];
@@ -86,24 +82,12 @@
   return chains;
 };
 
-const sparedBy = (rules: readonly Compiled.Rule[], regions: readonly string[]) => {
-  const spared = new Map<string, Set<string>>();
-  for (const { homeRegions, steps } of rules)
-    for (const group of homeRegions ? (steps[0]?.groups ?? []) : []) {
-      const known = spared.get(group) ?? new Set<string>();
-      spared.set(group, known);
-      for (const region of regions) if (!homeRegions!.some((home) => home === region)) known.add(region);
-    }
-  return spared;
-};
-
 export const Placement = {
   of(needs: Placement.Needs): Placement {
     const kept = new Map<string, Map<string, Map<string, number>>>();
     const seenSince = new Map<string, Moment>();
     const loads = new Map<string, { readonly load: Placement.Load; readonly at: Moment; sent: number }>();
     const reading = Reading.of();
-    let spared: ReadonlyMap<string, ReadonlySet<string>> = new Map();
     let isFirst = true;
     let tokensUsual = usualTokens;
     const heard = (instance: string) => {
@@ -122,23 +106,13 @@
       });
       return tokens;
     };
-    const weightOf = ({ instance, group, region }: Compiled.Server): number =>
-      (reading.paceOf(instance, group) > slowFrom ? weights.slow : 1) *
-      (spared.get(group)?.has(region) ? weights.spared : 1);
     const holdersOf = (among: readonly Pick[], key: string): Holders => {
       const seed = Pick.mix(0x811c9dc5, key);
       const ranked = among
-        .map(({ server }) => ({
-          server,
-          score: Math.log((Pick.mix(seed, server.instance) + 1) / 2 ** 32) / weightOf(server),
-        }))
+        .map(({ server }) => ({ server, score: Pick.mix(seed, server.instance) }))
         .sort((a, b) => b.score - a.score);
       const near = ranked.find(({ server }) => server.region === needs.region());
-      return {
-        first: ranked[0]?.server.instance,
-        second: ranked[1]?.server.instance,
-        near: near?.server.instance,
-      };
+      return { first: ranked[0]?.server.instance, near: near?.server.instance };
     };
     const costOf = (
       { server }: Pick,
@@ -232,8 +206,7 @@
       hear(told) {
         for (const load of told) loads.set(load.instance, { load, at: Moment.now(), sent: 0 });
       },
-      retain({ servers, rules, regions }) {
-        spared = sparedBy(rules, regions);
+      retain({ servers }) {
         reading.retain((instance) => servers.has(instance));
         for (const instance of loads.keys()) if (!servers.has(instance)) loads.delete(instance);
         for (const instance of kept.keys()) if (!servers.has(instance)) kept.delete(instance);
