--- a/tools/checkers.ts
+++ b/tools/checkers.ts
@@ -1,7 +1,9 @@
 // The checkers of requests, one for each thing that must never happen to one. They read only what callers
 // and back ends wrote down. Each tells the breaches it found and its occasions: how often it met something
 // that it could have condemned.
+
 import type { Caller } from './caller.js';
+import { countBetween } from './count-between.js';
 
 export type Checkers = Readonly<Record<string, (journals: Checkers.Journals) => Checkers.Verdict>>;
 
@@ -41,20 +43,6 @@
 const lifetime = 5000;
 const windows = [5000, 10_000, 20_000, 60_000];
 
-const countBetween = (sorted: readonly number[], from: number, to: number): number => {
-  const below = (at: number) => {
-    let low = 0;
-    let high = sorted.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (sorted[middle]! < at) low = middle + 1;
-      else high = middle;
-    }
-    return low;
-  };
-  return below(to) - below(from);
-};
-
 const extraTries = ({ sent, runs }: Checkers.Journals): readonly number[] => {
   const known = new Set(sent.map((entry) => entry.id));
   const met = new Set<string>();
--- a/tools/platform/traffic-checks.ts
+++ b/tools/platform/traffic-checks.ts
@@ -1,5 +1,6 @@
 // Where requests may go and how many: the routes and homes of what the operator sent, servers that leave, zones
 // that are evacuated, cold servers, and the budget of further tries.
+import { countBetween } from '../count-between.js';
 import type { Recording } from './recording.js';
 import { RouteBook } from './route-book.js';
 import { Verdict } from './verdict.js';
@@ -13,20 +14,6 @@
   breaches: verdicts.flatMap((verdict) => verdict.breaches),
 });
 
-const countBetween = (sorted: readonly number[], from: number, to: number): number => {
-  const below = (at: number) => {
-    let low = 0;
-    let high = sorted.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (sorted[middle]! < at) low = middle + 1;
-      else high = middle;
-    }
-    return low;
-  };
-  return below(to) - below(from);
-};
-
 const serviceOf = (book: RouteBook, sent: Recording.Sent): readonly string[] => [
   ...new Set(book.versions.flatMap((version) => book.find(version, sent.host, sent.path)?.services ?? [])),
 ];
