Join agent and proxy of a front inside the process; pings only where nothing else is sent

Half of its frames went over loopback between its own two halves. Ruled out: the program's own timers alone (23 wakes a second remain).

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -13,12 +13,20 @@
 import { Metrics } from '../startup/metrics.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
-import type { Startup } from '../startup/startup.js';
+import type { Startup as Settings } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
 import { Doorway } from '../wire/doorway.js';
 import { Frame } from '../wire/frame.js';
+import type { Link } from '../wire/link.js';
+import { Pair } from '../wire/pair.js';
 
-export type Agent = { readonly start: (startup: Startup['agent'], ring: Ring) => Promise<Program> };
+export type Agent = { readonly start: (startup: Agent.Startup, ring: Ring) => Promise<Agent.Running> };
+
+export declare namespace Agent {
+  /** Without a feed address the proxy is in this process and comes by `join`. */
+  type Startup = Omit<Settings['agent'], 'feed'> & { readonly feed?: string };
+  type Running = Program & { readonly join: (terms: Link.Terms) => Link };
+}
 
 export const Agent: Agent = {
   async start(startup, ring) {
@@ -61,21 +69,25 @@
     const terms = { stamp: feed.stamp, age: feed.age, serve, note: ring.note };
     const doorway = await Doorway.open({ ...terms, address: Address.checked(startup.wire) });
     wire = Doorway.text(doorway);
-    const inner = await Doorway.open({
-      ...terms,
-      address: Address.checked(startup.feed),
-      serve(link, hello, frames) {
-        if (hello.self.vouched) voucher.promise(hello.stamp);
-        return serve(link, hello, frames);
-      },
-    });
+    const serveProxy: Doorway.Needs['serve'] = (link, hello, frames) => {
+      if (hello.self.vouched) voucher.promise(hello.stamp);
+      return serve(link, hello, frames);
+    };
+    const inner =
+      startup.feed === undefined
+        ? undefined
+        : await Doorway.open({ ...terms, address: Address.checked(startup.feed), serve: serveProxy });
+    const joined = new Set<Link>();
     const uplink: Uplink = Uplink.run({
       feed,
       roll,
       seeds: startup.seeds,
       version: Version,
       isUpward: true,
-      onWord: voucher.look,
+      onWord() {
+        voucher.look();
+        children.broadcast({ kind: 'ping', age: feed.age() });
+      },
       onRoster(proxies) {
         roster = proxies;
         children.broadcast({ kind: 'roster', proxies });
@@ -93,7 +105,11 @@
     gauge('epoch', 'epoch of the manifest held', () => feed.stamp().epoch);
     gauge('revision', 'revision of the state held', () => feed.stamp().revision);
     gauge('news_age_seconds', 'age of the last word from the primary', () => feed.age() / 1000);
-    gauge('links_dropped', 'links closed for what they sent', () => doorway.refused() + inner.refused());
+    gauge(
+      'links_dropped',
+      'links closed for what they sent',
+      () => doorway.refused() + (inner?.refused() ?? 0),
+    );
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
     gauge('news_dropped', 'news dropped as not newer', feed.ignored);
     const ops = Ops.of({
@@ -112,12 +128,19 @@
     }).server();
     opsText = Address.text(await Listen(ops, Address.checked(startup.ops)));
     return {
-      ready: { wire, feed: Doorway.text(inner), ops: opsText },
+      ready: { wire, ...(inner ? { feed: Doorway.text(inner) } : {}), ops: opsText },
+      join(theirs) {
+        const [own, other] = Pair.of({ stamp: feed.stamp, age: feed.age }, theirs, startup.node);
+        joined.add(own);
+        void Doorway.attend(own, { ...terms, serve: serveProxy }).finally(() => joined.delete(own));
+        return other;
+      },
       async drain() {
         isDraining = true;
         uplink.stop();
         await uplink.done;
-        await Promise.all([doorway.close(), inner.close()]);
+        for (const link of joined) link.close();
+        await Promise.all([doorway.close(), inner?.close()]);
         ops.close();
       },
     };
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -165,6 +165,7 @@
       address: Address.checked(startup.wire),
       stamp: feed.stamp,
       age,
+      isSteady: true,
       note: ring.note,
       serve: (link, hello, frames) =>
         hello.aim === 'core'
--- a/src/kinds/timer.ts
+++ b/src/kinds/timer.ts
@@ -1,12 +1,18 @@
 // Timers: one that can be moved and stopped, and a pause that ends early when its signal does. All of
 // them run on the monotonic clock and none keeps a process alive by itself.
-export type Timer = { readonly stop: () => void; readonly move: (span: number) => void };
+export type Timer = {
+  readonly stop: () => void;
+  readonly move: (span: number) => void;
+  /** Begins its span anew, without the cost of a new timer. */
+  readonly again: () => void;
+};
 
 export const Timer = {
   after(span: number, ring: () => void): Timer {
     let timer = setTimeout(ring, Math.max(0, span));
     return {
       stop: () => clearTimeout(timer),
+      again: () => void timer.refresh(),
       move(next) {
         clearTimeout(timer);
         timer = setTimeout(ring, Math.max(0, next));
@@ -17,6 +23,7 @@
     let timer = setInterval(ring, span);
     return {
       stop: () => clearInterval(timer),
+      again: () => void timer.refresh(),
       move(next) {
         clearInterval(timer);
         timer = setInterval(ring, next);
--- a/src/manifest/view.ts
+++ b/src/manifest/view.ts
@@ -26,14 +26,23 @@
   };
 }
 
+const decoded = new WeakMap<Uint8Array, View>();
+
 export const View = {
   empty: {
     stamp: Stamp.none,
     manifest: null,
     platform: { revision: Revision.none, epoch: Epoch.none, serial: 0, servers: [], leaving: [] },
   } as View,
-  encode: (view: View): Uint8Array => Buffer.from(JSON.stringify(view)),
+  encode(view: View): Uint8Array {
+    const bytes = Buffer.from(JSON.stringify(view));
+    decoded.set(bytes, view);
+    return bytes;
+  },
+  /** Bytes written in this process give back the very view, which is never changed. */
   decode(bytes: Uint8Array): View {
+    const known = decoded.get(bytes);
+    if (known) return known;
     try {
       return JSON.parse(Buffer.from(bytes).toString('utf8')) as View;
     } catch (cause) {
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -50,7 +50,7 @@
       const ranges = Copies.of(feed.view());
       const patch = Ranges.patch(ranges, held);
       const isWorthIt = patch.ranges.some(({ body }) => body === '');
-      if (isWorthIt) link.send({ kind: 'patch', ...patch });
+      if (isWorthIt && !link.isLocal) link.send({ kind: 'patch', ...patch });
       else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
       held = new Set(Ranges.digests(ranges));
       link.send({ kind: 'ping', age: needs.age() });
@@ -90,8 +90,9 @@
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
-          .with({ kind: 'roll' }, ({ entries }) => {
+          .with({ kind: 'roll' }, ({ entries, stamp }) => {
             roll.note(entries, node, !isPeer);
+            compare(stamp);
           })
           .with({ kind: 'ask' }, ({ digests }) => {
             held = new Set(digests);
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -36,6 +36,8 @@
     readonly seeds: readonly string[];
     readonly version: string;
     readonly isFixed?: boolean;
+    /** Opens a link to a place in another way than by a socket. */
+    readonly open?: (place: string, terms: Link.Terms) => Link;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
     readonly onPeers?: (peers: readonly string[]) => void;
@@ -51,7 +53,7 @@
 const oldAfter = 1500;
 const rollEvery = 1000;
 const changesWithin = 20;
-const pingEvery = 200;
+const pingEvery = 350;
 const silence = 1200;
 const nextAfter = 25;
 const stayFar = 15_000;
@@ -167,7 +169,10 @@
         await Timer.pause(index * nextAfter, hasOne.signal);
         if (hasOne.signal.aborted) throw Failure.of('link', 'another place took the call');
         const either = AbortSignal.any([stop.signal, hasOne.signal]);
-        const link = await Link.open(Address.checked(place), terms, either).catch((error: unknown) => {
+        const opened = needs.open
+          ? Promise.resolve(needs.open(place, terms))
+          : Link.open(Address.checked(place), terms, either);
+        const link = await opened.catch((error: unknown) => {
           if (!hasOne.signal.aborted) places.failed(place);
           throw error;
         });
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -25,6 +25,7 @@
 import { Ramp } from '../upstream/ramp.js';
 import { Warmup } from '../upstream/warmup.js';
 import type { Frame } from '../wire/frame.js';
+import type { Link } from '../wire/link.js';
 import { Dialect } from './dialect.js';
 import { Meters } from './meters.js';
 import { Quotas } from './quotas.js';
@@ -33,11 +34,17 @@
 import { Stall } from './stall.js';
 
 export type ProxyProgram = {
-  readonly start: (startup: Startup['proxy'], ring: Ring, dialect?: Dialect) => Promise<Program>;
+  /** With `join` the agent is in this process, and the address given for it only names it. */
+  readonly start: (
+    startup: Startup['proxy'],
+    ring: Ring,
+    dialect?: Dialect,
+    join?: (terms: Link.Terms) => Link,
+  ) => Promise<Program>;
 };
 
 export const ProxyProgram: ProxyProgram = {
-  async start(startup, ring, dialect = Dialect) {
+  async start(startup, ring, dialect = Dialect, join = undefined) {
     const feed = Feed.of();
     type Told = Pick<Extract<Frame.Body, { kind: 'tokens' }>, 'batches' | 'wanted' | 'serial' | 'uses'>;
     const sendUp = (told: Told) =>
@@ -216,6 +223,7 @@
       seeds: [startup.agent],
       version: Version,
       isFixed: true,
+      ...(join ? { open: (_place: string, terms: Link.Terms) => join(terms) } : {}),
       isUpward: true,
       onWord: voucher.look,
       onParent(agent, stamp) {
--- a/src/proxy/stall.ts
+++ b/src/proxy/stall.ts
@@ -7,7 +7,7 @@
 
 export type Stall = { readonly settle: () => Promise<void>; readonly stop: () => void };
 
-const beat = 100;
+const beat = 200;
 const gap = 300;
 
 const turns = async (): Promise<void> => {
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -21,6 +21,7 @@
     readonly address: Address;
     readonly stamp: () => Stamp;
     readonly age: () => number;
+    readonly isSteady?: boolean;
     readonly serve: (link: Link, hello: Hello, frames: AsyncGenerator<Frame, void, void>) => Promise<void>;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
@@ -29,6 +30,7 @@
 const helloWithin = 3000;
 const mostLinks = 1024;
 const silence = 1200;
+const pingEvery = 300;
 
 const greet = async (frames: AsyncGenerator<Frame, void, void>): Promise<Doorway.Hello> => {
   for (;;) {
@@ -40,25 +42,30 @@
 };
 
 export const Doorway = {
+  /** Serves one link until it ends; false when what it sent could not be read or it said no hello. */
+  async attend(link: Link, needs: Pick<Doorway.Needs, 'age' | 'serve' | 'note'>): Promise<boolean> {
+    const late = Timer.after(helloWithin, () => link.close(Failure.of('silence', 'no hello')));
+    const frames = link.frames();
+    try {
+      const hello = await greet(frames);
+      late.stop();
+      if (hello.aim === 'core') link.send({ kind: 'ping', age: needs.age() });
+      await needs.serve(link, hello, frames);
+      return true;
+    } catch (error) {
+      needs.note('link closed', { peer: link.peer, why: Failure.text(error) });
+      return false;
+    } finally {
+      late.stop();
+      link.close();
+    }
+  },
   async open(needs: Doorway.Needs): Promise<Doorway> {
     const links = new Set<Link>();
     let refused = 0;
     const attend = async (link: Link) => {
-      const late = Timer.after(helloWithin, () => link.close(Failure.of('silence', 'no hello')));
-      const frames = link.frames();
-      try {
-        const hello = await greet(frames);
-        late.stop();
-        if (hello.aim === 'core') link.send({ kind: 'ping', age: needs.age() });
-        await needs.serve(link, hello, frames);
-      } catch (error) {
-        refused += 1;
-        needs.note('link closed', { peer: link.peer, why: Failure.text(error) });
-      } finally {
-        late.stop();
-        links.delete(link);
-        link.close();
-      }
+      if (!(await Doorway.attend(link, needs))) refused += 1;
+      links.delete(link);
     };
     const server = createServer((socket) => {
       if (links.size >= mostLinks) {
@@ -66,7 +73,13 @@
         socket.destroy();
         return;
       }
-      const link = Link.over(socket, { stamp: needs.stamp, age: needs.age, pingEvery: 200, silence });
+      const link = Link.over(socket, {
+        stamp: needs.stamp,
+        age: needs.age,
+        pingEvery,
+        silence,
+        isSteady: needs.isSteady ?? false,
+      });
       links.add(link);
       void attend(link);
     });
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -1,6 +1,6 @@
-// A link is one TCP connection that carries frames both ways. Each end pings; an end that hears
-// nothing for a while gives the link up, so a frozen or cut peer shows within two seconds. Reading is
-// written straight down: one task per link loops over its frames.
+// A link is one TCP connection that carries frames both ways. Each end pings when it has sent nothing else for a while,
+// or steadily where asked; an end that hears nothing for a while gives the link up, so a frozen or cut peer shows
+// within two seconds. Reading is written straight down: one task per link loops over its frames.
 import { connect, type Socket } from 'node:net';
 import { type Address, Address as Addresses } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
@@ -16,14 +16,20 @@
   readonly closed: Promise<void>;
   readonly isOpen: () => boolean;
   readonly peer: string;
+  /** Whether both ends are in this process, so that a frame costs nothing to send. */
+  readonly isLocal: boolean;
 };
 
-type Terms = {
-  readonly stamp: () => Stamp;
-  readonly age: () => number;
-  readonly pingEvery?: number;
-  readonly silence?: number;
-};
+export declare namespace Link {
+  type Terms = {
+    readonly stamp: () => Stamp;
+    readonly age: () => number;
+    readonly pingEvery?: number;
+    readonly silence?: number;
+    /** Pings come however much else is sent, for they carry how old the last word from the primary is. */
+    readonly isSteady?: boolean;
+  };
+}
 
 async function* read(socket: Socket): AsyncGenerator<Frame, void, void> {
   let held: Buffer = Buffer.alloc(0);
@@ -42,7 +48,7 @@
 }
 
 export const Link = {
-  over(socket: Socket, terms: Terms): Link {
+  over(socket: Socket, terms: Link.Terms): Link {
     const silence = terms.silence ?? 2000;
     const phase = Phase.of('open', { open: ['closed'], closed: [] });
     let end: () => void = () => {};
@@ -64,13 +70,14 @@
         return false;
       }
       socket.write(Frame.encode(terms.stamp(), body));
+      if (!terms.isSteady) pings.again();
       return true;
     };
     socket.setNoDelay(true);
     const pings = Timer.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
     const quiet = Timer.after(silence, () => close(Failure.of('silence', 'nothing heard from peer')));
     socket.on('data', () => {
-      if (phase.is('open')) quiet.move(silence);
+      if (phase.is('open')) quiet.again();
     });
     socket.pause();
     socket.on('close', () => close());
@@ -81,6 +88,7 @@
       closed,
       isOpen: () => phase.is('open'),
       peer: `${socket.remoteAddress}:${socket.remotePort}`,
+      isLocal: false,
       async *frames() {
         try {
           yield* read(socket);
@@ -90,7 +98,7 @@
       },
     };
   },
-  async open(address: Address, terms: Terms, signal?: AbortSignal): Promise<Link> {
+  async open(address: Address, terms: Link.Terms, signal?: AbortSignal): Promise<Link> {
     const socket = connect(address);
     await new Promise<void>((resolve, reject) => {
       const fail = (cause?: unknown) => {
--- /dev/null
+++ b/test/pair.test.ts
@@ -0,0 +1,155 @@
+// Links inside one process, and pings: frames come in order and as they are, both ends close together, a busy link
+// sends no pings of its own, and a steady one sends them however much else passes.
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { Agent } from '../src/agent/program.js';
+import { Stamp } from '../src/kinds/stamp.js';
+import { Ring } from '../src/log/ring.js';
+import type { Document } from '../src/manifest/document.js';
+import { View } from '../src/manifest/view.js';
+import { Roll } from '../src/membership/roll.js';
+import { Uplink } from '../src/membership/uplink.js';
+import { Feed } from '../src/news/feed.js';
+import type { Frame } from '../src/wire/frame.js';
+import { Link } from '../src/wire/link.js';
+import { Pair } from '../src/wire/pair.js';
+
+const terms = (revision: number) => ({ stamp: () => Stamp.of(1, revision), age: () => 7 });
+
+const collect = async (link: Link, count: number): Promise<Frame[]> => {
+  const frames: Frame[] = [];
+  for await (const frame of link.frames()) {
+    frames.push(frame);
+    if (frames.length === count) break;
+  }
+  return frames;
+};
+
+describe('links in one process', () => {
+  it('hand frames over in order, as they are, with the stamp of the sender', async () => {
+    const [a, b] = Pair.of(terms(1), terms(2), 'here');
+    const view = new Uint8Array([1, 2, 3]);
+    const coming = collect(b, 3);
+    a.send({ kind: 'ping', age: 1 });
+    a.send({ kind: 'news', view });
+    a.send({ kind: 'roster', proxies: ['x'] });
+    const [first, second, third] = await coming;
+    assert.deepEqual(
+      [first, third],
+      [
+        { kind: 'ping', age: 1, stamp: Stamp.of(1, 1) },
+        { kind: 'roster', proxies: ['x'], stamp: Stamp.of(1, 1) },
+      ],
+    );
+    assert.equal(second?.kind === 'news' && second.view, view);
+  });
+  it('close together, and what was sent before is still read', async () => {
+    const [a, b] = Pair.of(terms(1), terms(2), 'here');
+    a.send({ kind: 'ping', age: 1 });
+    a.close();
+    await b.closed;
+    assert.deepEqual([a.isOpen(), b.isOpen(), a.send({ kind: 'ping', age: 1 })], [false, false, false]);
+    assert.equal((await collect(b, 2)).length, 1);
+  });
+  it('give back the very view whose bytes were written here', () => {
+    const bytes = View.encode(View.empty);
+    assert.equal(View.decode(bytes), View.empty);
+    assert.deepEqual(View.decode(Buffer.from(bytes)), View.empty);
+  });
+  it('bring a proxy in the agent’s process word and view at once, by no socket', async () => {
+    const seed = createServer();
+    seed.listen(0, '127.0.0.1');
+    await once(seed, 'listening');
+    const place = `127.0.0.1:${(seed.address() as AddressInfo).port}`;
+    const agent = await Agent.start(
+      { node: 'agent', zone: 'a-1', wire: '127.0.0.1:0', ops: '127.0.0.1:0', seeds: [place] },
+      Ring.of('agent'),
+    );
+    const feed = Feed.of();
+    const roll = Roll.of(() => ({
+      ...{ node: 'proxy', program: 'proxy', zone: 'a-1', boot: 'b', stamp: feed.stamp(), http: '', wire: '' },
+      ...{ ops: '', depth: 0, ready: true, vouched: true },
+    }));
+    const parents: string[] = [];
+    const uplink = Uplink.run({
+      ...{ feed, roll, seeds: [place], version: '', isFixed: true, isUpward: true, note: () => {} },
+      open: (_place, own) => agent.join(own),
+      onParent: ({ node }) => void parents.push(node),
+    });
+    try {
+      const [socket] = (await once(seed, 'connection')) as [Socket];
+      const parent = Link.over(socket, { ...terms(5), isSteady: true, pingEvery: 20 });
+      const document = { zones: {}, rules: [] } as unknown as Document;
+      const manifest = { revision: 5, epoch: 1, document } as unknown as View['manifest'];
+      const view = { ...View.empty, stamp: Stamp.of(1, 5), manifest };
+      const isServed = new Promise<void>((resolve) => {
+        feed.watch(() => resolve());
+      });
+      for await (const frame of parent.frames()) {
+        if (frame.kind !== 'hello') continue;
+        const self = { ...frame.self, node: 'parent', program: 'control' };
+        parent.send({ kind: 'welcome', self, peers: [], relays: [], version: '', age: 0 });
+        parent.send({ kind: 'news', view: View.encode(view) });
+        break;
+      }
+      await isServed;
+      assert.deepEqual([parents, feed.stamp()], [['agent'], Stamp.of(1, 5)]);
+    } finally {
+      uplink.stop();
+      await Promise.all([uplink.done, agent.drain()]);
+      seed.close();
+    }
+  });
+});
+
+describe('pings', () => {
+  const meet = async (isSteady: boolean) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const [[other], own] = await Promise.all([
+      once(server, 'connection') as Promise<[Socket]>,
+      Link.open(
+        { host: '127.0.0.1', port: (server.address() as AddressInfo).port },
+        { ...terms(1), pingEvery: 40, isSteady },
+      ),
+    ]);
+    const far = Link.over(other, terms(2));
+    const pings: Frame[] = [];
+    const isDone = (async () => {
+      let rosters = 0;
+      for await (const frame of far.frames()) {
+        if (frame.kind === 'ping') pings.push(frame);
+        if (frame.kind === 'roster') rosters += 1;
+        if (rosters === 60) return;
+      }
+    })();
+    const busy = setInterval(() => own.send({ kind: 'roster', proxies: [] }), 5);
+    await isDone;
+    clearInterval(busy);
+    own.close();
+    server.close();
+    return pings.length;
+  };
+  it('wait while anything else is sent, but come where they are steady', async () => {
+    const [quiet, steady] = [await meet(false), await meet(true)];
+    assert.ok(steady > quiet, `${steady} steady pings, ${quiet} otherwise`);
+    assert.ok(steady >= 3, `${steady} steady pings`);
+  });
+  it('come again once nothing else is sent', async () => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const own = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
+    const [other] = (await once(server, 'connection')) as [Socket];
+    const link = Link.over(own, { ...terms(3), pingEvery: 20 });
+    const far = Link.over(other, terms(1));
+    link.send({ kind: 'roster', proxies: [] });
+    const [roster, ...pings] = await collect(far, 3);
+    assert.deepEqual([roster?.kind, ...pings.map(({ kind }) => kind)], ['roster', 'ping', 'ping']);
+    link.close();
+    server.close();
+  });
+});
