Pass the primary's word on at once and ask over a link as soon as it stands

Cause: after all were killed, fronts held the newest view 0.2 to 0.35 s before they might serve it, for the word that vouches for it came with the next ping of each level (200 ms each); and a core asked nothing over a link before it had heard something there (one round trip between regions), then waited for its next step. Change: the first word that names the view held is passed on in that moment; a courier carries requests as soon as its link stands and stirs the core. That a link counts as up only once something was heard is kept.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -28,6 +28,7 @@
   readonly isRetired: () => boolean;
   readonly confirmedFor: () => number | undefined;
   readonly yielded: () => void;
+  readonly stir: () => void;
   readonly force: () => Promise<string>;
   readonly begin: () => void;
   readonly stop: () => Promise<void>;
@@ -304,6 +305,7 @@
         isAsked = true;
         wake();
       },
+      stir: () => wake(),
       async stop() {
         stop.abort();
         await Promise.all([done, looking]);
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -27,6 +27,7 @@
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onLoads: (loads: readonly Frame.Load[]) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
+    readonly onUp: () => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): Peers {
     const { feed, roll } = needs;
@@ -54,7 +55,7 @@
         for (const place of wanted)
           if (!held.has(place))
             held.set(place, {
-              courier: Courier.run({ place, stamp: feed.stamp, age: needs.age, hello }),
+              courier: Courier.run({ place, stamp: feed.stamp, age: needs.age, hello, onUp: needs.onUp }),
               uplink: Uplink.run({
                 feed,
                 roll,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -104,6 +104,7 @@
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }, isBelow),
       onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
+      onUp: () => core?.stir(),
       note: ring.note,
     });
     const quotas = QuotaDuty.of({
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -46,6 +46,7 @@
     const isPeer = hello.self.program === 'control';
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
     let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
+    const sendWord = () => link.send({ kind: 'ping', age: needs.age() });
     const sendNews = () => {
       const ranges = Copies.of(feed.view());
       const patch = Ranges.patch(ranges, held);
@@ -53,7 +54,7 @@
       if (isWorthIt) link.send({ kind: 'patch', ...patch });
       else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
       held = new Set(Ranges.digests(ranges));
-      link.send({ kind: 'ping', age: needs.age() });
+      sendWord();
     };
     const compare = (theirs: Stamp) => {
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
@@ -69,7 +70,7 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = feed.watch(sendNews);
+    const unwatch = [feed.watch(sendNews), feed.watchWord(sendWord)];
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -87,6 +88,7 @@
         age: needs.age(),
       });
       link.send({ kind: 'roster', proxies: [...needs.roster()] });
+      if (isSame) sendWord();
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
@@ -107,7 +109,7 @@
             throw Failure.of('frame', `unexpected ${kind} from a child`, { node });
           });
     } finally {
-      unwatch();
+      for (const end of unwatch) end();
       looks.stop();
       needs.children.remove(node, link);
       roll.forget(node);
--- a/src/news/feed.ts
+++ b/src/news/feed.ts
@@ -2,7 +2,8 @@
 // takes nothing with a lower or equal stamp, and no empty view in place of a manifest. It also knows how old
 // the last word from the primary is: ages travel with pings down the tree, so that a node behind a cut-off
 // relay notices and looks elsewhere. Word that names a newer view than the one held does not count, and
-// word that names the very view held vouches for it: it was the newest when that word left the primary.
+// word that names the very view held vouches for it: it was the newest when that word left the primary. The
+// first such word for a view is told to those who pass words on, so that it need not wait for their next ping.
 import { Moment } from '../kinds/moment.js';
 import { Stamp } from '../kinds/stamp.js';
 import { View } from '../manifest/view.js';
@@ -12,6 +13,7 @@
   readonly stamp: () => Stamp;
   readonly offer: (view: View) => boolean;
   readonly watch: (see: (view: View) => void) => () => void;
+  readonly watchWord: (see: () => void) => () => void;
   readonly hear: (age: number, stamp: Stamp) => void;
   readonly age: () => number;
   readonly vouchedAt: () => Moment;
@@ -24,6 +26,8 @@
     let heard = Moment.past;
     let vouched = Moment.past;
     let ignored = 0;
+    let isVouched = false;
+    const wordWatchers = new Set<() => void>();
     const watchers = new Set<(view: View) => void>();
     return {
       view: () => view,
@@ -36,6 +40,7 @@
         }
         if (!next.manifest && view.manifest) return false;
         view = next;
+        isVouched = false;
         for (const see of [...watchers]) see(next);
         return true;
       },
@@ -43,11 +48,19 @@
         watchers.add(see);
         return () => void watchers.delete(see);
       },
+      watchWord(see) {
+        wordWatchers.add(see);
+        return () => void wordWatchers.delete(see);
+      },
       hear(age, stamp) {
         if (Stamp.isNewer(stamp, view.stamp)) return;
         const at = Moment.after(-age);
         if (at > heard) heard = at;
-        if (at > vouched && view.manifest && Stamp.isSame(stamp, view.stamp)) vouched = at;
+        if (at <= vouched || !view.manifest || !Stamp.isSame(stamp, view.stamp)) return;
+        vouched = at;
+        if (isVouched) return;
+        isVouched = true;
+        for (const see of [...wordWatchers]) see();
       },
       age: () => Moment.since(heard),
       vouchedAt: () => vouched,
--- a/src/wire/courier.ts
+++ b/src/wire/courier.ts
@@ -1,6 +1,7 @@
 // A courier keeps one link to a peer open and carries requests over it, each answered by a reply of the
 // same serial. When the link is down a request fails at once; whoever asks decides what that means. From the
-// votes it carries it knows whose disk answers there, which may be another one than was there before.
+// votes it carries it knows whose disk answers there, which may be another one than was there before. A link
+// carries requests as soon as it stands, and counts as up once something was heard over it.
 import { Address } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
@@ -26,6 +27,7 @@
     readonly age: () => number;
     readonly hello: () => Extract<Frame.Body, { kind: 'hello' }>;
     readonly silence?: number;
+    readonly onUp?: () => void;
   };
 }
 
@@ -38,6 +40,7 @@
     const waiting = new Map<number, (reply: Frame.Reply | Error) => void>();
     let serial = 0;
     let link: Link | undefined;
+    let carrying: Link | undefined;
     let lastUp = Moment.now();
     let disk = '';
 
@@ -57,6 +60,8 @@
       stop.signal.addEventListener('abort', onStop, { once: true });
       try {
         made.send(needs.hello());
+        carrying = made;
+        needs.onUp?.();
         for await (const frame of made.frames()) {
           lastUp = Moment.now();
           link = made;
@@ -66,6 +71,7 @@
       } finally {
         stop.signal.removeEventListener('abort', onStop);
         link = undefined;
+        carrying = undefined;
         failAll();
       }
     };
@@ -94,7 +100,7 @@
             settle(Failure.of('silence', `${needs.place} did not answer`)),
           );
           waiting.set(mine, settle);
-          if (!link?.send({ ...request, serial: mine } as Frame.Request))
+          if (!carrying?.send({ ...request, serial: mine } as Frame.Request))
             settle(Failure.of('link', `no link to ${needs.place}`));
         }),
       async stop() {
--- /dev/null
+++ b/test/word.test.ts
@@ -0,0 +1,106 @@
+// The first word from the primary that names the view held is passed on at once, not with the next ping: a node
+// that starts empty serves nothing before it hears it.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Stamp } from '../src/kinds/stamp.js';
+import { View } from '../src/manifest/view.js';
+import { Children } from '../src/membership/children.js';
+import { Downlink } from '../src/membership/downlink.js';
+import { Roll } from '../src/membership/roll.js';
+import { Feed } from '../src/news/feed.js';
+import { Doorway } from '../src/wire/doorway.js';
+import { Link } from '../src/wire/link.js';
+
+const viewOf = (revision: number) => {
+  const stamp = Stamp.of(1, revision);
+  return {
+    stamp,
+    platform: { ...View.empty.platform, ...stamp },
+    manifest: { ...stamp, document: { rules: [] } },
+  } as unknown as View;
+};
+
+const rollOf = (node: string) =>
+  Roll.of(() => ({
+    node,
+    program: 'agent',
+    zone: 'a-1',
+    boot: node,
+    stamp: Stamp.of(1, 1),
+    http: '',
+    wire: '',
+    ops: '',
+    depth: 0,
+    ready: true,
+    vouched: false,
+  }));
+
+describe('word from the primary', () => {
+  it('is told once for each view, when it first names the view held', () => {
+    const feed = Feed.of(viewOf(1));
+    let told = 0;
+    const unwatch = feed.watchWord(() => {
+      told += 1;
+    });
+    feed.hear(0, Stamp.of(1, 0));
+    assert.equal(told, 0);
+    feed.hear(0, Stamp.of(1, 1));
+    feed.hear(-1, Stamp.of(1, 1));
+    assert.equal(told, 1);
+    feed.offer(viewOf(2));
+    feed.hear(-2, Stamp.of(1, 1));
+    assert.equal(told, 1);
+    feed.hear(-3, Stamp.of(1, 2));
+    assert.equal(told, 2);
+    unwatch();
+  });
+
+  it('is passed to a child in the moment it is heard', async () => {
+    const feed = Feed.of(viewOf(1));
+    const roll = rollOf('parent');
+    let age = 1;
+    const doorway = await Doorway.open({
+      address: { host: '127.0.0.1', port: 0 },
+      stamp: feed.stamp,
+      age: () => age,
+      note: () => {},
+      serve: (link, hello, frames) =>
+        Downlink.serve(link, hello, frames, {
+          feed,
+          roll,
+          children: Children.of(roll),
+          peers: () => [],
+          relays: () => [],
+          roster: () => [],
+          version: '',
+          age: () => age,
+          onTokens: () => {},
+          onCold: () => {},
+        }),
+    });
+    const link = await Link.open(doorway.address, { stamp: () => Stamp.of(1, 1), age: () => 0 });
+    try {
+      link.send({
+        kind: 'hello',
+        self: { ...rollOf('child').self(), program: 'proxy' },
+        version: '',
+        aim: 'session',
+      });
+      const pings: number[] = [];
+      for await (const frame of link.frames()) {
+        if (frame.kind === 'ping') pings.push(frame.age);
+        if (frame.kind === 'roster') {
+          age = 7;
+          feed.hear(0, Stamp.of(1, 1));
+          age = 1;
+        }
+        if (pings.includes(7)) break;
+        assert.ok(pings.length < 20, 'periodic pings came, and the word of that moment did not');
+      }
+      assert.ok(pings.includes(7));
+    } finally {
+      link.close();
+      await doorway.close();
+    }
+  });
+});
