Send patches and news packed, and no news twice between cores

Change: who says hello may say that it unpacks; patches and news to it are deflated, once a view for all that hold the same ranges. A core that is not the source of the news only tells other cores of it while its word is fresh; they ask for what they lack. Older programs are sent what they were sent before.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -42,6 +42,7 @@
 const nearbyAgents = 6;
 const knowsAfter = 1500;
 const confirmedWithin = 1200;
+const freshFor = 1500;
 
 export type Control = {
   readonly start: (startup: Startup['control'], ring: Ring, adapter?: Adapter) => Promise<Program>;
@@ -178,6 +179,7 @@
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               age,
+              isFirstHand: () => core?.leading() !== undefined || feed.age() > freshFor,
               roster,
               onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
               onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame),
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,12 +1,12 @@
 // The upper end of a session: one task per child. The child says who it is, gets the peers and the
 // newest view, and from then on every newer one, and the peers again when they are others; what the child
 // tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
-// child that came with the view that is held here is sent only what changes of it.
+// child that came with the view that is held here is sent only what changes of it. A core that is not the source of
+// the news tells other cores only that it has them: they hear them there, and ask for what they lack.
 import { match } from 'ts-pattern';
 import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
-import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
 import { Ranges } from '../repair/ranges.js';
@@ -29,6 +29,7 @@
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly roster: () => readonly string[];
+    readonly isFirstHand?: () => boolean;
   };
 }
 
@@ -47,17 +48,23 @@
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
     let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
     const sendWord = () => link.send({ kind: 'ping', age: needs.age() });
+    let heldAt = isSame ? hello.self.stamp : Stamp.none;
     const sendNews = () => {
-      const ranges = Copies.of(feed.view());
-      const patch = Ranges.patch(ranges, held);
-      const isWorthIt = patch.ranges.some(({ body }) => body === '');
-      if (isWorthIt) link.send({ kind: 'patch', ...patch });
-      else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
-      held = new Set(Ranges.digests(ranges));
+      const unpacks = hello.unpacks ?? false;
+      link.send(Copies.patch(feed.view(), held, unpacks) ?? Copies.news(feed.view(), unpacks));
+      held = new Set(Ranges.digests(Copies.of(feed.view())));
+      heldAt = feed.stamp();
       sendWord();
     };
+    const passOn = () => {
+      if (!isPeer || !needs.isFirstHand || needs.isFirstHand()) sendNews();
+      else sendWord();
+    };
     const compare = (theirs: Stamp) => {
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
+      if (!Stamp.isSame(theirs, feed.stamp()) || Stamp.isSame(theirs, heldAt)) return;
+      held = new Set(Ranges.digests(Copies.of(feed.view())));
+      heldAt = theirs;
     };
     let told = '';
     const peersNow = () => {
@@ -70,7 +77,7 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = [feed.watch(sendNews), feed.watchWord(sendWord)];
+    const unwatch = [feed.watch(passOn), feed.watchWord(sendWord)];
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -99,8 +106,8 @@
             held = new Set(digests);
             sendNews();
           })
-          .with({ kind: 'news' }, ({ view }) => {
-            feed.offer(View.decode(view));
+          .with({ kind: 'news' }, (news) => {
+            feed.offer(Copies.viewOf(news));
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
           .with({ kind: 'tokens' }, needs.onTokens)
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -10,7 +10,6 @@
 import { Phase } from '../kinds/phase.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
-import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
 import { Ranges } from '../repair/ranges.js';
@@ -125,12 +124,12 @@
         })
         .with({ kind: 'peers' }, ({ peers }) => learnPeers(peers))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
-        .with({ kind: 'news' }, ({ view }) => {
-          feed.offer(View.decode(view));
+        .with({ kind: 'news' }, (news) => {
+          feed.offer(Copies.viewOf(news));
         })
         .with({ kind: 'patch' }, (patch) => {
           try {
-            feed.offer(Ranges.mend(Copies.of(feed.view()), patch));
+            feed.offer(Ranges.mend(Copies.of(feed.view()), Copies.patchOf(patch)));
           } catch (error) {
             needs.note('asking for the whole view', { why: Failure.text(error) });
             link.send({ kind: 'ask', digests: [] });
@@ -186,7 +185,13 @@
       const rolls = Timer.every(rollEvery, () => tell(link));
       try {
         current = link;
-        link.send({ kind: 'hello', self: roll.self(), version: needs.version, aim: 'session' });
+        link.send({
+          kind: 'hello',
+          self: roll.self(),
+          version: needs.version,
+          aim: 'session',
+          unpacks: true,
+        });
         for await (const frame of link.frames()) take(frame, link);
       } catch (error) {
         if (phase.is('joined')) needs.note('session ended', { place, why: Failure.text(error) });
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -26,7 +26,13 @@
     readonly vouched: boolean;
   };
   type Body =
-    | { readonly kind: 'hello'; readonly self: Entry; readonly version: string; readonly aim: string }
+    | {
+        readonly kind: 'hello';
+        readonly self: Entry;
+        readonly version: string;
+        readonly aim: string;
+        readonly unpacks?: boolean;
+      }
     | {
         readonly kind: 'welcome';
         readonly self: Entry;
@@ -41,8 +47,9 @@
         readonly kind: 'patch';
         readonly seal: string;
         readonly ranges: readonly { readonly name: string; readonly digest: string; readonly body: string }[];
+        readonly packed?: Uint8Array;
       }
-    | { readonly kind: 'news'; readonly view: Uint8Array }
+    | { readonly kind: 'news'; readonly view: Uint8Array; readonly packed?: Uint8Array }
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'refuse'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
--- a/test/repair.test.ts
+++ b/test/repair.test.ts
@@ -7,7 +7,9 @@
 import { Stamp } from '../src/kinds/stamp.js';
 import { View } from '../src/manifest/view.js';
 import { Feed } from '../src/news/feed.js';
+import { Copies } from '../src/repair/copies.js';
 import { Ranges } from '../src/repair/ranges.js';
+import { Frame } from '../src/wire/frame.js';
 import { Bench } from './bench.js';
 
 const makeView = (revision: number, names: readonly string[], servers = 70): View => ({
@@ -74,6 +76,32 @@
   it('mends from nothing when the whole is sent', () => {
     assert.deepEqual(Ranges.mend(Ranges.cut(View.empty), patchTo(before, [])), before);
   });
+  it('packs patches and news for those that unpack them, over the wire, and for no others', () => {
+    const after = makeView(6, names.with(700, 'changed').with(3, 'changed-too'));
+    const over = <T extends Frame.Body['kind']>(body: Extract<Frame.Body, { kind: T }>) => {
+      const frame = Frame.encode(Stamp.none, body);
+      return { length: frame.length, body: Frame.decode(frame.subarray(4)) as unknown as typeof body };
+    };
+    const digests = new Set(Ranges.digests(held));
+    const plain = over(Copies.patch(after, digests, false)!);
+    const short = over(Copies.patch(after, digests, true)!);
+    assert.ok(short.length < plain.length / 2, `${short.length} of ${plain.length} bytes`);
+    for (const { body } of [plain, short]) assert.deepEqual(Ranges.mend(held, Copies.patchOf(body)), after);
+    assert.equal(plain.body.packed?.length, 0);
+    const whole = over(Copies.news(after, false));
+    const news = over(Copies.news(after, true));
+    assert.ok(news.length < whole.length / 4, `${news.length} of ${whole.length} bytes`);
+    for (const { body } of [whole, news]) assert.deepEqual(Copies.viewOf(body), after);
+    assert.equal(Copies.patch(after, new Set(), true), undefined);
+  });
+  it('takes nothing packed that cannot be unpacked', () => {
+    const damaged = { kind: 'news', view: new Uint8Array(), packed: Buffer.from('no such thing') } as const;
+    assert.throws(() => Copies.viewOf(damaged), /cannot be read/);
+    assert.throws(
+      () => Copies.patchOf({ kind: 'patch', seal: '', ranges: [], packed: damaged.packed }),
+      /cannot be read/,
+    );
+  });
   it('takes no view that lacks a range, has a changed one, or has another seal', () => {
     const patch = patchTo(makeView(6, names.with(700, 'changed')));
     assert.throws(() => Ranges.mend(Ranges.cut(View.empty), patch), /cannot be mended/);
--- a/test/word.test.ts
+++ b/test/word.test.ts
@@ -9,6 +9,7 @@
 import { Roll } from '../src/membership/roll.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
+import type { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
 
 const viewOf = (revision: number) => {
@@ -103,4 +104,67 @@
       await doorway.close();
     }
   });
+
+  it('brings no news to other cores from one that is not their source, unless they ask', async () => {
+    const feed = Feed.of(viewOf(1));
+    const roll = rollOf('second');
+    let isFirstHand = false;
+    const doorway = await Doorway.open({
+      address: { host: '127.0.0.1', port: 0 },
+      stamp: feed.stamp,
+      age: () => 0,
+      note: () => {},
+      serve: (link, hello, frames) =>
+        Downlink.serve(link, hello, frames, {
+          feed,
+          roll,
+          children: Children.of(roll),
+          peers: () => [],
+          relays: () => [],
+          roster: () => [],
+          isFirstHand: () => isFirstHand,
+          version: '',
+          age: () => 0,
+          onTokens: () => {},
+          onCold: () => {},
+        }),
+    });
+    const open = async (program: 'control' | 'agent') => {
+      const link = await Link.open(doorway.address, { stamp: () => Stamp.of(1, 1), age: () => 0 });
+      const self = { ...rollOf(program).self(), program };
+      link.send({ kind: 'hello', self, version: '', aim: 'session' });
+      const frames = link.frames();
+      const until = async (isWanted: (frame: Frame) => boolean): Promise<string[]> => {
+        const seen: string[] = [];
+        for (;;) {
+          const { value } = await frames.next();
+          assert.ok(value);
+          seen.push(value.kind);
+          if (isWanted(value)) return seen;
+        }
+      };
+      await until(({ kind }) => kind === 'roster');
+      return { link, until };
+    };
+    const core = await open('control');
+    const agent = await open('agent');
+    try {
+      feed.offer(viewOf(2));
+      const told = await core.until(({ kind, stamp }) => kind === 'ping' && stamp.revision === 2);
+      assert.deepEqual(
+        told.filter((kind) => kind !== 'ping'),
+        [],
+      );
+      assert.ok((await agent.until(({ kind }) => kind === 'patch' || kind === 'news')).length > 0);
+      core.link.send({ kind: 'ask', digests: [] });
+      await core.until(({ kind }) => kind === 'news');
+      isFirstHand = true;
+      feed.offer(viewOf(3));
+      await core.until(({ kind, stamp }) => (kind === 'patch' || kind === 'news') && stamp.revision === 3);
+    } finally {
+      core.link.close();
+      agent.link.close();
+      await doorway.close();
+    }
+  });
 });
