Dial anew every 300 ms while an attempt is not answered

Cause: after a loss of all power the cores come up up to 0.4 s apart. A core that dialled one still dark had its opening packet lost, and waited a second for the attempt to end before it dialled again; the claim waited with it. Change: an attempt that is not answered is joined by another every 300 ms, a second in all; the first that stands is taken and the others are destroyed.

--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -25,6 +25,9 @@
   readonly silence?: number;
 };
 
+const openWithin = 1000;
+const dialAgainAfter = 300;
+
 async function* read(socket: Socket): AsyncGenerator<Frame, void, void> {
   let held: Buffer = Buffer.alloc(0);
   for await (const chunk of socket as AsyncIterable<Buffer>) {
@@ -90,27 +93,36 @@
       },
     };
   },
-  async open(address: Address, terms: Terms, signal?: AbortSignal): Promise<Link> {
-    const socket = connect(address);
-    await new Promise<void>((resolve, reject) => {
+  /** Dials anew while an attempt is not answered: a peer that was without power answers only later calls soon. */
+  async open(address: Address, terms: Terms, signal?: AbortSignal, dial = connect): Promise<Link> {
+    const sockets: Socket[] = [];
+    const made = await new Promise<Socket>((resolve, reject) => {
+      const settle = () => {
+        late.stop();
+        again.stop();
+        signal?.removeEventListener('abort', fail);
+      };
       const fail = (cause?: unknown) => {
         settle();
-        socket.destroy();
+        for (const socket of sockets) socket.destroy();
         reject(Failure.of('link', `no link to ${Addresses.text(address)}`, {}, cause));
       };
-      const timer = Timer.after(1000, fail);
-      const settle = () => {
-        timer.stop();
-        signal?.removeEventListener('abort', fail);
-        socket.removeAllListeners('error');
+      const attempt = () => {
+        const socket = dial({ host: address.host, port: address.port });
+        sockets.push(socket);
+        socket.on('error', fail);
+        socket.once('connect', () => {
+          settle();
+          for (const other of sockets) if (other !== socket) other.destroy();
+          socket.removeListener('error', fail);
+          resolve(socket);
+        });
       };
+      const late = Timer.after(openWithin, fail);
+      const again = Timer.every(dialAgainAfter, attempt);
       signal?.addEventListener('abort', fail, { once: true });
-      socket.once('error', fail);
-      socket.once('connect', () => {
-        settle();
-        resolve();
-      });
+      attempt();
     });
-    return Link.over(socket, terms);
+    return Link.over(made, terms);
   },
 };
--- a/test/courier.test.ts
+++ b/test/courier.test.ts
@@ -1,6 +1,6 @@
 // A courier's requests: carried as soon as the link stands, before the peer has said anything.
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
+import { connect, createServer, Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { Listen } from '../src/kinds/listen.js';
 import { Stamp } from '../src/kinds/stamp.js';
@@ -42,4 +42,21 @@
       server.close();
     }
   });
+
+  it('dials anew while an attempt is not answered, and leaves the others', async () => {
+    const server = createServer();
+    const at = await Listen(server, { host: '127.0.0.1', port: 0 });
+    const terms = { stamp: () => Stamp.none, age: () => 0 };
+    const dialled: Socket[] = [];
+    const dial = ((to: { host: string; port: number }) => {
+      dialled.push(dialled.length === 0 ? new Socket() : connect(to));
+      return dialled.at(-1)!;
+    }) as typeof connect;
+    const link = await Link.open(at, terms, undefined, dial);
+    assert.equal(dialled.length, 2);
+    assert.equal(dialled[0]?.destroyed, true);
+    assert.equal(link.isOpen(), true);
+    link.close();
+    server.close();
+  });
 });
