--- a/src/duty/report-duty.ts
+++ b/src/duty/report-duty.ts
@@ -18,6 +18,14 @@
 
 const every = 500;
 const anewAfter = 4;
+const mostRest = 4;
+const nearlyFull = 0.7;
+
+type Told = { readonly load: ReportSource.Load; readonly round: number };
+type Rest = { readonly rounds: number; readonly until: number };
+
+const isAtEase = (before: ReportSource.Load | undefined, { queued, active, bound }: ReportSource.Load) =>
+  queued === 0 && bound < nearlyFull && before !== undefined && active <= before.active + 1;
 
 const isAlike = (a: ReportSource.Load | undefined, b: ReportSource.Load): boolean =>
   a !== undefined &&
@@ -28,12 +36,25 @@
 export const ReportDuty = {
   run(needs: ReportDuty.Needs): ReportDuty {
     const stop = new AbortController();
-    const told = new Map<string, { readonly load: ReportSource.Load; readonly round: number }>();
+    const told = new Map<string, Told>();
+    const rests = new Map<string, Rest>();
+    const last = new Map<string, ReportSource.Load>();
+    const consider = (load: ReportSource.Load, round: number) => {
+      const { instance } = load;
+      const rounds = isAtEase(last.get(instance), load)
+        ? Math.min(mostRest, 2 * (rests.get(instance)?.rounds ?? 1))
+        : 1;
+      rests.set(instance, { rounds, until: round + rounds });
+      last.set(instance, load);
+    };
     const step = async (round: number) => {
       const servers = needs.servers();
       const held = new Set<string>(servers.map((server) => server.instance));
-      for (const instance of told.keys()) if (!held.has(instance)) told.delete(instance);
-      const loads = await Promise.all(servers.map((server) => needs.source.read(server)));
+      for (const kept of [told, rests, last])
+        for (const instance of kept.keys()) if (!held.has(instance)) kept.delete(instance);
+      const due = servers.filter(({ instance }) => (rests.get(instance)?.until ?? round) <= round);
+      const loads = await Promise.all(due.map((server) => needs.source.read(server)));
+      for (const load of loads) if (load) consider(load, round);
       const fresh = loads.filter((load): load is ReportSource.Load => {
         if (!load) return false;
         const known = told.get(load.instance);
@@ -45,7 +66,7 @@
     const run = async () => {
       for (let round = 0; !stop.signal.aborted; round += 1) {
         if (needs.isHeld()) await step(round);
-        else told.clear();
+        else for (const kept of [told, rests, last]) kept.clear();
         await Timer.pause(every, stop.signal);
       }
     };
