--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -42,6 +42,7 @@
 const nearbyAgents = 6;
 const knowsAfter = 1500;
 const confirmedWithin = 1200;
+const freshFor = 1500;
 
 export type Control = {
   readonly start: (startup: Startup['control'], ring: Ring, adapter?: Adapter) => Promise<Program>;
@@ -104,6 +105,7 @@
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }, isBelow),
       onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
+      onUp: () => core?.stir(),
       note: ring.note,
     });
     const quotas = QuotaDuty.of({
@@ -178,6 +180,7 @@
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               age,
+              isFirstHand: () => core?.leading() !== undefined || feed.age() > freshFor,
               roster,
               onTokens: ({ stamp: _stamp, ...frame }) => budget.take(frame),
               onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame),
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,12 +1,12 @@
 // The upper end of a session: one task per child. The child says who it is, gets the peers and the
 // newest view, and from then on every newer one, and the peers again when they are others; what the child
 // tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
-// child that came with the view that is held here is sent only what changes of it.
+// child that came with the view that is held here is sent only what changes of it. A core that is not the source of
+// the news tells other cores only that it has them: they hear them there, and ask for what they lack.
 import { match } from 'ts-pattern';
 import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
-import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
 import { Ranges } from '../repair/ranges.js';
@@ -29,6 +29,7 @@
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly roster: () => readonly string[];
+    readonly isFirstHand?: () => boolean;
   };
 }
 
@@ -46,17 +47,26 @@
     const isPeer = hello.self.program === 'control';
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
     let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
+    const sendWord = () => link.send({ kind: 'ping', age: needs.age() });
+    let heldAt = isSame ? hello.self.stamp : Stamp.none;
     const sendNews = () => {
-      const ranges = Copies.of(feed.view());
-      const patch = Ranges.patch(ranges, held);
-      const isWorthIt = patch.ranges.some(({ body }) => body === '');
-      if (isWorthIt && !link.isLocal) link.send({ kind: 'patch', ...patch });
-      else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
-      held = new Set(Ranges.digests(ranges));
-      link.send({ kind: 'ping', age: needs.age() });
+      const view = feed.view();
+      const unpacks = (hello.unpacks ?? false) && !link.isLocal;
+      const patch = link.isLocal ? undefined : Copies.patch(view, held, unpacks);
+      link.send(patch ?? Copies.news(view, unpacks));
+      if (!link.isLocal) held = new Set(Ranges.digests(Copies.of(view)));
+      heldAt = feed.stamp();
+      sendWord();
+    };
+    const passOn = () => {
+      if (!isPeer || !needs.isFirstHand || needs.isFirstHand()) sendNews();
+      else sendWord();
     };
     const compare = (theirs: Stamp) => {
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
+      if (!Stamp.isSame(theirs, feed.stamp()) || Stamp.isSame(theirs, heldAt)) return;
+      held = new Set(Ranges.digests(Copies.of(feed.view())));
+      heldAt = theirs;
     };
     let told = '';
     const peersNow = () => {
@@ -69,7 +79,7 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = feed.watch(sendNews);
+    const unwatch = [feed.watch(passOn), feed.watchWord(sendWord)];
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -87,6 +97,7 @@
         age: needs.age(),
       });
       link.send({ kind: 'roster', proxies: [...needs.roster()] });
+      if (isSame) sendWord();
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
@@ -98,8 +109,8 @@
             held = new Set(digests);
             sendNews();
           })
-          .with({ kind: 'news' }, ({ view }) => {
-            feed.offer(View.decode(view));
+          .with({ kind: 'news' }, (news) => {
+            feed.offer(Copies.viewOf(news));
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
           .with({ kind: 'tokens' }, needs.onTokens)
@@ -108,7 +119,7 @@
             throw Failure.of('frame', `unexpected ${kind} from a child`, { node });
           });
     } finally {
-      unwatch();
+      for (const end of unwatch) end();
       looks.stop();
       needs.children.remove(node, link);
       roll.forget(node);
