Order accepted tenures by ballot where a core learns what is in force

Cause: a core took the tenure of the highest epoch it had ever seen for the one in force, also one that only a single core had accepted. Once the others had settled the lower epoch, its claims started from an epoch that no majority held, wrote the other back and never learned it: no core claimed again, for good, though all were up. Of two values for one epoch it kept the first, and then passed calls on to itself or to a core that does not lead.

Now the later forming goes first and then the higher ballot, as the register itself has it.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -2,6 +2,7 @@
 // at the register, the links and the votes, and takes the next step; each change of state goes through
 // the phase. A second task asks the others for their votes all the while, so that a silent one holds up no
 // step. A blank core joins where the others remember; where too few can still remember, all form anew.
+import { Ballot } from '../epoch/ballot.js';
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
 import { Tenure } from '../epoch/tenure.js';
@@ -79,7 +80,8 @@
       (from, to) => needs.note('core changed', { from, to }),
     );
     let primary: Primary | undefined;
-    let known: Tenure | undefined = register.tenure() ?? undefined;
+    let known: Tenure | undefined;
+    let knownBallot = Ballot.none;
     const forming = Forming.of(needs);
     let votes: readonly Proposer.Vote[] = [];
     let isAsked = false;
@@ -92,22 +94,26 @@
     let looking: Promise<void> | undefined;
     let wake: () => void = () => {};
 
-    const learn = (tenure: Tenure | null | undefined) => {
-      if (!tenure || (known && tenure.epoch <= known.epoch)) return;
+    const learn = (tenure: Tenure | null | undefined, ballot: Ballot) => {
+      if (!tenure || (known && Tenure.compare(tenure, ballot, known, knownBallot) <= 0)) return;
+      const isOther = tenure.epoch !== known?.epoch || tenure.primary !== known.primary;
       known = tenure;
+      knownBallot = ballot;
+      if (!isOther) return;
       isAsked = false;
       darkSince = undefined;
       if (primary && tenure.primary !== register.disk) primary.depose(`deposed by ${Tenure.text(tenure)}`);
     };
+    learn(register.tenure(), register.accepted());
     register.watch((tenure) => {
       votes = [];
-      learn(tenure);
+      learn(tenure, register.accepted());
       wake();
     });
 
     const look = async () => {
       votes = await proposer.votes();
-      for (const { tenure } of votes) learn(tenure);
+      for (const { tenure, accepted } of votes) learn(tenure, accepted ?? Ballot.none);
       await primary?.install(votes);
     };
     const survey = async () => {
@@ -145,12 +151,12 @@
     const claim = async (from: Tenure) => {
       register.raise(Epoch.after(from.epoch));
       await store.idle();
-      const { isDone, tenure } = await proposer.change((base) =>
+      const { isDone, tenure, ballot } = await proposer.change((base) =>
         base.epoch === from.epoch && Tenure.isInSync(base, register.disk)
           ? Tenure.next(base, { primary: register.disk })
           : undefined,
       );
-      learn(tenure);
+      learn(tenure, ballot);
       if (isDone && tenure) await lead(tenure);
     };
     const settle = async (leader: Primary) => {
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -18,7 +18,7 @@
   readonly confirm: (tenure: Tenure) => Promise<boolean>;
   readonly change: (
     next: (tenure: Tenure) => Tenure | undefined,
-  ) => Promise<{ readonly isDone: boolean; readonly tenure: Tenure | undefined }>;
+  ) => Promise<{ readonly isDone: boolean; readonly tenure: Tenure | undefined; readonly ballot: Ballot }>;
   readonly form: (
     make: (votes: readonly Proposer.Vote[]) => Tenure | undefined,
     atLeast: number,
@@ -154,12 +154,12 @@
           grants = granted(await prepare(ballot, false));
           base = highestOf(grants)?.tenure;
         }
-        if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined };
+        if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined, ballot };
         const wanted = next(base);
         const value = wanted ?? base;
         const accepts = granted(await accept(ballot, value, base));
         const isChosen = isMajority(accepts, base) && isMajority(accepts, value);
-        return { isDone: isChosen && wanted !== undefined, tenure: isChosen ? value : undefined };
+        return { isDone: isChosen && wanted !== undefined, tenure: isChosen ? value : undefined, ballot };
       },
       async form(make, atLeast) {
         const ballot = nextBallot(await peek());
--- a/src/epoch/tenure.ts
+++ b/src/epoch/tenure.ts
@@ -1,8 +1,11 @@
 // A tenure is the register's value: who is primary under which epoch, which cores are in sync, and
 // which disks the cores are. Cores are known by their disks, so that an empty machine at an old
-// address is never taken for the one that was there.
+// address is never taken for the one that was there. Of two that were accepted, the newer is the one of the
+// later forming, and within one forming that of the higher ballot: one with a higher epoch may have been
+// accepted by too few, and never be chosen.
 import { Epoch } from '../kinds/epoch.js';
 import type { Frame } from '../wire/frame.js';
+import { Ballot } from './ballot.js';
 
 export type Tenure = Frame.Tenure;
 
@@ -17,6 +20,8 @@
     ...change,
     epoch: Epoch.after(tenure.epoch),
   }),
+  compare: (a: Tenure, ballotOfA: Ballot, b: Tenure, ballotOfB: Ballot): number =>
+    a.formed - b.formed || Ballot.compare(ballotOfA, ballotOfB),
   text: (tenure: Tenure): string =>
     `epoch ${tenure.epoch}, primary ${Tenure.core(tenure, tenure.primary)?.node ?? tenure.primary}, in sync ${tenure.inSync
       .map((disk) => Tenure.core(tenure, disk)?.node ?? disk)
