Let the programs under test see every change of the faults file, also one of the same time

Cause: the preloaded module read the file again only when its time had changed. A cut that is healed at once is two writes within one tick of the file system's clock; a program that read between them never saw the heal and kept its links to one core dark until it ended. The module now compares what the file says.

--- a/tools/faults/preload.ts
+++ b/tools/faults/preload.ts
@@ -1,7 +1,7 @@
 // Loaded into a program from outside, before it starts: makes its disk slow, stalled or full, its wall
 // clock jump, and its links to other machines go dark. A cut is like one of the network: what is written
 // meanwhile is held back and goes out when the cut heals; connects wait; the far end sees no close.
-import { readFileSync, statSync } from 'node:fs';
+import { readFileSync } from 'node:fs';
 import { open } from 'node:fs/promises';
 import net from 'node:net';
 import type { Faults } from './faults.js';
@@ -15,7 +15,7 @@
 
 let faults: Faults.State = { cuts: [], disks: {}, clocks: {} };
 let cuts = new Set<string>();
-let seen = 0;
+let seen = '';
 const held: { readonly isFree: () => boolean; readonly go: () => void }[] = [];
 
 const isCut = (from: string | undefined, to: string | undefined): boolean =>
@@ -30,10 +30,10 @@
 
 const look = () => {
   try {
-    const { mtimeMs } = statSync(path);
-    if (mtimeMs === seen) return;
-    faults = JSON.parse(readFileSync(path, 'utf8')) as Faults.State;
-    seen = mtimeMs;
+    const text = readFileSync(path, 'utf8');
+    if (text === seen) return;
+    faults = JSON.parse(text) as Faults.State;
+    seen = text;
     cuts = new Set(faults.cuts);
     release();
   } catch {
