Let a primary go on above an epoch that its backup promised in vain

Cause: a core that tries to take over raises its floor first. Where the attempt fails, as for want of a majority, it went on refusing what the primary sent under the old epoch; with the third core away nobody else could hold a change, so no change was taken until that one was back. The primary now changes the register to an epoch above the floor it is told, by the change it already has for stamps of a higher epoch; another primary there deposes it as before.

--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -1,8 +1,9 @@
 // The primary's side of replication. A change is acknowledged once it is synced here and at every other
 // core in sync, and never by fewer disks than may be lost at once and one more. A backup that does not confirm
 // is replaced: another core takes the whole state first, then the register names it in sync in the silent
-// one's place. A primary whose own disk fails or stalls hands its place to a backup; one that finds a higher
-// epoch is deposed and never acknowledges again.
+// one's place. A backup that has promised a higher epoch to one that then did not get it takes nothing more
+// under this one: the primary goes on above it. A primary whose own disk fails or stalls hands its place to a
+// backup; one that finds another primary's epoch is deposed and never acknowledges again.
 import type { Proposer } from '../epoch/proposer.js';
 import { Tenure } from '../epoch/tenure.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -72,6 +73,7 @@
     let acknowledged = store.state();
     let isOpen = false;
     let isUnsure = false;
+    let promised = Epoch.none;
     let confirmedAt = Moment.past;
     let tellDeposed: (why: string) => void = () => {};
     const deposed = new Promise<string>((resolve) => {
@@ -104,6 +106,7 @@
       let reply = await append(core, step?.change ?? whole, step?.before ?? state.stamp);
       const isMendable = !reply.isTaken && reply.floor <= tenure.epoch;
       if (step && isMendable) reply = await append(core, whole, state.stamp);
+      if (!reply.isTaken && reply.floor > promised) promised = Epoch.of(reply.floor);
       if (!reply.isTaken) throw Mishap.of('stale', `${core.node} did not take it: ${reply.why}`);
     };
     const alter = async (next: (from: Tenure) => Tenure | undefined): Promise<boolean> => {
@@ -128,6 +131,8 @@
       const courier = needs.courierTo(core);
       return courier?.reaches(core) ? courier.downFor() : Number.POSITIVE_INFINITY;
     };
+    const goAbove = (epoch: Epoch) =>
+      alter((base) => Tenure.next({ ...base, epoch: Epoch.of(Math.max(base.epoch, epoch)) }, {}));
     const isWhole = () => tenure.inSync.length > needs.losses;
     const replicate = async (state: State, step?: Step, isOnce = false): Promise<boolean> => {
       const holders = new Set<string>();
@@ -168,7 +173,11 @@
         for (const core of tenure.cores.filter(isFree)) offer(core);
         const inSyncFirst = [...new Set([...backups(), ...holders])].filter((one) => holders.has(one));
         const taken = inSyncFirst.slice(0, needs.losses);
-        if (taken.length === needs.losses) {
+        if (promised > tenure.epoch) {
+          const isDone = await goAbove(promised).catch(() => false);
+          if (!isDone && isOnce) return false;
+          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+        } else if (taken.length === needs.losses) {
           const inSync = [disk, ...taken];
           const isDone = await alter((base) =>
             inSync.every((one) => Tenure.has(base, one)) ? Tenure.next(base, { inSync }) : undefined,
@@ -242,9 +251,7 @@
         turns.take(async () => {
           mustLead();
           if (above.epoch < tenure.epoch) return;
-          await alter((base) =>
-            Tenure.next({ ...base, epoch: Epoch.of(Math.max(base.epoch, above.epoch)) }, {}),
-          );
+          await goAbove(above.epoch);
         }),
       async tend() {
         if (!phase.is('leading')) return;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -200,4 +200,23 @@
     await until(() => two.core.tenure()?.primary === one.self.disk, 'it knows the chosen primary');
     assert.equal(Tenure.isInSync(two.core.tenure()!, two.self.disk), false);
   });
+
+  it('takes changes after its backup has promised a higher epoch in vain, though the third is away', async () => {
+    const { one, two, lost } = await three();
+    begin(one);
+    await until(() => one.core.leading() !== undefined, 'it leads');
+    await one.core.leading()!.commit((_state, stamp) => ({ kind: 'opened', stamp }));
+    lost.add('0>2');
+    lost.add('1>2');
+    two.register.raise(Epoch.of(9));
+    let isTaken = false;
+    void one.core
+      .leading()!
+      .commit((_state, stamp) => ({ kind: 'opened', stamp }))
+      .then(() => {
+        isTaken = true;
+      });
+    await until(() => isTaken, 'a change is taken');
+    assert.deepEqual(one.core.leading()?.tenure().inSync, [one.self.disk, two.self.disk]);
+  });
 });
