Wait for the proposer's own promise before a register change goes on

Cause: the first majority of promises ended the wait, also without the proposer's own. What only its own disk had accepted was then not found, and the change wrote the older tenure back.

--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -1,8 +1,9 @@
 // Changing and reading the register. A change takes two phases: a majority of the cores promises a
 // ballot and tells what it has accepted, then the changed tenure is accepted by a majority of the cores
-// before and after it. A change that turns out not to be wanted writes the tenure it found back, since a
-// tenure that only some had accepted may not be relied on: it is chosen once a majority has accepted it.
-// A read is confirmed when a majority has accepted the same ballot.
+// before and after it. The proposer's own vote is always waited for, so that what its own disk holds is
+// found. A change that turns out not to be wanted writes the tenure it found back, since a tenure that
+// only some had accepted may not be relied on: it is chosen once a majority has accepted it. A read is
+// confirmed when a majority has accepted the same ballot.
 import { Alarm } from '../kinds/alarm.js';
 import type { Epoch } from '../kinds/epoch.js';
 import type { Stamp } from '../kinds/stamp.js';
@@ -103,6 +104,7 @@
         register.disk,
       );
     const isQuorum = (votes: readonly Proposer.Vote[]): boolean => {
+      if (!votes.some((one) => one.core.disk === register.disk)) return false;
       const base = highestOf(granted(votes))?.tenure;
       return base !== null && base !== undefined && isMajority(granted(votes), base);
     };
