--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -2,6 +2,7 @@
 // at the register, the links and the votes, and takes the next step; each change of state goes through
 // the phase. A second task asks the others for their votes all the while, so that a silent one holds up no
 // step. A blank core joins where the others remember; where too few can still remember, all form anew.
+import { Ballot } from '../epoch/ballot.js';
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
 import { Term } from '../epoch/term.js';
@@ -79,7 +80,8 @@
       (from, to) => needs.note('core changed', { from, to }),
     );
     let primary: Primary | undefined;
-    let known: Term | undefined = register.term() ?? undefined;
+    let known: Term | undefined;
+    let knownBallot = Ballot.none;
     const forming = Forming.of(needs);
     let votes: readonly Proposer.Vote[] = [];
     let isAsked = false;
@@ -92,22 +94,26 @@
     let looking: Promise<void> | undefined;
     let wake: () => void = () => {};
 
-    const learn = (term: Term | null | undefined) => {
-      if (!term || (known && term.epoch <= known.epoch)) return;
+    const learn = (term: Term | null | undefined, ballot: Ballot) => {
+      if (!term || (known && Term.compare(term, ballot, known, knownBallot) <= 0)) return;
+      const isOther = term.epoch !== known?.epoch || term.primary !== known.primary;
       known = term;
+      knownBallot = ballot;
+      if (!isOther) return;
       isAsked = false;
       darkSince = undefined;
       if (primary && term.primary !== register.disk) primary.depose(`deposed by ${Term.text(term)}`);
     };
+    learn(register.term(), register.accepted());
     register.watch((term) => {
       votes = [];
-      learn(term);
+      learn(term, register.accepted());
       wake();
     });
 
     const look = async () => {
       votes = await proposer.votes();
-      for (const { term } of votes) learn(term);
+      for (const { term, accepted } of votes) learn(term, accepted ?? Ballot.none);
       await primary?.install(votes);
     };
     const survey = async () => {
@@ -145,12 +151,12 @@
     const claim = async (from: Term) => {
       register.raise(Epoch.after(from.epoch));
       await store.idle();
-      const { isDone, term } = await proposer.change((base) =>
+      const { isDone, term, ballot } = await proposer.change((base) =>
         base.epoch === from.epoch && Term.isInSync(base, register.disk)
           ? Term.next(base, { primary: register.disk })
           : undefined,
       );
-      learn(term);
+      learn(term, ballot);
       if (isDone && term) await lead(term);
     };
     const settle = async (leader: Primary) => {
