--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -66,7 +66,7 @@
         age: feed.age,
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
-    const terms = { stamp: feed.stamp, age: feed.age, serve, note: ring.note };
+    const terms = { stamp: feed.stamp, age: feed.age, isSteady: true, serve, note: ring.note };
     const doorway = await Doorway.open({ ...terms, address: Address.checked(startup.wire) });
     wire = Doorway.text(doorway);
     const serveProxy: Doorway.Needs['serve'] = (link, hello, frames) => {
@@ -86,7 +86,7 @@
       isUpward: true,
       onWord() {
         voucher.look();
-        children.broadcast({ kind: 'ping', age: feed.age() });
+        for (const link of joined) link.send({ kind: 'ping', age: feed.age() });
       },
       onRoster(proxies) {
         roster = proxies;
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -1,8 +1,9 @@
 // Changing and reading the register. A change takes two phases: a majority of the cores promises a
 // ballot and tells what it has accepted, then the changed term is accepted by a majority of the cores
-// before and after it. A change that turns out not to be wanted writes the term it found back, since a
-// term that only some had accepted may not be relied on: it is chosen once a majority has accepted it.
-// A read is confirmed when a majority has accepted the same ballot.
+// before and after it. The proposer's own vote is always waited for, so that what its own disk holds is
+// found. A change that turns out not to be wanted writes the term it found back, since a term that
+// only some had accepted may not be relied on: it is chosen once a majority has accepted it. A read is
+// confirmed when a majority has accepted the same ballot.
 
 import type { Epoch } from '../kinds/epoch.js';
 import type { Stamp } from '../kinds/stamp.js';
@@ -19,7 +20,7 @@
   readonly confirm: (term: Term) => Promise<boolean>;
   readonly change: (
     next: (term: Term) => Term | undefined,
-  ) => Promise<{ readonly isDone: boolean; readonly term: Term | undefined }>;
+  ) => Promise<{ readonly isDone: boolean; readonly term: Term | undefined; readonly ballot: Ballot }>;
   readonly form: (
     make: (votes: readonly Proposer.Vote[]) => Term | undefined,
     atLeast: number,
@@ -104,6 +105,7 @@
         register.disk,
       );
     const isQuorum = (votes: readonly Proposer.Vote[]): boolean => {
+      if (!votes.some((one) => one.core.disk === register.disk)) return false;
       const base = highestOf(granted(votes))?.term;
       return base !== null && base !== undefined && isMajority(granted(votes), base);
     };
@@ -155,12 +157,12 @@
           grants = granted(await prepare(ballot, false));
           base = highestOf(grants)?.term;
         }
-        if (!base || !isMajority(grants, base)) return { isDone: false, term: undefined };
+        if (!base || !isMajority(grants, base)) return { isDone: false, term: undefined, ballot };
         const wanted = next(base);
         const value = wanted ?? base;
         const accepts = granted(await accept(ballot, value, base));
         const isChosen = isMajority(accepts, base) && isMajority(accepts, value);
-        return { isDone: isChosen && wanted !== undefined, term: isChosen ? value : undefined };
+        return { isDone: isChosen && wanted !== undefined, term: isChosen ? value : undefined, ballot };
       },
       async form(make, atLeast) {
         const ballot = nextBallot(await peek());
--- a/src/epoch/term.ts
+++ b/src/epoch/term.ts
@@ -1,8 +1,11 @@
 // A term is the register's value: who is primary under which epoch, which cores are in sync, and
 // which disks the cores are. Cores are known by their disks, so that an empty machine at an old
-// address is never taken for the one that was there.
+// address is never taken for the one that was there. Of two that were accepted, the newer is the one of the
+// later forming, and within one forming that of the higher ballot: one with a higher epoch may have been
+// accepted by too few, and never be chosen.
 import { Epoch } from '../kinds/epoch.js';
 import type { Frame } from '../wire/frame.js';
+import { Ballot } from './ballot.js';
 
 export type Term = Frame.Term;
 
@@ -16,6 +19,8 @@
     ...change,
     epoch: Epoch.after(term.epoch),
   }),
+  compare: (a: Term, ballotOfA: Ballot, b: Term, ballotOfB: Ballot): number =>
+    a.formed - b.formed || Ballot.compare(ballotOfA, ballotOfB),
   text: (term: Term): string =>
     `epoch ${term.epoch}, primary ${Term.core(term, term.primary)?.node ?? term.primary}, in sync ${term.inSync
       .map((disk) => Term.core(term, disk)?.node ?? disk)
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -30,7 +30,7 @@
 const helloWithin = 3000;
 const mostLinks = 1024;
 const silence = 1200;
-const pingEvery = 300;
+const pingEvery = 250;
 
 const greet = async (frames: AsyncGenerator<Frame, void, void>): Promise<Doorway.Hello> => {
   for (;;) {
--- a/src/wire/pair.ts
+++ b/src/wire/pair.ts
@@ -1,5 +1,7 @@
 // Two ends of a link inside one process: frames are handed over as they are, with the sender's stamp, in order and
-// never at once. Neither end pings, since neither can be lost without the other; who hears word passes it on.
+// never at once. Neither end pings, since neither can be lost without the other; who hears word passes it on. Over sockets word is
+// passed on by the timer alone: the time on the way is not in its age, so two nodes below each other that passed it on
+// at once would keep it young for ever.
 import { Phase } from '../kinds/phase.js';
 import type { Frame } from './frame.js';
 import type { Link } from './link.js';
