Let nodes go back to the control node of their own region

Change: a node remembers where the control nodes it met stand. With a far one it tries a near one again after 4 s, then after twice as long each time, a minute at most; one that met no near one stays.

--- a/src/membership/places.ts
+++ b/src/membership/places.ts
@@ -1,7 +1,8 @@
 // Where a node looks for a parent: relays that a control node named, then seeds and the peers learned since.
 // Those that failed longest ago go first, control nodes before other nodes' agents, but an agent is always
 // among those tried, so that a node cut off from every control node finds its way through a peer. After a
-// relay was no good the node stays with control nodes for a while, whatever they name.
+// relay was no good the node stays with control nodes for a while, whatever they name. It remembers where the
+// control nodes it met stand, so that a node which ended up with a far one may go back to a near one.
 import { Address } from '../kinds/address.js';
 import { Moment } from '../kinds/moment.js';
 
@@ -11,6 +12,8 @@
   readonly learn: (peers: readonly string[]) => void;
   readonly lower: (relays: readonly string[], own: string) => boolean;
   readonly all: () => readonly string[];
+  readonly met: (place: string, zone: string) => void;
+  readonly nearer: (place: string, isNear: (zone: string) => boolean) => boolean;
 };
 
 const most = 24;
@@ -26,11 +29,20 @@
     const first = hash(node) % Math.max(1, seeds.length);
     const places = [...seeds.slice(first), ...seeds.slice(0, first)];
     const failedAt = new Map<string, Moment>();
+    const zones = new Map<string, string>();
     let preferred: string[] = [];
     let stayUntil = Moment.past;
     const since = (place: string): number => failedAt.get(place) ?? Moment.past;
     return {
       all: () => places,
+      met: (place, zone) => void zones.set(place, zone),
+      nearer(place, isNear) {
+        const here = zones.get(place);
+        if (here !== undefined && isNear(here)) return false;
+        const near = [...zones].filter(([one, zone]) => one !== place && isNear(zone)).map(([one]) => one);
+        preferred = near.length > 0 ? near.sort((a, b) => since(a) - since(b)) : preferred;
+        return near.length > 0;
+      },
       failed: (place) => void failedAt.set(place, Moment.now()),
       next() {
         const order = [...places].sort(
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -54,6 +54,7 @@
 const silence = 1200;
 const nextAfter = 25;
 const stayFar = 15_000;
+const nearerAfter = { least: 4000, most: 60_000 } as const;
 
 export const Uplink = {
   run(needs: Uplink.Needs): Uplink {
@@ -71,7 +72,20 @@
     let current: Link | undefined;
     let isBelowAgent = false;
     let isFar = false;
+    let currentPlace = '';
+    let farFor: number = nearerAfter.least;
 
+    const isNear = (zone: string) => {
+      const zones = feed.view().manifest?.document.zones;
+      const own = roll.self().zone;
+      return zone === own || (zones?.[own] !== undefined && zones[own]?.region === zones[zone]?.region);
+    };
+    const mayGoNearer = () => {
+      if (needs.isFixed || isBelowAgent || Moment.since(joinedAt) < farFor) return false;
+      if (!places.nearer(currentPlace, isNear)) return false;
+      farFor = Math.min(2 * farFor, nearerAfter.most);
+      return true;
+    };
     const isFree = () => places.all().length > 1;
     const tell = (link: Link) => {
       if (!needs.isUpward) return;
@@ -112,6 +126,7 @@
           learnPeers(peers);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
+          if (!isBelowAgent) places.met(currentPlace, self.zone);
           if (isBelowAgent && age > oldAfter && isFree())
             throw Failure.of('silence', 'no fresh word from the primary there');
           phase.become('joined');
@@ -144,7 +159,7 @@
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
           const isOld = feed.age() > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
           if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
-          if (isFar && Moment.since(joinedAt) > stayFar)
+          if (mayGoNearer() || (isFar && Moment.since(joinedAt) > stayFar))
             throw Failure.of('silence', 'time to look for a nearer parent');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
@@ -185,6 +200,7 @@
       const rolls = Timer.every(rollEvery, () => tell(link));
       try {
         current = link;
+        currentPlace = place;
         link.send({
           kind: 'hello',
           self: roll.self(),
--- /dev/null
+++ b/test/nearer.test.ts
@@ -0,0 +1,99 @@
+// A node that left its own zone's control node, for its word was old, goes back to it once it sits elsewhere; one
+// that never met a near one stays where it is.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Stamp } from '../src/kinds/stamp.js';
+import { Children } from '../src/membership/children.js';
+import { Downlink } from '../src/membership/downlink.js';
+import { Places } from '../src/membership/places.js';
+import { Roll } from '../src/membership/roll.js';
+import { Uplink } from '../src/membership/uplink.js';
+import { Feed } from '../src/news/feed.js';
+import { Doorway } from '../src/wire/doorway.js';
+
+const rollOf = (node: string, program: string, zone: string) =>
+  Roll.of(() => ({
+    node,
+    program,
+    zone,
+    boot: node,
+    stamp: Stamp.none,
+    http: '',
+    wire: '',
+    ops: '',
+    depth: 0,
+    ready: true,
+    vouched: false,
+  }));
+
+describe('a nearer parent', () => {
+  it('is gone back to when the one in the own zone was left for its old word', async () => {
+    const ages = { near: 60_000, far: 0 };
+    const open = async (node: 'near' | 'far', zone: string) => {
+      const roll = rollOf(node, 'control', zone);
+      const age = () => ages[node];
+      const feed = Feed.of();
+      return Doorway.open({
+        address: { host: '127.0.0.1', port: 0 },
+        stamp: feed.stamp,
+        age,
+        note: () => {},
+        serve: (link, hello, frames) =>
+          Downlink.serve(link, hello, frames, {
+            feed,
+            roll,
+            children: Children.of(roll),
+            peers: () => [],
+            relays: () => [],
+            roster: () => [],
+            version: '',
+            age,
+            onTokens: () => {},
+            onCold: () => {},
+          }),
+      });
+    };
+    const near = await open('near', 'a-1');
+    const far = await open('far', 'b-1');
+    const parents: string[] = [];
+    let isBack: () => void = () => {};
+    const back = new Promise<void>((resolve) => {
+      isBack = resolve;
+    });
+    const uplink = Uplink.run({
+      feed: Feed.of(),
+      roll: rollOf('agent', 'agent', 'a-1'),
+      seeds: [Doorway.text(near), Doorway.text(far)],
+      version: '',
+      isUpward: true,
+      onParent({ node }) {
+        parents.push(node);
+        if (node === 'far') ages.near = 0;
+        if (node === 'near' && parents.includes('far')) isBack();
+      },
+      note: () => {},
+    });
+    try {
+      await back;
+      assert.ok(parents.includes('far'));
+      assert.equal(parents.at(-1), 'near');
+    } finally {
+      uplink.stop();
+      await uplink.done;
+      await Promise.all([near.close(), far.close()]);
+    }
+  });
+
+  it('is looked for only when a near one was met, and is then dialled first', () => {
+    const seeds = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'];
+    const places = Places.of(seeds, 'node', false);
+    const isNear = (zone: string) => zone === 'a-1';
+    places.met('10.0.0.2:1', 'b-1');
+    assert.equal(places.nearer('10.0.0.2:1', isNear), false);
+    places.met('10.0.0.3:1', 'a-1');
+    assert.equal(places.nearer('10.0.0.3:1', isNear), false);
+    places.failed('10.0.0.3:1');
+    assert.equal(places.nearer('10.0.0.2:1', isNear), true);
+    assert.equal(places.next()[0], '10.0.0.3:1');
+  });
+});
