Tell a vote that has not changed only as the same

Change: a peek names the digest of the last whole vote heard over its link; a core whose vote still has it leaves those parts out, and the courier hands on the whole vote. A digest that does not fit ends the link.

--- a/src/control/desk.ts
+++ b/src/control/desk.ts
@@ -1,6 +1,7 @@
 // The core desk answers what other cores ask over their couriers: votes on the register, changes to
 // keep as backup, a primary that yields, an empty core that asks to join. Each request is answered on
 // its own, so that a slow disk holds up no vote it need not.
+import { createHash } from 'node:crypto';
 import { match } from 'ts-pattern';
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
@@ -24,6 +25,13 @@
   };
 }
 
+const untold = {
+  promised: null,
+  accepted: null,
+  term: null,
+  core: { disk: '', node: '', wire: '', http: '' },
+};
+
 export const Desk = {
   of(needs: Desk.Needs): Desk {
     const { register, proposer } = needs;
@@ -32,6 +40,31 @@
       serial,
       ...proposer.vote(isGranted),
     });
+    let written = { text: '', digest: '' };
+    const digestOf = ({ promised, accepted, term, core }: Proposer.Vote): string => {
+      const text = JSON.stringify([promised, accepted, term, core]);
+      if (text !== written.text)
+        written = { text, digest: createHash('sha256').update(text).digest('base64').slice(0, 16) };
+      return written.digest;
+    };
+    const peeked = (serial: number, known: string | undefined): Frame.Reply => {
+      const whole = proposer.vote(true);
+      const digest = digestOf(whole);
+      if (known !== digest) return { kind: 'vote', serial, ...whole, digest };
+      const { isGranted, isBlank, highest, isAble, held } = whole;
+      return {
+        kind: 'vote',
+        serial,
+        isGranted,
+        isBlank,
+        highest,
+        isAble,
+        held,
+        digest,
+        isSame: true,
+        ...untold,
+      };
+    };
     const done = (serial: number, why: string): Frame.Reply => ({
       kind: 'done',
       serial,
@@ -40,7 +73,7 @@
     });
     const response = (frame: Frame): Promise<Frame.Reply> =>
       match(frame)
-        .with({ kind: 'peek' }, async ({ serial }) => vote(serial, true))
+        .with({ kind: 'peek' }, async ({ serial, known }) => peeked(serial, known))
         .with({ kind: 'prepare' }, async ({ serial, ballot, isForming }) =>
           vote(serial, await register.prepare(ballot, isForming)),
         )
--- a/src/wire/courier.ts
+++ b/src/wire/courier.ts
@@ -1,7 +1,8 @@
 // A courier keeps one link to a peer open and carries requests over it, each answered by a reply of the
 // same serial. When the link is down a request fails at once; whoever asks decides what that means. From the
 // votes it carries it knows whose disk answers there, which may be another one than was there before. A link
-// carries requests as soon as it stands, and counts as up once something was heard over it.
+// carries requests as soon as it stands, and counts as up once something was heard over it. A peer whose vote is the
+// one it gave last over this link says just that; the courier hands on the whole vote.
 import { Address } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
@@ -11,6 +12,8 @@
 
 type WithoutSerial<T> = T extends unknown ? Omit<T, 'serial'> : never;
 
+type Vote = Extract<Frame.Reply, { kind: 'vote' }>;
+
 export type Courier = {
   readonly ask: (request: WithoutSerial<Frame.Request>, within: number) => Promise<Frame.Reply>;
   readonly isUp: () => boolean;
@@ -34,6 +37,13 @@
 const isReply = (frame: Frame): frame is Frame & Frame.Reply =>
   frame.kind === 'vote' || frame.kind === 'appended' || frame.kind === 'done';
 
+const wholeOf = (vote: Vote, last: Vote | undefined): Vote => {
+  if (!vote.isSame) return vote;
+  if (!last || last.digest !== vote.digest) throw Failure.of('frame', 'a vote like none that was told');
+  const { promised, accepted, term, core } = last;
+  return { ...vote, promised, accepted, term, core };
+};
+
 export const Courier = {
   run(needs: Courier.Needs): Courier {
     const stop = new AbortController();
@@ -43,6 +53,7 @@
     let carrying: Link | undefined;
     let lastUp = Moment.now();
     let disk = '';
+    let last: Vote | undefined;
 
     const failAll = () => {
       const cause = Failure.of('link', `the link to ${needs.place} ended`);
@@ -65,13 +76,19 @@
         for await (const frame of made.frames()) {
           lastUp = Moment.now();
           link = made;
-          if (frame.kind === 'vote') disk = frame.core.disk;
-          if (isReply(frame)) waiting.get(frame.serial)?.(frame);
+          if (!isReply(frame)) continue;
+          const reply = frame.kind === 'vote' ? wholeOf(frame, last) : frame;
+          if (reply.kind === 'vote') {
+            disk = reply.core.disk;
+            if (reply.digest) last = reply;
+          }
+          waiting.get(reply.serial)?.(reply);
         }
       } finally {
         stop.signal.removeEventListener('abort', onStop);
         link = undefined;
         carrying = undefined;
+        last = undefined;
         failAll();
       }
     };
@@ -100,7 +117,8 @@
             settle(Failure.of('silence', `${needs.place} did not answer`)),
           );
           waiting.set(mine, settle);
-          if (!carrying?.send({ ...request, serial: mine } as Frame.Request))
+          const known = request.kind === 'peek' && last?.digest ? { known: last.digest } : {};
+          if (!carrying?.send({ ...request, ...known, serial: mine } as Frame.Request))
             settle(Failure.of('link', `no link to ${needs.place}`));
         }),
       async stop() {
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -77,7 +77,7 @@
         readonly isForming: boolean;
       }
     | { readonly kind: 'accept'; readonly serial: number; readonly ballot: Ballot; readonly term: Term }
-    | { readonly kind: 'peek'; readonly serial: number }
+    | { readonly kind: 'peek'; readonly serial: number; readonly known?: string }
     | {
         readonly kind: 'append';
         readonly serial: number;
@@ -101,6 +101,8 @@
         readonly highest: Epoch;
         readonly isAble: boolean;
         readonly held: Stamp;
+        readonly digest?: string;
+        readonly isSame?: boolean;
       }
     | {
         readonly kind: 'appended';
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -23,9 +23,10 @@
   uint64 formed = 5; }
 message Prepare { uint64 serial = 1; Ballot ballot = 2; bool isForming = 3; }
 message Accept { uint64 serial = 1; Ballot ballot = 2; Term term = 3; }
-message Peek { uint64 serial = 1; }
+message Peek { uint64 serial = 1; string known = 2; }
 message Vote { uint64 serial = 1; bool isGranted = 2; bool isBlank = 3; Ballot promised = 4; Ballot accepted = 5;
-  Term term = 6; Core core = 7; uint64 highest = 8; bool isAble = 9; Stamp held = 10; }
+  Term term = 6; Core core = 7; uint64 highest = 8; bool isAble = 9; Stamp held = 10;
+  string digest = 11; bool isSame = 12; }
 message Append { uint64 serial = 1; uint64 epoch = 2; Stamp previous = 3; bytes record = 4; bool whole = 5; }
 message Appended { uint64 serial = 1; bool isTaken = 2; Stamp held = 3; uint64 floor = 4; string why = 5; }
 message Yield { uint64 serial = 1; uint64 epoch = 2; }
--- a/test/courier.test.ts
+++ b/test/courier.test.ts
@@ -2,9 +2,15 @@
 import assert from 'node:assert/strict';
 import { connect, createServer, Socket } from 'node:net';
 import { describe, it } from 'node:test';
+import { Desk } from '../src/control/desk.js';
+import type { Proposer } from '../src/epoch/proposer.js';
+import type { Register } from '../src/epoch/register.js';
+import { Epoch } from '../src/kinds/epoch.js';
 import { Listen } from '../src/kinds/listen.js';
 import { Stamp } from '../src/kinds/stamp.js';
+import type { Backup } from '../src/replica/backup.js';
 import { Courier } from '../src/wire/courier.js';
+import { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
 
 describe('a courier', () => {
@@ -59,4 +65,74 @@
     link.close();
     server.close();
   });
+
+  it('hands on whole votes, also where the peer only said that its vote is the same', async () => {
+    const core = { disk: 'd', node: 'n', wire: 'w', http: 'h' };
+    const term = { epoch: Epoch.of(4), primary: 'd', inSync: ['d'], cores: [core], formed: Epoch.of(1) };
+    let round = 1;
+    const desk = Desk.of({
+      register: {} as Register,
+      backup: {} as Backup,
+      proposer: {
+        vote: (isGranted: boolean) => ({
+          isGranted,
+          isBlank: false,
+          promised: { round, disk: 'd' },
+          accepted: { round, disk: 'd' },
+          term,
+          core,
+          highest: Epoch.of(4),
+          isAble: true,
+          held: Stamp.of(4, round),
+        }),
+      } as unknown as unknown as Proposer,
+      onYield: () => {},
+      join: async () => '',
+      note: () => {},
+    });
+    const sent: number[] = [];
+    const server = createServer((socket) => {
+      const write = socket.write.bind(socket);
+      socket.write = ((bytes: Buffer) => {
+        if (Frame.decode(bytes.subarray(4))?.kind === 'vote') sent.push(bytes.length);
+        return write(bytes);
+      }) as typeof socket.write;
+      const link = Link.over(socket, { stamp: () => Stamp.none, age: () => 0 });
+      const frames = link.frames();
+      void frames.next().then(() => desk.serve(link, frames));
+    });
+    const at = await Listen(server, { host: '127.0.0.1', port: 0 });
+    let stands: () => void = () => {};
+    const standing = new Promise<void>((resolve) => {
+      stands = resolve;
+    });
+    const courier = Courier.run({
+      place: `${at.host}:${at.port}`,
+      stamp: () => Stamp.none,
+      age: () => 0,
+      hello: () => ({ kind: 'hello', self: {} as never, version: '', aim: 'core' }),
+      onUp: stands,
+    });
+    try {
+      await standing;
+      for (const [expected, isShort] of [
+        [1, false],
+        [1, true],
+        [2, false],
+        [2, true],
+      ] as const) {
+        round = expected;
+        const vote = await courier.ask({ kind: 'peek' }, 5000);
+        assert.ok(vote.kind === 'vote');
+        assert.deepEqual(vote.term, term);
+        assert.deepEqual(vote.core, core);
+        assert.equal(vote.accepted?.round, expected);
+        assert.equal(vote.held.revision, expected);
+        assert.equal(sent.at(-1)! < sent[0]! / 2, isShort, sent.join());
+      }
+    } finally {
+      await courier.stop();
+      server.close();
+    }
+  });
 });
