Let requests wait a moment for the first manifest of a proxy that has just started

Cause: after all were killed a front listens about 0.5 s before the newest manifest is vouched for there. Each request of that time was refused with Retry-After 1 and came back late; those who came back from a dead front were refused for good, for their client tries again but once. Change: such a request has not been given up: it waits until the manifest comes, 0.8 s and a quarter of its time at most, and only in the first 1.5 s of the process; after that it is refused at once as before.

--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -11,6 +11,7 @@
 import type { Warmup } from '../upstream/warmup.js';
 import type { Call } from './call.js';
 import type { Dialect } from './dialect.js';
+import type { FirstManifest } from './first-manifest.js';
 import type { Meters } from './meters.js';
 import type { Quotas } from './quotas.js';
 import type { Shares } from './shares.js';
@@ -21,6 +22,7 @@
 export declare namespace Filter {
   type Needs = {
     readonly compiled: () => Compiled | undefined;
+    readonly firstManifest: FirstManifest;
     readonly active: () => number;
     readonly concurrent: number;
     readonly dialect: Dialect;
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -57,6 +57,8 @@
     async (context, next) => {
       const { call } = context.var;
       const { incoming } = context.env;
+      if (!needs.compiled() && needs.active() <= needs.concurrent)
+        await needs.firstManifest.wait(call.asked.left);
       const compiled = needs.compiled();
       if (!compiled)
         return Responses.refuse(context, {
--- /dev/null
+++ b/src/proxy/first-manifest.ts
@@ -0,0 +1,27 @@
+// Requests that come to a proxy which has just started and holds no manifest yet. Most often one is on its way, so
+// they wait for it a moment: never longer than a quarter of the time their client has, and only in the first
+// moments of this process. Who waited in vain is refused then, and whoever comes after those moments at once.
+import { Moment } from '../kinds/moment.js';
+import { Signal } from '../kinds/signal.js';
+
+export type FirstManifest = {
+  readonly came: () => void;
+  readonly wait: (left: number | undefined) => Promise<void>;
+};
+
+const hopefulFor = 1500;
+const longest = 800;
+
+export const FirstManifest = {
+  of(): FirstManifest {
+    const began = Moment.now();
+    const signal = Signal.of();
+    return {
+      came: signal.ring,
+      async wait(left = Number.POSITIVE_INFINITY) {
+        const span = Math.min(longest, left / 4, hopefulFor - Moment.since(began));
+        if (span > 0) await signal.within(span);
+      },
+    };
+  },
+};
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -26,6 +26,7 @@
 import { Warmup } from '../upstream/warmup.js';
 import type { Frame } from '../wire/frame.js';
 import { Dialect } from './dialect.js';
+import { FirstManifest } from './first-manifest.js';
 import { Meters } from './meters.js';
 import { Quotas } from './quotas.js';
 import { ProxyServer } from './server.js';
@@ -57,6 +58,7 @@
     });
     const inFlight = InFlight.of();
     const stall = Stall.of();
+    const firstManifest = FirstManifest.of();
     const boot = Ident.boot();
     let active = 0;
     let isDraining = false;
@@ -137,6 +139,7 @@
       compiled = Compiled.of(feed.view());
       if (!compiled) return;
       feedGently(before, compiled);
+      if (!before) firstManifest.came();
       ring.note('in force', { stamp: Stamp.text(compiled.stamp) });
       pool.retain(compiled);
       ejector.retain(compiled);
@@ -155,6 +158,7 @@
     const { server } = ProxyServer.of(
       {
         compiled: () => compiled,
+        firstManifest,
         active: () => active,
         concurrent: startup.concurrent ?? 512,
         dialect,
