Share the allowance of extra tries among many proxies: neither nothing nor a flood

Cause: a proxy's even part of the operator's allowance was rounded down, which is nothing at 58 proxies with 156 tries and at 80 with 200; and a proxy that has just started knows few others, so that its part was many times too large after a restart of all. Now a part below one is one try in a longer window, as long as one from every proxy at once stays within half of what is allowed, and nothing is spent within 2 s of learning of more proxies.

--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -4,7 +4,9 @@
 // pool; one token is topped up from it, and a try that finds none asks for more. Grants from below the
 // epoch it has seen are dropped. Beside the earned ones the operator may allow so many tries in any window over all
 // proxies whatever was asked: each proxy spends its even part of a portion of those, by the most proxies it ever knew
-// of, so that restarts and cuts leave the sum below the whole.
+// of, so that restarts and cuts leave the sum below the whole. A part below one is one try in a longer window, as long
+// as one from every proxy at once stays within half of what is allowed. While a proxy still learns of others, it
+// spends none, since its part would be too large.
 import { Purse } from '../duty/purse.js';
 import { Moment } from '../kinds/moment.js';
 
@@ -28,6 +30,8 @@
 const asked = 3 * whole;
 const askAgainAfter = 50;
 const portion = 0.35;
+const mostAtOnce = 0.5;
+const settledAfter = 2000;
 
 export const Budget = {
   of(
@@ -35,12 +39,23 @@
     allowance?: Budget.Allowance,
   ): Budget {
     let most = 0;
+    let grewAt = Moment.past;
     let spent: Moment[] = [];
+    const know = () => {
+      const now = allowance?.proxies() ?? 0;
+      if (now <= most) return;
+      most = now;
+      grewAt = Moment.now();
+    };
     const spendAllowed = (): boolean => {
       if (!allowance) return false;
-      most = Math.max(most, allowance.proxies());
-      spent = spent.filter((at) => Moment.since(at) < allowance.window);
-      if (most === 0 || spent.length >= Math.floor((allowance.tries * portion) / most)) return false;
+      know();
+      if (most === 0 || Moment.since(grewAt) < settledAfter) return false;
+      const part = (allowance.tries * portion) / most;
+      if (part < 1 && most > allowance.tries * mostAtOnce) return false;
+      const window = allowance.window / Math.min(1, part);
+      spent = spent.filter((at) => Moment.since(at) < window);
+      if (spent.length >= Math.max(1, Math.floor(part))) return false;
       spent.push(Moment.now());
       return true;
     };
@@ -62,6 +77,7 @@
         purse.add(batches);
       },
       tend() {
+        know();
         const surplus = purse.total() - reserve;
         if (surplus <= -least) send([], -surplus);
         if (surplus < least) return;
