Choose among 99 servers without a sort and without a walk over all paces for each

Cause: a pick ranked every server to find one holder and one near holder, and asked for each server's pace by walking over all servers of its group, 99 x 99 steps a pick on 0.324 of a core. Now one pass finds both holders and the least pace of a group is kept until an event changes it. What is picked stays the same (the tests of placement and reading stand unchanged).

--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -108,11 +108,16 @@
     };
     const holdersOf = (among: readonly Pick[], key: string): Holders => {
       const seed = Pick.mix(0x811c9dc5, key);
-      const ranked = among
-        .map(({ server }) => ({ server, score: Pick.mix(seed, server.instance) }))
-        .sort((a, b) => b.score - a.score);
-      const near = ranked.find(({ server }) => server.region === needs.region());
-      return { first: ranked[0]?.server.instance, near: near?.server.instance };
+      const region = needs.region();
+      let first: string | undefined;
+      let near: string | undefined;
+      let [firstScore, nearScore] = [-1, -1];
+      for (const { server } of among) {
+        const score = Pick.mix(seed, server.instance);
+        if (score > firstScore) [first, firstScore] = [server.instance, score];
+        if (server.region === region && score > nearScore) [near, nearScore] = [server.instance, score];
+      }
+      return { first, near };
     };
     const costOf = (
       { server }: Pick,
--- a/src/upstream/reading.ts
+++ b/src/upstream/reading.ts
@@ -26,21 +26,32 @@
     const paces = new Map<string, number>();
     const speeds = new Map<string, number>();
     const groups = new Map<string, Set<string>>();
+    const bests = new Map<string, number>();
+    const bestOf = (group: string, members: ReadonlySet<string>): number => {
+      const known = bests.get(group);
+      if (known !== undefined) return known;
+      let best = Number.POSITIVE_INFINITY;
+      for (const member of members) best = Math.min(best, paces.get(member) ?? best);
+      bests.set(group, best);
+      return best;
+    };
     const paceOf = (instance: string, group: string): number => {
       const members = groups.get(group) ?? new Set<string>();
-      members.add(instance);
+      if (!members.has(instance)) {
+        members.add(instance);
+        bests.delete(group);
+      }
       groups.set(group, members);
       const own = paces.get(instance);
       if (own === undefined) return 1;
-      let best = own;
-      for (const member of members) best = Math.min(best, paces.get(member) ?? best);
-      return Math.min(mostPace, Math.max(1, own / Math.max(1, best)));
+      return Math.min(mostPace, Math.max(1, own / Math.max(1, bestOf(group, members))));
     };
     return {
       paceOf,
       speedOf: (instance, group) => (speeds.get(group) ?? startSpeed) / paceOf(instance, group),
       event(instance, gap) {
         if (gap < 1) return;
+        bests.clear();
         const known = paces.get(instance) ?? gap;
         paces.set(instance, known * (gap < known ? 1 - step * (1 - quantile) : 1 + step * quantile));
       },
@@ -51,6 +62,7 @@
         speeds.set(group, known + weight * (seen - known));
       },
       retain(isHeld) {
+        bests.clear();
         for (const instance of paces.keys()) if (!isHeld(instance)) paces.delete(instance);
         for (const members of groups.values())
           for (const instance of members) if (!isHeld(instance)) members.delete(instance);
