Cut ranges by names, and give whole views to a few joining nodes at a time

Cause: a whole view of the target's documents is 0.9 MB, and a parent wrote it to every child that asked, at once, again for each ask sent until it arrived (one a ping); while it wrote, its timers fired before what had come was read, so it took all children for silent, and children left since their own word was old. Ranges by position shifted after an insertion; all teams were one.

Now: ranges end by a hash of the entry's name, teams as rules and servers; a patch names what is held in a row by one line; four children get a whole view at a time, relays first, others wait with their sessions up or go to a relay once it holds the view; an ask is answered once; a large view is compressed; a held-up process reads before it counts silence; one child at a time is asked for a newer view. Sessions agree on a protocol number, so earlier programs get the earlier cut and plain views.

Ruled out: buckets by hash (order of rules would travel beside them).

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -7,6 +7,7 @@
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
+import { Turns } from '../membership/turns.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
 import { Voucher } from '../news/voucher.js';
@@ -44,6 +45,7 @@
     }));
     const peers = () => uplink.places();
     const children = Children.of(roll);
+    const turns = Turns.of();
     let roster: readonly string[] = [];
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
       Downlink.serve(link, hello, frames, {
@@ -52,6 +54,8 @@
         children,
         peers,
         relays: () => [],
+        isRelay: () => false,
+        turns,
         roster: () => roster,
         onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
         version: Version,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -17,6 +17,7 @@
 import { Downlink } from '../membership/downlink.js';
 import { Places } from '../membership/places.js';
 import { Roll } from '../membership/roll.js';
+import { Turns } from '../membership/turns.js';
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
@@ -79,6 +80,7 @@
     }));
     const age = (): number => core?.confirmedFor() ?? feed.age();
     const children = Children.of(roll);
+    const turns = Turns.of();
     const isBelow = (node: string) => (roll.get(node)?.program ?? 'control') !== 'control';
     const roster = () =>
       roll
@@ -175,6 +177,8 @@
               children,
               peers: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
               relays: (child) => Relays.of(child, roll.all()),
+              isRelay: (child) => child.program === 'control' || Relays.isOne(child, roll.all()),
+              turns,
               version: Version,
               age,
               roster,
@@ -210,6 +214,7 @@
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
     gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
+    gauge('views_waiting', 'children that wait for their turn to get a whole view', turns.waiting);
     gauge('members', 'nodes on the roll', () => roll.all().length);
     gauge('servers', 'servers on the list held', () => store.state().platform.servers.length);
     gauge('list_serial', 'serial of the list held', () => store.state().platform.serial);
--- /dev/null
+++ b/src/membership/dispatch.ts
@@ -0,0 +1,98 @@
+// Sends one child the newest view: what is small goes at once, what is large in the child's turn, and then what
+// is newest by that time. A child asks again with every ping until it has the view: what it asks while it waits, or
+// asked before the view reached it, is one question.
+import { Stamp } from '../kinds/stamp.js';
+import type { Feed } from '../news/feed.js';
+import { Copies } from '../repair/copies.js';
+import { Ranges } from '../repair/ranges.js';
+import type { Link } from '../wire/link.js';
+import { Protocol } from '../wire/protocol.js';
+import type { Turns } from './turns.js';
+
+export type Dispatch = {
+  readonly send: () => void;
+  readonly answer: (digests: readonly string[]) => void;
+};
+
+export declare namespace Dispatch {
+  type Needs = {
+    readonly link: Link;
+    readonly feed: Feed;
+    readonly turns: Turns;
+    readonly protocol: Protocol;
+    readonly isFirst: () => boolean;
+    readonly isSame: boolean;
+    readonly age: () => number;
+  };
+}
+
+const smallUpTo = 32 * 1024;
+
+const sizeOf = (patch: Ranges.Patch): number => patch.ranges.reduce((sum, { body }) => sum + body.length, 0);
+
+export const Dispatch = {
+  of({ link, feed, turns, protocol, isFirst, isSame, age }: Dispatch.Needs): Dispatch {
+    const isByName = protocol >= Protocol.rangesByName;
+    const ranges = () => Copies.of(feed.view(), isByName ? 'name' : 'position');
+    let held: readonly string[] = isSame ? Ranges.digests(ranges()) : [];
+    let isWaiting = false;
+    let answered: { readonly stamp: Stamp; readonly question: string } | undefined;
+    const patchNow = (): Ranges.Patch => Ranges.patch(ranges(), held, isByName);
+    const isWorthIt = (patch: Ranges.Patch) => patch.ranges.some(({ body }) => body === '');
+    const sent = () => {
+      held = Ranges.digests(ranges());
+      if (answered) answered = { ...answered, stamp: feed.stamp() };
+      link.send({ kind: 'ping', age: age() });
+    };
+    const sendPatch = (patch: Ranges.Patch) => {
+      link.send({ kind: 'patch', ...patch });
+      sent();
+    };
+    const sendWhole = (compressed: Uint8Array) => {
+      const view = compressed.length > 0 ? new Uint8Array() : Copies.bytes(feed.view());
+      link.send({ kind: 'news', view, compressed });
+      sent();
+    };
+    const compress = async (): Promise<Uint8Array> => {
+      if (!isByName) return new Uint8Array();
+      for (;;) {
+        const view = feed.view();
+        const compressed = await Copies.compressed(view);
+        if (view === feed.view()) return compressed;
+      }
+    };
+    const sendLarge = async (): Promise<void> => {
+      const compressed = await compress();
+      isWaiting = false;
+      if (!link.isOpen()) return;
+      const patch = patchNow();
+      const isLess = !isByName || sizeOf(patch) <= Math.max(smallUpTo, compressed.length);
+      if (isWorthIt(patch) && isLess) sendPatch(patch);
+      else sendWhole(compressed);
+      await link.flushed();
+    };
+    const send = () => {
+      if (isWaiting) return;
+      const patch = patchNow();
+      if (isWorthIt(patch) && sizeOf(patch) <= smallUpTo) return sendPatch(patch);
+      if (Copies.bytes(feed.view()).length <= smallUpTo) return sendWhole(new Uint8Array());
+      isWaiting = true;
+      turns.give(isFirst(), sendLarge);
+    };
+    return {
+      send,
+      answer(digests) {
+        const question = digests.join();
+        const isAgain =
+          digests.length > 0 &&
+          answered?.question === question &&
+          Stamp.isSame(answered.stamp, feed.stamp()) &&
+          !isWaiting;
+        if (isAgain) return;
+        held = digests;
+        answered = { stamp: feed.stamp(), question };
+        send();
+      },
+    };
+  },
+};
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,19 +1,20 @@
 // The upper end of a session: one task per child. The child says who it is, gets the peers and the
 // newest view, and from then on every newer one, and the peers again when they are others; what the child
-// tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
-// child that came with the view that is held here is sent only what changes of it.
+// tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it, if no
+// other child was just asked. A child that came with the view that is held here is sent only what changes of it.
 import { match } from 'ts-pattern';
 import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
-import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
-import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
+import { Protocol } from '../wire/protocol.js';
 import type { Children } from './children.js';
+import { Dispatch } from './dispatch.js';
 import type { Roll } from './roll.js';
+import type { Turns } from './turns.js';
 
 export type Downlink = { readonly node: string };
 
@@ -23,6 +24,8 @@
     readonly roll: Roll;
     readonly peers: (child: Frame.Entry) => readonly string[];
     readonly relays: (child: Frame.Entry) => readonly string[];
+    readonly isRelay: (child: Frame.Entry) => boolean;
+    readonly turns: Turns;
     readonly version: string;
     readonly age: () => number;
     readonly children: Children;
@@ -45,18 +48,19 @@
     const node = hello.self.node;
     const isPeer = hello.self.program === 'control';
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
-    let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
-    const sendNews = () => {
-      const ranges = Copies.of(feed.view());
-      const patch = Ranges.patch(ranges, held);
-      const isWorthIt = patch.ranges.some(({ body }) => body === '');
-      if (isWorthIt) link.send({ kind: 'patch', ...patch });
-      else link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
-      held = new Set(Ranges.digests(ranges));
-      link.send({ kind: 'ping', age: needs.age() });
-    };
+    const protocol = Protocol.ofBoth(hello.protocol);
+    const dispatch = Dispatch.of({
+      link,
+      feed,
+      turns: needs.turns,
+      protocol,
+      isFirst: () => needs.isRelay(hello.self),
+      isSame,
+      age: needs.age,
+    });
     const compare = (theirs: Stamp) => {
-      if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
+      if (Stamp.isNewer(theirs, feed.stamp()) && needs.turns.mayAsk(theirs))
+        link.send({ kind: 'ask', digests: [] });
     };
     let told = '';
     const peersNow = () => {
@@ -69,7 +73,7 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = feed.watch(sendNews);
+    const unwatch = feed.watch(dispatch.send);
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -85,6 +89,7 @@
         relays: [...needs.relays(hello.self)],
         version: needs.version,
         age: needs.age(),
+        protocol,
       });
       link.send({ kind: 'roster', proxies: [...needs.roster()] });
       compare(hello.self.stamp);
@@ -93,12 +98,9 @@
           .with({ kind: 'roll' }, ({ entries }) => {
             roll.note(entries, node, !isPeer);
           })
-          .with({ kind: 'ask' }, ({ digests }) => {
-            held = new Set(digests);
-            sendNews();
-          })
-          .with({ kind: 'news' }, ({ view }) => {
-            feed.offer(View.decode(view));
+          .with({ kind: 'ask' }, ({ digests }) => dispatch.answer(digests))
+          .with({ kind: 'news' }, (news) => {
+            feed.offer(Copies.read(news));
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
           .with({ kind: 'tokens' }, needs.onTokens)
--- /dev/null
+++ b/src/membership/turns.ts
@@ -0,0 +1,53 @@
+// Whose turn it is to get a whole view, and whose to hand one up. A few at a time get one, those first that pass it
+// on to others; between two of them the process reads and sends its pings, so that nobody who waits takes it for
+// silent. Of the children that hold a newer view than is held here one is asked, and another only after a while.
+import { Moment } from '../kinds/moment.js';
+import { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
+
+export type Turns = {
+  readonly give: (isFirst: boolean, work: () => Promise<void>) => void;
+  readonly mayAsk: (stamp: Stamp) => boolean;
+  readonly waiting: () => number;
+};
+
+const atOnce = 4;
+const longest = 2000;
+const askAgainAfter = 500;
+
+export const Turns = {
+  atOnce,
+  of(): Turns {
+    const first: (() => Promise<void>)[] = [];
+    const others: (() => Promise<void>)[] = [];
+    let running = 0;
+    let asked = Stamp.none;
+    let askedAt = Moment.past;
+    const next = () => {
+      if (running >= atOnce) return;
+      const work = first.shift() ?? others.shift();
+      if (!work) return;
+      running += 1;
+      const late = new AbortController();
+      const turn = work().catch(() => undefined);
+      void Promise.race([turn, Timer.pause(longest, late.signal)]).then(() => {
+        late.abort();
+        running -= 1;
+        setImmediate(next);
+      });
+    };
+    return {
+      waiting: () => first.length + others.length,
+      give(isFirst, work) {
+        (isFirst ? first : others).push(work);
+        next();
+      },
+      mayAsk(stamp) {
+        if (!Stamp.isNewer(stamp, asked) && Moment.since(askedAt) < askAgainAfter) return false;
+        asked = stamp;
+        askedAt = Moment.now();
+        return true;
+      },
+    };
+  },
+};
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -10,12 +10,12 @@
 import { Phase } from '../kinds/phase.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
-import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
 import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import { Link } from '../wire/link.js';
+import { Protocol } from '../wire/protocol.js';
 import { Places } from './places.js';
 import type { Roll } from './roll.js';
 
@@ -55,6 +55,7 @@
 const silence = 1200;
 const nextAfter = 25;
 const stayFar = 15_000;
+const answerWithin = 10_000;
 
 export const Uplink = {
   run(needs: Uplink.Needs): Uplink {
@@ -72,6 +73,8 @@
     let current: Link | undefined;
     let isBelowAgent = false;
     let isFar = false;
+    let protocol: Protocol = Protocol.none;
+    let askedAt: Moment | undefined;
 
     const isFree = () => places.all().length > 1;
     const tell = (link: Link) => {
@@ -96,7 +99,26 @@
         stop: () => soon?.stop(),
       };
     };
-    const ask = (link: Link) => link.send({ kind: 'ask', digests: Ranges.digests(Copies.of(feed.view())) });
+    const cut = () => (protocol >= Protocol.rangesByName ? 'name' : 'position');
+    const ask = (link: Link, digests = Ranges.digests(Copies.of(feed.view(), cut()))) => {
+      if (askedAt !== undefined) return;
+      askedAt = Moment.now();
+      link.send({ kind: 'ask', digests });
+    };
+    const handUp = async (link: Link) => {
+      const isCompressed = protocol >= Protocol.rangesByName;
+      const compressed = isCompressed ? await Copies.compressed(feed.view()) : new Uint8Array();
+      const view = isCompressed ? new Uint8Array() : Copies.bytes(feed.view());
+      link.send({ kind: 'news', view, compressed });
+    };
+    // While the view that was asked for is on its way, only the parent's own word says whether it is cut off.
+    const lookAtAge = (age: number) => {
+      const isAsking = askedAt !== undefined && Moment.since(askedAt) < answerWithin;
+      if (!isAsking) askedAt = undefined;
+      const isOld =
+        (isAsking ? age : feed.age()) > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
+      if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
+    };
     const goLower = (relays: readonly string[], link: Link): boolean => {
       if (needs.isFixed || !places.lower(relays, roll.self().wire)) return false;
       needs.note('going lower', { relays });
@@ -109,7 +131,8 @@
     };
     const take = (frame: Frame, link: Link) =>
       match(frame)
-        .with({ kind: 'welcome' }, ({ self, peers, relays, stamp, age }) => {
+        .with({ kind: 'welcome' }, ({ self, peers, relays, stamp, age, protocol: theirs }) => {
+          protocol = Protocol.ofBoth(theirs);
           learnPeers(peers);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
@@ -125,26 +148,25 @@
         })
         .with({ kind: 'peers' }, ({ peers }) => learnPeers(peers))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
-        .with({ kind: 'news' }, ({ view }) => {
-          feed.offer(View.decode(view));
+        .with({ kind: 'news' }, (news) => {
+          askedAt = undefined;
+          feed.offer(Copies.read(news));
         })
         .with({ kind: 'patch' }, (patch) => {
+          askedAt = undefined;
           try {
-            feed.offer(Ranges.mend(Copies.of(feed.view()), patch));
+            feed.offer(Ranges.mend(Copies.of(feed.view(), cut()), patch, cut()));
           } catch (error) {
             needs.note('asking for the whole view', { why: Failure.text(error) });
-            link.send({ kind: 'ask', digests: [] });
+            ask(link, []);
           }
         })
-        .with({ kind: 'ask' }, () => {
-          link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
-        })
+        .with({ kind: 'ask' }, () => void handUp(link))
         .with({ kind: 'ping' }, ({ age, stamp }) => {
           feed.hear(age, stamp);
           needs.onWord?.();
+          lookAtAge(age);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
-          const isOld = feed.age() > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
-          if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
           if (isFar && Moment.since(joinedAt) > stayFar)
             throw Failure.of('silence', 'time to look for a nearer parent');
         })
@@ -186,7 +208,15 @@
       const rolls = Timer.every(rollEvery, () => tell(link));
       try {
         current = link;
-        link.send({ kind: 'hello', self: roll.self(), version: needs.version, aim: 'session' });
+        askedAt = undefined;
+        protocol = Protocol.none;
+        link.send({
+          kind: 'hello',
+          self: roll.self(),
+          version: needs.version,
+          aim: 'session',
+          protocol: Protocol.newest,
+        });
         for await (const frame of link.frames()) take(frame, link);
       } catch (error) {
         if (phase.is('joined')) needs.note('session ended', { place, why: Failure.text(error) });
--- a/src/news/relays.ts
+++ b/src/news/relays.ts
@@ -1,19 +1,30 @@
 // Which agents relay news in a zone: the first two by name of those live there. The others are told to
-// go to them, so that news crosses between regions twice a zone however many machines stand in it.
+// go to them once they hold a view, so that news crosses between regions twice a zone however many machines stand
+// in it.
+import { Stamp } from '../kinds/stamp.js';
 import type { Frame } from '../wire/frame.js';
 
 export type Relays = readonly string[];
 
 const perZone = 2;
 
+const relaysOf = (zone: string, roll: readonly Frame.Entry[]): readonly Frame.Entry[] =>
+  roll
+    .filter((entry) => entry.program === 'agent' && entry.zone === zone && entry.ready)
+    .sort((a, b) => (a.node < b.node ? -1 : 1))
+    .slice(0, perZone);
+const isAmong = (relays: readonly Frame.Entry[], child: Frame.Entry): boolean =>
+  relays.some((entry) => entry.node === child.node);
+
 export const Relays = {
+  isOne: (child: Frame.Entry, roll: readonly Frame.Entry[]): boolean =>
+    child.program === 'agent' && isAmong(relaysOf(child.zone, roll), child),
   of(child: Frame.Entry, roll: readonly Frame.Entry[]): Relays {
     if (child.program !== 'agent') return [];
-    const agents = roll
-      .filter((entry) => entry.program === 'agent' && entry.zone === child.zone && entry.ready)
-      .sort((a, b) => (a.node < b.node ? -1 : 1));
-    const relays = agents.slice(0, perZone);
-    if (relays.some((entry) => entry.node === child.node)) return [];
-    return relays.filter((entry) => entry.depth <= 1).map((entry) => entry.wire);
+    const relays = relaysOf(child.zone, roll);
+    if (isAmong(relays, child)) return [];
+    return relays
+      .filter((entry) => entry.depth <= 1 && !Stamp.isSame(entry.stamp, Stamp.none))
+      .map((entry) => entry.wire);
   },
 };
--- a/src/repair/ranges.ts
+++ b/src/repair/ranges.ts
@@ -1,97 +1,127 @@
 // A view cut into ranges, each with a digest, so that two copies can be compared and mended by sending
-// only the ranges that differ. The seal is a digest over all ranges in order: a copy put together from
-// ranges is taken only when its seal is the one that came with them.
+// only the ranges that differ; a run of ranges that the other copy holds in the same order is one line. The seal is
+// a digest over all ranges in order: a copy put together from ranges is taken only when its seal is the one that
+// came with them.
 import { createHash } from 'node:crypto';
 import { Failure } from '../kinds/failure.js';
 import type { View } from '../manifest/view.js';
+import { Chunks } from './chunks.js';
 
 export type Ranges = ReadonlyMap<string, Ranges.Range>;
 
 export declare namespace Ranges {
   type Range = { readonly body: string; readonly digest: string };
-  type Patch = {
-    readonly seal: string;
-    readonly ranges: readonly { readonly name: string; readonly digest: string; readonly body: string }[];
+  type Part = {
+    readonly name: string;
+    readonly digest: string;
+    readonly body: string;
+    readonly count: number;
   };
+  type Patch = { readonly seal: string; readonly ranges: readonly Ranges.Part[] };
 }
 
-const perRange = 32;
+const hash = (text: string): string => createHash('sha256').update(text).digest('base64').slice(0, 24);
 
-const digestOf = (text: string): string => createHash('sha256').update(text).digest('base64').slice(0, 24);
+/** Two parts of the same content have digests of their own, so that a run says which parts it means. */
+const digestOf = (name: string, body: string, cut: Chunks.Cut): string =>
+  hash(cut === 'position' ? body : `${name.startsWith('part:') ? name : name.split('/')[0]}=${body}`);
 
-const chunks = (name: string, list: readonly unknown[]): [string, unknown][] =>
-  Array.from({ length: Math.ceil(list.length / perRange) }, (_none, index) => [
-    `${name}/${index}`,
-    list.slice(index * perRange, (index + 1) * perRange),
-  ]);
+const pieces = (name: string, list: readonly unknown[], cut: Chunks.Cut): [string, unknown][] =>
+  Chunks.of(list, cut).map((chunk, index) => [`${name}/${index}`, chunk]);
 
-const join = (parts: ReadonlyMap<string, string>, name: string): unknown[] =>
-  [...parts]
-    .filter(([key]) => key.startsWith(`${name}/`))
-    .sort(([a], [b]) => Number(a.slice(name.length + 1)) - Number(b.slice(name.length + 1)))
-    .flatMap(([, body]) => JSON.parse(body) as unknown[]);
+const entriesOf = (teams: unknown): readonly unknown[] | undefined =>
+  typeof teams === 'object' && teams !== null && !Array.isArray(teams) ? Object.entries(teams) : undefined;
+
+type Held = { readonly name: string; readonly body: string };
+
+const restore = (held: Ranges, patch: Ranges.Patch, cut: Chunks.Cut): readonly Held[] => {
+  const known = [...held].map(([name, range]) => ({ name, ...range }));
+  const places = new Map([...known.keys()].reverse().map((at) => [known[at]!.digest, at]));
+  return patch.ranges.flatMap(({ name, digest, body, count }) => {
+    const at = places.get(digest);
+    if (body === '' && at !== undefined && count > 1 && at + count <= known.length)
+      return known.slice(at, at + count);
+    const text = body === '' && at !== undefined ? known[at]!.body : body;
+    if (text === '' || count > 1 || digestOf(name, text, cut) !== digest)
+      throw Failure.of('frame', 'a range cannot be mended', { name });
+    return [{ name, body: text }];
+  });
+};
 
 export const Ranges = {
-  cut(view: View): Ranges {
+  cut(view: View, cut: Chunks.Cut = 'name'): Ranges {
     const { manifest, platform, stamp } = view;
     const { rules = [], ...others } = manifest?.document ?? {};
     const { servers, ...rest } = platform;
+    const teams = cut === 'name' ? entriesOf((others as { teams?: unknown }).teams) : undefined;
     const parts: [string, unknown][] = [
       [
         'meta',
         { stamp, platform: rest, manifest: manifest && { ...manifest, document: Object.keys(others) } },
       ],
-      ...Object.entries(others).map(([key, value]): [string, unknown] => [`part:${key}`, value]),
-      ...chunks('rules', rules),
-      ...chunks('servers', servers),
+      ...Object.entries(others)
+        .filter(([key]) => key !== 'teams' || !teams)
+        .map(([key, value]): [string, unknown] => [`part:${key}`, value]),
+      ...pieces('teams', teams ?? [], cut),
+      ...pieces('rules', rules, cut),
+      ...pieces('servers', servers, cut),
     ];
     return new Map(
       parts.map(([name, value]) => {
         const body = JSON.stringify(value);
-        return [name, { body, digest: digestOf(body) }];
+        return [name, { body, digest: digestOf(name, body, cut) }];
       }),
     );
   },
-  seal: (ranges: Ranges): string =>
-    digestOf([...ranges].map(([name, { digest }]) => `${name}=${digest}`).join()),
+  seal: (ranges: Ranges): string => hash([...ranges].map(([name, { digest }]) => `${name}=${digest}`).join()),
   digests: (ranges: Ranges): string[] => [...ranges.values()].map(({ digest }) => digest),
-  patch(ranges: Ranges, held: ReadonlySet<string>): Ranges.Patch {
-    return {
-      seal: Ranges.seal(ranges),
-      ranges: [...ranges].map(([name, { digest, body }]) => ({
-        name,
-        digest,
-        body: held.has(digest) ? '' : body,
-      })),
-    };
-  },
-  mend(held: Ranges, patch: Ranges.Patch): View {
-    const known = new Map([...held.values()].map(({ digest, body }) => [digest, body]));
-    const parts = new Map<string, string>();
-    for (const { name, digest, body } of patch.ranges) {
-      const text = body === '' ? known.get(digest) : body;
-      if (text === undefined || digestOf(text) !== digest)
-        throw Failure.of('frame', 'a range cannot be mended', { name });
-      parts.set(name, text);
+  patch(ranges: Ranges, held: readonly string[], hasRuns = true): Ranges.Patch {
+    const places = new Map([...held.keys()].reverse().map((at) => [held[at]!, at]));
+    const parts: { name: string; digest: string; body: string; count: number }[] = [];
+    let next = -1;
+    for (const [name, { digest, body }] of ranges) {
+      const run = parts.at(-1);
+      if (hasRuns && run?.body === '' && held[next] === digest) {
+        run.count += 1;
+        next += 1;
+        continue;
+      }
+      const at = places.get(digest);
+      parts.push({ name, digest, body: at === undefined ? body : '', count: 1 });
+      next = at === undefined ? -1 : at + 1;
     }
-    const meta = JSON.parse(parts.get('meta') ?? '{}') as {
+    return { seal: Ranges.seal(ranges), ranges: parts };
+  },
+  mend(held: Ranges, patch: Ranges.Patch, cut: Chunks.Cut = 'name'): View {
+    const parts = restore(held, patch, cut);
+    const bodyOf = (wanted: string) => parts.find(({ name }) => name === wanted)?.body;
+    const join = (list: string): unknown[] =>
+      parts
+        .filter(({ name }) => name.startsWith(`${list}/`))
+        .flatMap(({ body }) => JSON.parse(body) as unknown[]);
+    const meta = JSON.parse(bodyOf('meta') ?? '{}') as {
       stamp: View['stamp'];
       platform: Omit<View.Platform, 'servers'>;
       manifest: (Omit<NonNullable<View['manifest']>, 'document'> & { document: string[] }) | null;
     };
-    const readPart = (key: string): unknown => JSON.parse(parts.get(`part:${key}`) ?? 'null');
+    const readPart = (key: string): unknown => {
+      const body = bodyOf(`part:${key}`);
+      if (key === 'teams' && body === undefined)
+        return Object.fromEntries(join('teams') as [string, unknown][]);
+      return JSON.parse(body ?? 'null');
+    };
     const view = {
       stamp: meta.stamp,
       manifest: meta.manifest && {
         ...meta.manifest,
         document: {
           ...Object.fromEntries(meta.manifest.document.map((key) => [key, readPart(key)])),
-          rules: join(parts, 'rules'),
+          rules: join('rules'),
         },
       },
-      platform: { ...meta.platform, servers: join(parts, 'servers') },
+      platform: { ...meta.platform, servers: join('servers') },
     } as unknown as View;
-    if (Ranges.seal(Ranges.cut(view)) !== patch.seal)
+    if (Ranges.seal(Ranges.cut(view, cut)) !== patch.seal)
       throw Failure.of('frame', 'the mended view has another seal');
     return view;
   },
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -26,7 +26,13 @@
     readonly vouched: boolean;
   };
   type Body =
-    | { readonly kind: 'hello'; readonly self: Entry; readonly version: string; readonly aim: string }
+    | {
+        readonly kind: 'hello';
+        readonly self: Entry;
+        readonly version: string;
+        readonly aim: string;
+        readonly protocol?: number;
+      }
     | {
         readonly kind: 'welcome';
         readonly self: Entry;
@@ -34,15 +40,21 @@
         readonly relays: readonly string[];
         readonly version: string;
         readonly age: number;
+        readonly protocol?: number;
       }
     | { readonly kind: 'ping'; readonly age: number }
     | { readonly kind: 'ask'; readonly digests: readonly string[] }
     | {
         readonly kind: 'patch';
         readonly seal: string;
-        readonly ranges: readonly { readonly name: string; readonly digest: string; readonly body: string }[];
+        readonly ranges: readonly {
+          readonly name: string;
+          readonly digest: string;
+          readonly body: string;
+          readonly count: number;
+        }[];
       }
-    | { readonly kind: 'news'; readonly view: Uint8Array }
+    | { readonly kind: 'news'; readonly view: Uint8Array; readonly compressed: Uint8Array }
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
     | { readonly kind: 'refuse'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -1,6 +1,6 @@
 // A link is one TCP connection that carries frames both ways. Each end pings; an end that hears
-// nothing for a while gives the link up, so a frozen or cut peer shows within two seconds. Reading is
-// written straight down: one task per link loops over its frames.
+// nothing for a while gives the link up, so a frozen or cut peer shows within two seconds. An end that was held up
+// itself first reads what came meanwhile. Reading is written straight down: one task per link loops over its frames.
 import { connect, type Socket } from 'node:net';
 import { type Address, Address as Addresses } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
@@ -11,6 +11,7 @@
 
 export type Link = {
   readonly send: (body: Frame.Body) => boolean;
+  readonly flushed: () => Promise<void>;
   readonly frames: () => AsyncGenerator<Frame, void, void>;
   readonly close: (cause?: Error) => void;
   readonly closed: Promise<void>;
@@ -68,8 +69,15 @@
     };
     socket.setNoDelay(true);
     const pings = Timer.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
-    const quiet = Timer.after(silence, () => close(Failure.of('silence', 'nothing heard from peer')));
+    let heard = 0;
+    const quiet = Timer.after(silence, () => {
+      const before = heard;
+      setImmediate(() => {
+        if (heard === before) close(Failure.of('silence', 'nothing heard from peer'));
+      });
+    });
     socket.on('data', () => {
+      heard += 1;
       if (phase.is('open')) quiet.move(silence);
     });
     socket.pause();
@@ -77,6 +85,11 @@
     socket.on('error', () => close());
     return {
       send,
+      flushed: () =>
+        new Promise((resolve) => {
+          void closed.then(resolve);
+          if (phase.is('open')) socket.write(new Uint8Array(), () => resolve());
+        }),
       close,
       closed,
       isOpen: () => phase.is('open'),
--- /dev/null
+++ b/src/wire/protocol.ts
@@ -0,0 +1,10 @@
+// What the two ends of a session both know, as a number that each tells on joining; the lower one holds. A program
+// from before the numbers tells none, which reads as 0. Fields and kinds of frames are still only ever added.
+export type Protocol = number;
+
+export const Protocol = {
+  none: 0,
+  rangesByName: 1,
+  newest: 1,
+  ofBoth: (theirs: number | undefined): Protocol => Math.min(theirs ?? 0, Protocol.newest),
+};
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -8,13 +8,13 @@
 message Entry { string node = 1; string program = 2; string zone = 3; string boot = 4; Stamp stamp = 5;
   string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; uint32 depth = 13;
   bool vouched = 14; }
-message Hello { Entry self = 1; string version = 2; string aim = 3; }
+message Hello { Entry self = 1; string version = 2; string aim = 3; uint32 protocol = 4; }
 message Welcome { Entry self = 1; repeated string peers = 2; string version = 3; repeated string relays = 4;
-  double age = 5; }
+  double age = 5; uint32 protocol = 6; }
 message Ping { double age = 1; }
 message Ask { repeated string digests = 1; }
-message News { bytes view = 1; }
-message Range { string name = 1; string digest = 2; string body = 3; }
+message News { bytes view = 1; bytes compressed = 2; }
+message Range { string name = 1; string digest = 2; string body = 3; uint32 count = 4; }
 message Patch { string seal = 1; repeated Range ranges = 2; }
 message Roll { repeated Entry entries = 1; }
 message Ballot { uint64 round = 1; string disk = 2; }
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -6,6 +6,7 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
+import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
@@ -132,6 +133,8 @@
           children,
           peers: () => [],
           relays: () => [],
+          isRelay: () => false,
+          turns: Turns.of(),
           roster: () => [],
           version: '',
           age: () => 0,
--- a/tools/scale/hollow.ts
+++ b/tools/scale/hollow.ts
@@ -6,6 +6,7 @@
 import { Stamp } from '../../src/kinds/stamp.js';
 import { Timer } from '../../src/kinds/timer.js';
 import { Ring } from '../../src/log/ring.js';
+import type { Document } from '../../src/manifest/document.js';
 import { Roll } from '../../src/membership/roll.js';
 import { Uplink } from '../../src/membership/uplink.js';
 import { Feed } from '../../src/news/feed.js';
@@ -37,6 +38,15 @@
 const requestsEvery = 250;
 const promptBytes = 4000;
 
+// Listing thousands of teams for each request cost a process of a hundred hollow machines most of a core.
+const teams = new WeakMap<Document, readonly [string, Document['teams'][string]][]>();
+const teamsOf = (document: Document | undefined) => {
+  if (!document) return [];
+  const known = teams.get(document) ?? Object.entries(document.teams);
+  teams.set(document, known);
+  return known;
+};
+
 export const Hollow = {
   async start({ node, zone }: Hollow.Machine, terms: Hollow.Terms): Promise<Hollow> {
     const { host } = terms;
@@ -72,8 +82,8 @@
     let due = 0;
     const serve = () => {
       budget.earn();
-      const teams = Object.entries(feed.view().manifest?.document.teams ?? {});
-      const [name, team] = teams[Math.floor(Math.random() * teams.length)] ?? [];
+      const all = teamsOf(feed.view().manifest?.document);
+      const [name, team] = all[Math.floor(Math.random() * all.length)] ?? [];
       if (!name || !team?.quota) return;
       const charged = { name: name as Ident.Team, home: team.home, homes: team.homes, quota: team.quota };
       void quotas.admit(charged, promptBytes);
--- a/tools/scale/host.ts
+++ b/tools/scale/host.ts
@@ -53,7 +53,7 @@
 const { decode } = View;
 View.decode = (bytes) => once(createHash('sha1').update(bytes).digest('hex'), () => decode(bytes));
 const { mend } = Ranges;
-Ranges.mend = (held, patch) => once(patch.seal, () => mend(held, patch));
+Ranges.mend = (held, patch, cut) => once(patch.seal, () => mend(held, patch, cut));
 
 const counts = Counts.of();
 const { encode: encodeFrame, decode: decodeFrame } = Frame;
--- a/tools/scale/parts.ts
+++ b/tools/scale/parts.ts
@@ -37,7 +37,7 @@
   };
   const [before, after] = [viewOf(1), viewOf(2)];
   const held = Ranges.cut(before);
-  const patch = Ranges.patch(Ranges.cut(after), new Set(Ranges.digests(held)));
+  const patch = Ranges.patch(Ranges.cut(after), Ranges.digests(held));
   const { document } = after.manifest!;
   const change = { kind: 'manifest', document, by: '', at: '', what: '', teams: [] } as const;
   const state = State.apply(State.empty, { ...change, stamp: Stamp.of(1, 1) });
