Tell rolls and rosters by what changed, with a digest of the whole in between

Now: what changed goes up at once, and once a second a heartbeat with count and digest; the whole only on joining and when asked. What was not heard of for 2 s is named with its true age and goes on ageing; what left a parent ends after 2 s unless it comes another way. Rosters go down as additions and departures with a digest of the result. Earlier programs get and give the whole as before.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -7,6 +7,7 @@
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
+import { Roster } from '../membership/roster.js';
 import { Turns } from '../membership/turns.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
@@ -46,7 +47,7 @@
     const peers = () => uplink.places();
     const children = Children.of(roll);
     const turns = Turns.of();
-    let roster: readonly string[] = [];
+    const roster = Roster.of();
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
       Downlink.serve(link, hello, frames, {
         feed,
@@ -56,7 +57,7 @@
         relays: () => [],
         isRelay: () => false,
         turns,
-        roster: () => roster,
+        roster,
         onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
         version: Version,
         age: feed.age,
@@ -80,10 +81,7 @@
       version: Version,
       isUpward: true,
       onWord: voucher.look,
-      onRoster(proxies) {
-        roster = proxies;
-        children.broadcast({ kind: 'roster', proxies });
-      },
+      onRoster: roster.set,
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
       onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -17,6 +17,7 @@
 import { Downlink } from '../membership/downlink.js';
 import { Places } from '../membership/places.js';
 import { Roll } from '../membership/roll.js';
+import { Roster } from '../membership/roster.js';
 import { Turns } from '../membership/turns.js';
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
@@ -82,19 +83,11 @@
     const children = Children.of(roll);
     const turns = Turns.of();
     const isBelow = (node: string) => (roll.get(node)?.program ?? 'control') !== 'control';
-    const roster = () =>
-      roll
-        .all()
-        .filter((entry) => entry.program === 'proxy')
-        .map((entry) => entry.node)
-        .sort();
-    let told: readonly string[] = [];
+    const roster = Roster.of();
     const rosters = Timer.every(250, () => {
       quotas.look(core?.term()?.epoch ?? 0);
-      const proxies = roster();
-      if (proxies.join() === told.join()) return;
-      told = proxies;
-      children.broadcast({ kind: 'roster', proxies }, isBelow);
+      const proxies = roll.all().filter((entry) => entry.program === 'proxy');
+      roster.set(proxies.map((entry) => entry.node));
     });
     const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
     const peers: Peers = Peers.of({
@@ -110,7 +103,7 @@
     });
     const quotas = QuotaDuty.of({
       quotaOf: (team) => feed.view().manifest?.document.teams[team]?.quota,
-      proxies: () => told.length,
+      proxies: () => roster.names().length,
     });
     const budget = BudgetDuty.of({
       quotas,
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -14,6 +14,7 @@
 import type { Children } from './children.js';
 import { Dispatch } from './dispatch.js';
 import type { Roll } from './roll.js';
+import { Roster } from './roster.js';
 import type { Turns } from './turns.js';
 
 export type Downlink = { readonly node: string };
@@ -31,7 +32,7 @@
     readonly children: Children;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
-    readonly roster: () => readonly string[];
+    readonly roster: Roster;
   };
 }
 
@@ -73,7 +74,17 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = feed.watch(dispatch.send);
+    const knowsChanges = protocol >= Protocol.heartbeats;
+    const rosterWhole = () => {
+      const proxies = [...needs.roster.names()];
+      const digest = Roster.digestOf(proxies);
+      link.send({ kind: 'roster', proxies, added: [], departed: [], digest, whole: true });
+    };
+    const rosterChanged = (change: Roster.Change) => {
+      if (knowsChanges) link.send({ kind: 'roster', proxies: [], whole: false, ...change });
+      else rosterWhole();
+    };
+    const unwatch = [feed.watch(dispatch.send), isPeer ? () => {} : needs.roster.watch(rosterChanged)];
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -91,12 +102,20 @@
         age: needs.age(),
         protocol,
       });
-      link.send({ kind: 'roster', proxies: [...needs.roster()] });
+      rosterChanged({ added: [], departed: [], digest: Roster.digestOf(needs.roster.names()) });
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
-          .with({ kind: 'roll' }, ({ entries }) => {
-            roll.note(entries, node, !isPeer);
+          .with({ kind: 'roll' }, ({ entries, whole, departed }) => {
+            if (whole) roll.replace(entries, node, !isPeer);
+            else roll.note(entries, node, !isPeer);
+            roll.strike(departed, node);
+          })
+          .with({ kind: 'heartbeat' }, (heartbeat) => {
+            if (!roll.confirm(heartbeat, node)) link.send({ kind: 'inquire', what: 'roll' });
+          })
+          .with({ kind: 'inquire' }, ({ what }) => {
+            if (what === 'roster') rosterWhole();
           })
           .with({ kind: 'ask' }, ({ digests }) => dispatch.answer(digests))
           .with({ kind: 'news' }, (news) => {
@@ -109,7 +128,7 @@
             throw Failure.of('frame', `unexpected ${kind} from a child`, { node });
           });
     } finally {
-      unwatch();
+      for (const end of unwatch) end();
       looks.stop();
       needs.children.remove(node, link);
       roll.forget(node);
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -1,7 +1,7 @@
 // The lower end of a session: one task that keeps this node a member. It seeks a parent among the
 // seeds and the peers learned since, joins, takes news, and passes up what it and the nodes below
-// hold: all of them twice a second, and those that changed at once. It leaves a parent that is silent, or
-// whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
+// hold: those that changed at once, and once a second a heartbeat for all of them, which it tells whole only when
+// the parent asks, for it holds others. It leaves a parent that is silent, or whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
 // a few places are dialled one after another in quick succession, and the first that takes the call is asked.
 import { match } from 'ts-pattern';
 import { Address } from '../kinds/address.js';
@@ -18,6 +18,7 @@
 import { Protocol } from '../wire/protocol.js';
 import { Places } from './places.js';
 import type { Roll } from './roll.js';
+import { Roster } from './roster.js';
 
 export type Uplink = {
   readonly state: () => string;
@@ -75,20 +76,31 @@
     let isFar = false;
     let protocol: Protocol = Protocol.none;
     let askedAt: Moment | undefined;
+    let roster: readonly string[] = [];
+    let isAskingRoster = false;
+    let lastTold = '';
+    let beat: () => void = () => {};
+    const own = roll.self().node;
 
     const isFree = () => places.all().length > 1;
-    const tell = (link: Link) => {
-      if (!needs.isUpward) return;
-      link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
+    const knowsChanges = () => protocol >= Protocol.heartbeats;
+    const tellWhole = (link: Link) => {
+      const self = roll.self();
+      lastTold = roll.digestOf(self);
+      link.send({ kind: 'roll', entries: [self, ...roll.below()], whole: true, departed: [] });
     };
     const changes = (link: Link) => {
       const changed = new Set<string>();
       let soon: Timer | undefined;
       const flush = () => {
+        soon?.stop();
         soon = undefined;
+        if (changed.size === 0) return;
         const entries = [...changed].flatMap((node) => roll.get(node) ?? []);
+        const departed = [...changed].filter((node) => entries.every((entry) => entry.node !== node));
+        if (changed.has(own)) lastTold = roll.digestOf(roll.self());
         changed.clear();
-        link.send({ kind: 'roll', entries });
+        link.send({ kind: 'roll', entries, whole: false, departed });
       };
       return {
         see(nodes: readonly string[]) {
@@ -96,9 +108,33 @@
           for (const node of nodes) changed.add(node);
           soon ??= Timer.after(changesWithin, flush);
         },
+        beat() {
+          if (!needs.isUpward || !phase.is('joined')) return;
+          if (!knowsChanges()) return tellWhole(link);
+          if (roll.digestOf(roll.self()) !== lastTold) changed.add(own);
+          const heartbeat = roll.heartbeat();
+          flush();
+          link.send({ kind: 'heartbeat', ...heartbeat });
+        },
         stop: () => soon?.stop(),
       };
     };
+    const hearRoster = (frame: Extract<Frame, { kind: 'roster' }>, link: Link) => {
+      if (frame.whole || frame.digest === '') {
+        roster = frame.proxies;
+        isAskingRoster = false;
+        needs.onRoster?.(roster);
+        return;
+      }
+      if (isAskingRoster) return;
+      const next = Roster.after(roster, frame);
+      isAskingRoster = next === undefined;
+      if (!next) link.send({ kind: 'inquire', what: 'roster' });
+      else if (next.join() !== roster.join()) {
+        roster = next;
+        needs.onRoster?.(roster);
+      }
+    };
     const cut = () => (protocol >= Protocol.rangesByName ? 'name' : 'position');
     const ask = (link: Link, digests = Ranges.digests(Copies.of(feed.view(), cut()))) => {
       if (askedAt !== undefined) return;
@@ -143,7 +179,7 @@
           parent = self.node;
           isFar = isBelowAgent && self.zone !== roll.self().zone;
           needs.onParent?.(self, stamp);
-          tell(link);
+          if (needs.isUpward) tellWhole(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
         .with({ kind: 'peers' }, ({ peers }) => learnPeers(peers))
@@ -171,7 +207,12 @@
             throw Failure.of('silence', 'time to look for a nearer parent');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
-        .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
+        .with({ kind: 'roster' }, (frame) => {
+          if (needs.onRoster) hearRoster(frame, link);
+        })
+        .with({ kind: 'inquire' }, ({ what }) => {
+          if (what === 'roll') tellWhole(link);
+        })
         .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'refuse' }, ({ reason }) => {
@@ -205,10 +246,12 @@
       stop.signal.addEventListener('abort', onStop, { once: true });
       const soon = changes(link);
       const unwatch = [feed.watch(() => soon.see([roll.self().node])), roll.watch(soon.see), soon.stop];
-      const rolls = Timer.every(rollEvery, () => tell(link));
+      const rolls = Timer.every(rollEvery, soon.beat);
+      beat = soon.beat;
       try {
         current = link;
         askedAt = undefined;
+        isAskingRoster = false;
         protocol = Protocol.none;
         link.send({
           kind: 'hello',
@@ -247,7 +290,7 @@
       parent: () => parent,
       places: places.all,
       announce() {
-        if (phase.is('joined') && current) tell(current);
+        if (phase.is('joined') && current) beat();
       },
       send: (body) => (phase.is('joined') && current?.send(body)) || false,
       stop: () => stop.abort(),
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -55,11 +55,30 @@
         }[];
       }
     | { readonly kind: 'news'; readonly view: Uint8Array; readonly compressed: Uint8Array }
-    | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
+    | {
+        readonly kind: 'roll';
+        readonly entries: readonly Entry[];
+        readonly whole: boolean;
+        readonly departed: readonly string[];
+      }
+    | {
+        readonly kind: 'heartbeat';
+        readonly count: number;
+        readonly digest: string;
+        readonly stale: readonly { readonly node: string; readonly age: number }[];
+      }
+    | { readonly kind: 'inquire'; readonly what: string }
     | { readonly kind: 'refuse'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
     | { readonly kind: 'peers'; readonly peers: readonly string[] }
-    | { readonly kind: 'roster'; readonly proxies: readonly string[] }
+    | {
+        readonly kind: 'roster';
+        readonly proxies: readonly string[];
+        readonly added: readonly string[];
+        readonly departed: readonly string[];
+        readonly digest: string;
+        readonly whole: boolean;
+      }
     | { readonly kind: 'loads'; readonly loads: readonly Load[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
--- a/src/wire/protocol.ts
+++ b/src/wire/protocol.ts
@@ -5,6 +5,7 @@
 export const Protocol = {
   none: 0,
   rangesByName: 1,
-  newest: 1,
+  heartbeats: 2,
+  newest: 2,
   ofBoth: (theirs: number | undefined): Protocol => Math.min(theirs ?? 0, Protocol.newest),
 };
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -16,7 +16,10 @@
 message News { bytes view = 1; bytes compressed = 2; }
 message Range { string name = 1; string digest = 2; string body = 3; uint32 count = 4; }
 message Patch { string seal = 1; repeated Range ranges = 2; }
-message Roll { repeated Entry entries = 1; }
+message Roll { repeated Entry entries = 1; bool whole = 2; repeated string departed = 3; }
+message Stale { string node = 1; double age = 2; }
+message Heartbeat { uint32 count = 1; string digest = 2; repeated Stale stale = 3; }
+message Inquire { string what = 1; }
 message Ballot { uint64 round = 1; string disk = 2; }
 message Core { string disk = 1; string node = 2; string wire = 3; string http = 4; }
 message Term { uint64 epoch = 1; string primary = 2; repeated string inSync = 3; repeated Core cores = 4;
@@ -40,7 +43,8 @@
   uint64 serial = 5; repeated Use uses = 6; repeated Grant grants = 7; }
 message Lower { repeated string relays = 1; }
 message Peers { repeated string peers = 1; }
-message Roster { repeated string proxies = 1; }
+message Roster { repeated string proxies = 1; repeated string added = 2; repeated string departed = 3; string digest = 4;
+  bool whole = 5; }
 message Cold { string instance = 1; double age = 2; bool dark = 3; }
 message Load { string instance = 1; uint32 queued = 2; uint32 active = 3; float bound = 4; }
 message Loads { repeated Load loads = 1; }
@@ -49,7 +53,7 @@
     Refuse refuse = 8;
     Prepare prepare = 9; Accept accept = 10; Peek peek = 11; Vote vote = 12; Append append = 13;
     Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; Patch patch = 22;
-    Peers peers = 23; Loads loads = 24; } }
+    Peers peers = 23; Loads loads = 24; Heartbeat heartbeat = 25; Inquire inquire = 26; } }
 `;
 
 export const Schema = { frame: protobuf.parse(source, { keepCase: true }).root.lookupType('Frame') };
--- a/test/joining.test.ts
+++ b/test/joining.test.ts
@@ -7,6 +7,7 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
+import { Roster } from '../src/membership/roster.js';
 import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
@@ -70,7 +71,7 @@
         relays: () => [],
         isRelay: (child) => child.node.startsWith('relay'),
         turns,
-        roster: () => [],
+        roster: Roster.of(),
         version: '',
         age: () => 0,
         onTokens: () => void link.send(echo),
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -6,6 +6,7 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
+import { Roster } from '../src/membership/roster.js';
 import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
@@ -135,7 +136,7 @@
           relays: () => [],
           isRelay: () => false,
           turns: Turns.of(),
-          roster: () => [],
+          roster: Roster.of(),
           version: '',
           age: () => 0,
           onTokens: () => {},
--- /dev/null
+++ b/test/rolls.test.ts
@@ -0,0 +1,274 @@
+// Rolls and rosters by what changed: a heartbeat speaks for all entries whose digest the parent holds, entries that
+// were not heard of go on ageing, and whoever holds something else is told the whole.
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { Stamp } from '../src/kinds/stamp.js';
+import { Children } from '../src/membership/children.js';
+import { Downlink } from '../src/membership/downlink.js';
+import { Roll } from '../src/membership/roll.js';
+import { Roster } from '../src/membership/roster.js';
+import { Turns } from '../src/membership/turns.js';
+import { Uplink } from '../src/membership/uplink.js';
+import { Feed } from '../src/news/feed.js';
+import { Doorway } from '../src/wire/doorway.js';
+import type { Frame } from '../src/wire/frame.js';
+import { Link } from '../src/wire/link.js';
+import { Protocol } from '../src/wire/protocol.js';
+
+const said = (node: string, part: Partial<Frame.Entry> = {}) => ({
+  node,
+  program: 'proxy',
+  zone: 'a-1',
+  boot: node,
+  stamp: Stamp.of(1, 1),
+  http: '',
+  wire: '',
+  ops: '',
+  depth: 0,
+  ready: true,
+  vouched: true,
+  ...part,
+});
+const entry = (node: string, counter: number, part: Partial<Frame.Entry> = {}): Frame.Entry => ({
+  ...said(node),
+  counter,
+  age: 0,
+  via: '',
+  ...part,
+});
+const rollOf = (node: string) => Roll.of(() => said(node, { program: 'agent' }));
+const nodesOf = (roll: Roll) => roll.all().map((one) => one.node);
+const below = Array.from({ length: 40 }, (_none, index) => `below-${index}`);
+
+describe('roll', () => {
+  const lay = () => {
+    const [child, parent] = [rollOf('child'), rollOf('parent')];
+    child.note(
+      below.map((node) => entry(node, 1)),
+      'leaf',
+      true,
+    );
+    parent.replace([child.self(), ...child.below()], 'child', true);
+    return { child, parent };
+  };
+  it('takes a heartbeat for all entries that are the same, and for none when one is not', () => {
+    const { child, parent } = lay();
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), true);
+    child.note([entry('below-3', 2, { ready: false })], 'leaf', true);
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), false);
+    parent.note([child.get('below-3')!], 'child', true);
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), true);
+    child.note([entry('one-more', 1)], 'leaf', true);
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), false);
+    assert.equal(parent.confirm(child.heartbeat(), 'another'), false);
+  });
+  it('makes young again what a heartbeat speaks for, and gives what it names its true age', () => {
+    const { child, parent } = lay();
+    parent.note([entry('below-0', 2, { age: 3000 })], 'child', true);
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), true);
+    assert.ok(parent.get('below-0')!.age < 3000);
+    child.note([entry('below-7', 2, { age: 3500 })], 'leaf', true);
+    const heartbeat = child.heartbeat();
+    assert.deepEqual(
+      heartbeat.stale.map(({ node }) => node),
+      ['below-7'],
+    );
+    assert.ok(parent.get('below-7')!.age < 3000);
+    assert.equal(parent.confirm(heartbeat, 'child'), true);
+    assert.ok(parent.get('below-7')!.age >= 3500);
+    assert.ok(parent.heartbeat().stale.some(({ node }) => node === 'below-7'));
+  });
+  it('lets age what was struck off or is missing in the whole, until it comes another way', () => {
+    const { child, parent } = lay();
+    parent.strike(['below-1'], 'another');
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), true);
+    parent.strike(['below-1'], 'child');
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), false);
+    assert.ok(parent.get('below-1')!.age >= Roll.staleAfter / 2);
+    assert.ok(parent.get('below-3')!.age < Roll.staleAfter / 2);
+    const others = child.below().filter(({ node }) => node !== 'below-2');
+    parent.replace([child.self(), ...others], 'child', true);
+    assert.equal(parent.confirm(child.heartbeat(), 'child'), false);
+    parent.note([entry('below-2', 2)], 'elsewhere', true);
+    assert.equal(parent.get('below-2')?.via, 'elsewhere');
+    parent.replace([child.self(), ...child.below()], 'child', true);
+    assert.equal(parent.get('below-2')?.via, 'elsewhere');
+  });
+  it('ends entries of which nothing came for long, and tells who watches', () => {
+    const { child } = lay();
+    const seen: string[] = [];
+    child.watch((changed) => seen.push(...changed));
+    child.note([entry('below-5', 2, { age: Roll.staleAfter + 1 })], 'leaf', true);
+    assert.equal(child.heartbeat().count, below.length);
+    assert.deepEqual(seen, ['below-5']);
+    child.forget('leaf');
+    assert.equal(seen.length, below.length);
+    assert.deepEqual(nodesOf(child), ['child']);
+  });
+});
+
+describe('sessions', () => {
+  const parent = rollOf('parent');
+  const roster = Roster.of();
+  const counts = new Map<string, number>();
+  let came: () => void = () => {};
+  let doorway: Doorway;
+  const met = (isMet: () => boolean) =>
+    new Promise<void>((resolve) => {
+      came = () => {
+        if (isMet()) resolve();
+      };
+      came();
+    });
+  const feed = Feed.of();
+  async function* counted(frames: AsyncGenerator<Frame, void, void>) {
+    for await (const frame of frames) {
+      const kind = frame.kind === 'roll' ? (frame.whole ? 'whole' : 'changes') : frame.kind;
+      counts.set(kind, (counts.get(kind) ?? 0) + 1);
+      yield frame;
+      came();
+    }
+  }
+  before(async () => {
+    doorway = await Doorway.open({
+      address: { host: '127.0.0.1', port: 0 },
+      stamp: feed.stamp,
+      age: () => 0,
+      note: () => {},
+      serve: (link, hello, frames) =>
+        Downlink.serve(link, hello, counted(frames), {
+          feed,
+          roll: parent,
+          children: Children.of(parent),
+          peers: () => [],
+          relays: () => [],
+          isRelay: () => false,
+          turns: Turns.of(),
+          roster,
+          version: '',
+          age: () => 0,
+          onTokens: () => {},
+          onCold: () => {},
+        }),
+    });
+  });
+  after(() => doorway.close());
+
+  it('passes up the whole once, then what changed and heartbeats, and the whole again when asked', async () => {
+    const child = rollOf('child');
+    child.note(
+      below.map((node) => entry(node, 1)),
+      'leaf',
+      true,
+    );
+    const keep = setInterval(() => {
+      const entries = child.below().map((one) => ({ ...one, counter: one.counter + 1, age: 0 }));
+      child.note(entries, 'leaf', true);
+    }, 500);
+    const uplink = Uplink.run({
+      feed: Feed.of(),
+      roll: child,
+      seeds: [Doorway.text(doorway)],
+      version: '',
+      isFixed: true,
+      isUpward: true,
+      note: () => {},
+    });
+    try {
+      const beats = Math.ceil(Roll.staleAfter / 1000) + 2;
+      await met(() => (counts.get('heartbeat') ?? 0) >= beats);
+      assert.equal(counts.get('whole'), 1);
+      assert.equal(counts.get('changes') ?? 0, 0);
+      assert.equal(nodesOf(parent).length, below.length + 2);
+      child.note([entry('below-9', 1000, { stamp: Stamp.of(1, 2) })], 'leaf', true);
+      await met(() => parent.get('below-9')?.stamp.revision === 2);
+      assert.equal(counts.get('whole'), 1);
+      assert.equal(counts.get('changes'), 1);
+      parent.forget('child');
+      assert.deepEqual(nodesOf(parent), ['parent']);
+      await met(() => nodesOf(parent).length === below.length + 2);
+      assert.equal(counts.get('whole'), 2);
+    } finally {
+      clearInterval(keep);
+      uplink.stop();
+      await uplink.done;
+    }
+  });
+
+  const names = Array.from({ length: 610 }, (_none, index) => `proxy-${index}`).sort();
+  const join = async (protocol: number) => {
+    const link = await Link.open(doorway.address, { stamp: () => Stamp.none, age: () => 0 });
+    link.send({
+      kind: 'hello',
+      self: entry(`by-hand-${protocol}`, 1),
+      version: '',
+      aim: 'session',
+      protocol,
+    });
+    const frames = link.frames();
+    const nextRoster = async () => {
+      for (;;) {
+        const { value } = await frames.next();
+        assert.ok(value, 'the link ended');
+        if (value.kind === 'roster') return value;
+      }
+    };
+    return { link, nextRoster };
+  };
+  it('sends of the roster what came and went, and the whole to who asks or knows no changes', async () => {
+    roster.set(names);
+    const { link, nextRoster } = await join(Protocol.newest);
+    const earlier = await join(Protocol.none);
+    const first = await nextRoster();
+    assert.deepEqual([first.proxies, first.added, first.departed], [[], [], []]);
+    assert.equal(Roster.after([], first), undefined);
+    assert.deepEqual((await earlier.nextRoster()).proxies, names);
+    link.send({ kind: 'inquire', what: 'roster' });
+    const whole = await nextRoster();
+    assert.equal(whole.whole, true);
+    assert.deepEqual(whole.proxies, names);
+    const next = [...names.slice(1), 'one-more'].sort();
+    roster.set(next);
+    const change = await nextRoster();
+    assert.deepEqual([change.added, change.departed, change.proxies], [['one-more'], [names[0]], []]);
+    assert.deepEqual(Roster.after(whole.proxies, change), next);
+    assert.equal(Roster.after(names.slice(0, -1), change), undefined);
+    assert.deepEqual((await earlier.nextRoster()).proxies, next);
+    link.close();
+    earlier.link.close();
+  });
+  it('keeps a roster over sessions, tells each change once, and asks once for the whole when it missed something', async () => {
+    const heard: (readonly string[])[] = [];
+    roster.set(names);
+    const uplink = Uplink.run({
+      feed: Feed.of(),
+      roll: rollOf('listener'),
+      seeds: [Doorway.text(doorway)],
+      version: '',
+      isFixed: true,
+      isUpward: true,
+      onRoster(proxies) {
+        heard.push(proxies);
+        came();
+      },
+      note: () => {},
+    });
+    counts.clear();
+    try {
+      await met(() => heard.length === 1);
+      assert.deepEqual(heard[0], names);
+      assert.equal(counts.get('inquire'), 1);
+      roster.set(names.slice(1));
+      await met(() => heard.length === 2);
+      assert.deepEqual(heard[1], names.slice(1));
+      roster.set(names);
+      roster.set(names.slice(2));
+      await met(() => heard.length === 4);
+      assert.deepEqual(heard[3], names.slice(2));
+      assert.equal(counts.get('inquire'), 1);
+    } finally {
+      uplink.stop();
+      await uplink.done;
+    }
+  });
+});
--- a/tools/scale/host.ts
+++ b/tools/scale/host.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import { Stamp } from '../../src/kinds/stamp.js';
 import { View } from '../../src/manifest/view.js';
+import { Copies } from '../../src/repair/copies.js';
 import { Ranges } from '../../src/repair/ranges.js';
 import { Frame } from '../../src/wire/frame.js';
 import { Counts } from './counts.js';
@@ -50,8 +51,12 @@
   known.set(key, new WeakRef(made));
   return made;
 };
+const digestOf = (bytes: Uint8Array) => createHash('sha1').update(bytes).digest('hex');
 const { decode } = View;
-View.decode = (bytes) => once(createHash('sha1').update(bytes).digest('hex'), () => decode(bytes));
+View.decode = (bytes) => once(digestOf(bytes), () => decode(bytes));
+const { read } = Copies;
+Copies.read = (news) =>
+  news.compressed.length > 0 ? once(digestOf(news.compressed), () => read(news)) : read(news);
 const { mend } = Ranges;
 Ranges.mend = (held, patch, cut) => once(patch.seal, () => mend(held, patch, cut));
 
