--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -7,6 +7,8 @@
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
 import { Roll } from '../membership/roll.js';
+import { Roster } from '../membership/roster.js';
+import { Turns } from '../membership/turns.js';
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
 import { Voucher } from '../news/voucher.js';
@@ -52,7 +54,8 @@
     }));
     const peers = () => uplink.places();
     const children = Children.of(roll);
-    let roster: readonly string[] = [];
+    const turns = Turns.of();
+    const roster = Roster.of();
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
       Downlink.serve(link, hello, frames, {
         feed,
@@ -60,7 +63,9 @@
         children,
         peers,
         relays: () => [],
-        roster: () => roster,
+        isRelay: () => false,
+        turns,
+        roster,
         onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
         version: Version,
         age: feed.age,
@@ -88,10 +93,7 @@
         voucher.look();
         for (const link of joined) link.send({ kind: 'ping', age: feed.age() });
       },
-      onRoster(proxies) {
-        roster = proxies;
-        children.broadcast({ kind: 'roster', proxies });
-      },
+      onRoster: roster.set,
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
       onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -17,6 +17,8 @@
 import { Downlink } from '../membership/downlink.js';
 import { Places } from '../membership/places.js';
 import { Roll } from '../membership/roll.js';
+import { Roster } from '../membership/roster.js';
+import { Turns } from '../membership/turns.js';
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
 import { Backup } from '../replica/backup.js';
@@ -80,20 +82,13 @@
     }));
     const age = (): number => core?.confirmedFor() ?? feed.age();
     const children = Children.of(roll);
+    const turns = Turns.of();
     const isBelow = (node: string) => (roll.get(node)?.program ?? 'control') !== 'control';
-    const roster = () =>
-      roll
-        .all()
-        .filter((entry) => entry.program === 'proxy')
-        .map((entry) => entry.node)
-        .sort();
-    let told: readonly string[] = [];
+    const roster = Roster.of();
     const rosters = Timer.every(250, () => {
       quotas.look(core?.term()?.epoch ?? 0);
-      const proxies = roster();
-      if (proxies.join() === told.join()) return;
-      told = proxies;
-      children.broadcast({ kind: 'roster', proxies }, isBelow);
+      const proxies = roll.all().filter((entry) => entry.program === 'proxy');
+      roster.set(proxies.map((entry) => entry.node));
     });
     const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
     const peers: Peers = Peers.of({
@@ -110,7 +105,7 @@
     });
     const quotas = QuotaDuty.of({
       quotaOf: (team) => feed.view().manifest?.document.teams[team]?.quota,
-      proxies: () => told.length,
+      proxies: () => roster.names().length,
     });
     const budget = BudgetDuty.of({
       quotas,
@@ -178,6 +173,8 @@
               children,
               peers: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
               relays: (child) => Relays.of(child, roll.all()),
+              isRelay: (child) => child.program === 'control' || Relays.isOne(child, roll.all()),
+              turns,
               version: Version,
               age,
               isFirstHand: () => core?.leading() !== undefined || feed.age() > freshFor,
@@ -214,6 +211,7 @@
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
     gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
+    gauge('views_waiting', 'children that wait for their turn to get a whole view', turns.waiting);
     gauge('members', 'nodes on the roll', () => roll.all().length);
     gauge('servers', 'servers on the list held', () => store.state().platform.servers.length);
     gauge('list_serial', 'serial of the list held', () => store.state().platform.serial);
--- a/src/manifest/view.ts
+++ b/src/manifest/view.ts
@@ -39,6 +39,12 @@
     decoded.set(bytes, view);
     return bytes;
   },
+  /** Stands for the view within this process, and is no bytes of it. */
+  inside(view: View): Uint8Array {
+    const token = new Uint8Array();
+    decoded.set(token, view);
+    return token;
+  },
   /** Bytes written in this process give back the very view, which is never changed. */
   decode(bytes: Uint8Array): View {
     const known = decoded.get(bytes);
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -12,6 +12,8 @@
 export type Link = {
   readonly send: (body: Frame.Body) => boolean;
   readonly frames: () => AsyncGenerator<Frame, void, void>;
+  /** Resolves once all that was sent is handed to the system, or the link has ended. */
+  readonly flushed: () => Promise<void>;
   readonly close: (cause?: Error) => void;
   readonly closed: Promise<void>;
   readonly isOpen: () => boolean;
@@ -78,8 +80,15 @@
     };
     socket.setNoDelay(true);
     const pings = Timer.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
-    const quiet = Timer.after(silence, () => close(Failure.of('silence', 'nothing heard from peer')));
+    let heard = 0;
+    const quiet = Timer.after(silence, () => {
+      const before = heard;
+      setImmediate(() => {
+        if (heard === before) close(Failure.of('silence', 'nothing heard from peer'));
+      });
+    });
     socket.on('data', () => {
+      heard += 1;
       if (phase.is('open')) quiet.again();
     });
     socket.pause();
@@ -87,6 +96,11 @@
     socket.on('error', () => close());
     return {
       send,
+      flushed: () =>
+        new Promise((resolve) => {
+          void closed.then(resolve);
+          if (phase.is('open')) socket.write(new Uint8Array(), () => resolve());
+        }),
       close,
       closed,
       isOpen: () => phase.is('open'),
--- a/src/wire/pair.ts
+++ b/src/wire/pair.ts
@@ -34,6 +34,7 @@
     link: {
       peer,
       isLocal: true,
+      flushed: () => Promise.resolve(),
       close,
       closed,
       isOpen: () => phase.is('open'),
--- a/test/pair.test.ts
+++ b/test/pair.test.ts
@@ -16,6 +16,8 @@
 import { Link } from '../src/wire/link.js';
 import { Pair } from '../src/wire/pair.js';
 
+const rosterOf = (proxies: readonly string[]) =>
+  ({ kind: 'roster', proxies, added: [], departed: [], digest: '', whole: true }) as const;
 const terms = (revision: number) => ({ stamp: () => Stamp.of(1, revision), age: () => 7 });
 
 const collect = async (link: Link, count: number): Promise<Frame[]> => {
@@ -33,14 +35,14 @@
     const view = new Uint8Array([1, 2, 3]);
     const coming = collect(b, 3);
     a.send({ kind: 'ping', age: 1 });
-    a.send({ kind: 'news', view });
-    a.send({ kind: 'roster', proxies: ['x'] });
+    a.send({ kind: 'news', view, compressed: new Uint8Array() });
+    a.send(rosterOf(['x']));
     const [first, second, third] = await coming;
     assert.deepEqual(
       [first, third],
       [
         { kind: 'ping', age: 1, stamp: Stamp.of(1, 1) },
-        { kind: 'roster', proxies: ['x'], stamp: Stamp.of(1, 1) },
+        { ...rosterOf(['x']), stamp: Stamp.of(1, 1) },
       ],
     );
     assert.equal(second?.kind === 'news' && second.view, view);
@@ -57,6 +59,7 @@
     const bytes = View.encode(View.empty);
     assert.equal(View.decode(bytes), View.empty);
     assert.deepEqual(View.decode(Buffer.from(bytes)), View.empty);
+    assert.equal(View.decode(View.inside(View.empty)), View.empty);
   });
   it('bring a proxy in the agent’s process word and view at once, by no socket', async () => {
     const seed = createServer();
@@ -91,7 +94,7 @@
         if (frame.kind !== 'hello') continue;
         const self = { ...frame.self, node: 'parent', program: 'control' };
         parent.send({ kind: 'welcome', self, peers: [], relays: [], version: '', age: 0 });
-        parent.send({ kind: 'news', view: View.encode(view) });
+        parent.send({ kind: 'news', view: View.encode(view), compressed: new Uint8Array() });
         break;
       }
       await isServed;
@@ -126,7 +129,7 @@
         if (rosters === 60) return;
       }
     })();
-    const busy = setInterval(() => own.send({ kind: 'roster', proxies: [] }), 5);
+    const busy = setInterval(() => own.send(rosterOf([])), 5);
     await isDone;
     clearInterval(busy);
     own.close();
@@ -146,7 +149,7 @@
     const [other] = (await once(server, 'connection')) as [Socket];
     const link = Link.over(own, { ...terms(3), pingEvery: 20 });
     const far = Link.over(other, terms(1));
-    link.send({ kind: 'roster', proxies: [] });
+    link.send(rosterOf([]));
     const [roster, ...pings] = await collect(far, 3);
     assert.deepEqual([roster?.kind, ...pings.map(({ kind }) => kind)], ['roster', 'ping', 'ping']);
     link.close();
--- a/test/word-age.test.ts
+++ b/test/word-age.test.ts
@@ -46,7 +46,7 @@
       child.send({ kind: 'hello', self: { ...hello.self, node: 'child' }, version: '', aim: 'session' });
       await next('roster');
       for (let count = 0; count < burst; count += 1) above.send({ kind: 'ping', age: 0 });
-      above.send({ kind: 'roster', proxies: ['one'] });
+      above.send({ kind: 'roster', proxies: ['one'], added: [], departed: [], digest: '', whole: true });
       const pings = (await next('roster')).filter((kind) => kind === 'ping').length;
       assert.ok(pings < burst / 2, `${pings} pings for ${burst}`);
     } finally {
--- a/test/word.test.ts
+++ b/test/word.test.ts
@@ -7,6 +7,8 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
+import { Roster } from '../src/membership/roster.js';
+import { Turns } from '../src/membership/turns.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
 import type { Frame } from '../src/wire/frame.js';
@@ -72,7 +74,9 @@
           children: Children.of(roll),
           peers: () => [],
           relays: () => [],
-          roster: () => [],
+          roster: Roster.of(),
+          turns: Turns.of(),
+          isRelay: () => false,
           version: '',
           age: () => age,
           onTokens: () => {},
@@ -121,7 +125,9 @@
           children: Children.of(roll),
           peers: () => [],
           relays: () => [],
-          roster: () => [],
+          roster: Roster.of(),
+          turns: Turns.of(),
+          isRelay: () => false,
           isFirstHand: () => isFirstHand,
           version: '',
           age: () => 0,
