--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -98,7 +98,7 @@
   idle: 15_000,
 };
 
-const compileRule = (rule: Document.Rule, limits: Document.Limits = {}): Compiled.Rule => {
+const compileRuleAnew = (rule: Document.Rule, limits: Document.Limits): Compiled.Rule => {
   const own = { ...timeouts, ...rule.timeouts };
   return {
     name: rule.name,
@@ -141,6 +141,24 @@
   };
 };
 
+const noLimits: Document.Limits = {};
+const rulesMade = new WeakMap<Document.Rule, { limits: Document.Limits; made: Compiled.Rule }>();
+const addresses = new WeakMap<Document.Server, Address | undefined>();
+
+/** Rules and servers that a change leaves alone are the same objects as before it, and are not made again. */
+const compileRule = (rule: Document.Rule, limits: Document.Limits): Compiled.Rule => {
+  const known = rulesMade.get(rule);
+  if (known?.limits === limits) return known.made;
+  const made = compileRuleAnew(rule, limits);
+  rulesMade.set(rule, { limits, made });
+  return made;
+};
+
+const addressOf = (server: Document.Server): Address | undefined => {
+  if (!addresses.has(server)) addresses.set(server, Addresses.parse(server.address));
+  return addresses.get(server);
+};
+
 const compileGroup = (
   name: string,
   group: Document.Group,
@@ -182,7 +200,7 @@
     const servers = new Map<string, Compiled.Server>();
     for (const server of view.platform.servers) {
       const group = document.groups[server.group];
-      const address = Addresses.parse(server.address);
+      const address = addressOf(server);
       if (!group?.regions.includes(server.region) || !address) continue;
       if (document.zones[server.zone]?.region !== server.region) continue;
       const isOpen =
@@ -211,7 +229,7 @@
     const { zones } = document;
     return {
       stamp: view.stamp,
-      rules: document.rules.map((rule) => compileRule(rule, document.limits)),
+      rules: document.rules.map((rule) => compileRule(rule, document.limits ?? noLimits)),
       groups,
       servers,
       homes: new Map(Object.entries(document.homes).map(([name, home]) => [name, home.regions])),
--- a/src/repair/ranges.ts
+++ b/src/repair/ranges.ts
@@ -10,7 +10,8 @@
 export type Ranges = ReadonlyMap<string, Ranges.Range>;
 
 export declare namespace Ranges {
-  type Range = { readonly body: string; readonly digest: string };
+  /** The value is what the body says: a view mended with an unchanged range holds the very same objects. */
+  type Range = { readonly body: string; readonly digest: string; readonly value: unknown };
   type Part = {
     readonly name: string;
     readonly digest: string;
@@ -32,19 +33,20 @@
 const entriesOf = (teams: unknown): readonly unknown[] | undefined =>
   typeof teams === 'object' && teams !== null && !Array.isArray(teams) ? Object.entries(teams) : undefined;
 
-type Held = { readonly name: string; readonly body: string };
+type Held = { readonly name: string; readonly value: () => unknown };
 
 const restore = (held: Ranges, patch: Ranges.Patch, cut: Chunks.Cut): readonly Held[] => {
-  const known = [...held].map(([name, range]) => ({ name, ...range }));
+  const known = [...held].map(([name, { digest, value }]) => ({ name, digest, value: () => value }));
   const places = new Map([...known.keys()].reverse().map((at) => [known[at]!.digest, at]));
   return patch.ranges.flatMap(({ name, digest, body, count }) => {
     const at = places.get(digest);
     if (body === '' && at !== undefined && count > 1 && at + count <= known.length)
       return known.slice(at, at + count);
-    const text = body === '' && at !== undefined ? known[at]!.body : body;
-    if (text === '' || count > 1 || digestOf(name, text, cut) !== digest)
+    if (body === '' && at !== undefined && count <= 1) return [{ name, value: known[at]!.value }];
+    if (body === '' || count > 1 || digestOf(name, body, cut) !== digest)
       throw Failure.of('frame', 'a range cannot be mended', { name });
-    return [{ name, body: text }];
+    const value: unknown = JSON.parse(body);
+    return [{ name, value: () => value }];
   });
 };
 
@@ -69,7 +71,7 @@
     return new Map(
       parts.map(([name, value]) => {
         const body = JSON.stringify(value);
-        return [name, { body, digest: digestOf(name, body, cut) }];
+        return [name, { body, digest: digestOf(name, body, cut), value }];
       }),
     );
   },
@@ -94,21 +96,19 @@
   },
   mend(held: Ranges, patch: Ranges.Patch, cut: Chunks.Cut = 'name'): View {
     const parts = restore(held, patch, cut);
-    const bodyOf = (wanted: string) => parts.find(({ name }) => name === wanted)?.body;
+    const valueOf = (wanted: string) => parts.find(({ name }) => name === wanted)?.value();
     const join = (list: string): unknown[] =>
-      parts
-        .filter(({ name }) => name.startsWith(`${list}/`))
-        .flatMap(({ body }) => JSON.parse(body) as unknown[]);
-    const meta = JSON.parse(bodyOf('meta') ?? '{}') as {
+      parts.filter(({ name }) => name.startsWith(`${list}/`)).flatMap(({ value }) => value() as unknown[]);
+    const meta = (valueOf('meta') ?? {}) as {
       stamp: View['stamp'];
       platform: Omit<View.Platform, 'servers'>;
       manifest: (Omit<NonNullable<View['manifest']>, 'document'> & { document: string[] }) | null;
     };
     const readPart = (key: string): unknown => {
-      const body = bodyOf(`part:${key}`);
-      if (key === 'teams' && body === undefined)
+      const value = valueOf(`part:${key}`);
+      if (key === 'teams' && value === undefined)
         return Object.fromEntries(join('teams') as [string, unknown][]);
-      return JSON.parse(body ?? 'null');
+      return value ?? null;
     };
     const view = {
       stamp: meta.stamp,
--- a/test/repair.test.ts
+++ b/test/repair.test.ts
@@ -5,6 +5,7 @@
 import { Epoch } from '../src/kinds/epoch.js';
 import { Revision } from '../src/kinds/revision.js';
 import { Stamp } from '../src/kinds/stamp.js';
+import { Compiled } from '../src/manifest/compiled.js';
 import { View } from '../src/manifest/view.js';
 import { Feed } from '../src/news/feed.js';
 import { Copies } from '../src/repair/copies.js';
@@ -129,6 +130,31 @@
     assert.deepEqual(Ranges.mend(earlier, patch, 'position'), after);
     assert.throws(() => Ranges.mend(held, patch), /cannot be mended|another seal/);
   });
+  it('keeps what a change leaves alone as the very objects they were, read once and compiled once', () => {
+    const bare = before.manifest!.document.rules.map(({ body: _body, ...rule }) => rule);
+    const plain = {
+      ...before,
+      manifest: { ...before.manifest!, document: { ...before.manifest!.document, rules: bare } },
+    };
+    const start = Ranges.mend(Ranges.cut(View.empty), patchTo(plain as View, []));
+    const after = { ...makeView(6, names, 71), manifest: plain.manifest } as View;
+    const mended = Ranges.mend(Ranges.cut(start), patchTo(after, Ranges.digests(Ranges.cut(start))));
+    assert.deepEqual(mended, after);
+    const document = start.manifest!.document;
+    assert.equal(mended.manifest!.document.rules[999], document.rules[999]);
+    assert.equal(mended.manifest!.document.groups, document.groups);
+    assert.equal(mended.platform.servers[0], start.platform.servers[0]);
+    assert.notEqual(mended.platform.servers[70], start.platform.servers[70]);
+    const [one, other] = [Compiled.of(start)!, Compiled.of(mended)!];
+    assert.equal(other.rules[999], one.rules[999]);
+    const limits = { body_bytes: 5 };
+    const limited = { ...mended, manifest: { ...mended.manifest!, document: { ...document, limits } } };
+    const third = Compiled.of(limited)!;
+    assert.notEqual(third.rules[999], one.rules[999]);
+    assert.equal(third.rules[999]!.body, 5, 'other limits make other rules');
+    assert.equal(Compiled.of(mended)!.rules[999]!.body, one.rules[999]!.body);
+  });
+
   it('mends from nothing when the whole is sent', () => {
     assert.deepEqual(Ranges.mend(Ranges.cut(View.empty), patchTo(before, [])), before);
   });
