--- a/src/upstream/warmup.ts
+++ b/src/upstream/warmup.ts
@@ -2,7 +2,8 @@
 // follows from the roster alone, by rank in a hash of (server, proxy), so the parts add up to the bound without
 // talk; a part that rounds down to nothing is nothing. A proxy counts what it sent in the last second and a bit,
 // since what it sent may be on its way for a while, and what it has chosen the server for and not sent yet, since
-// many requests may wait for their connections at once.
+// many requests may wait for their connections at once. While the roster fills, as after a restart of all or when a
+// cut region comes back, parts reckoned from it would add up to many times the bound, so they are nothing.
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import { Pick } from './pick.js';
@@ -23,6 +24,8 @@
 const window = 1100;
 const margin = 500;
 const portion = 1.15;
+const fillsWithin = 1500;
+const mostGrowth = 1.5;
 
 export const Warmup = {
   of(own: string, roster: () => readonly string[]): Warmup {
@@ -37,8 +40,16 @@
       sends.delete(instance);
       return false;
     };
+    let known = roster().length;
+    let filledAt = Moment.past;
+    const isFilling = (count: number): boolean => {
+      if (count > known * mostGrowth) filledAt = Moment.now();
+      if (count > known * mostGrowth || count < known) known = count;
+      return Moment.since(filledAt) < fillsWithin;
+    };
     const partOf = (instance: string, bound: number): number => {
       const proxies = roster();
+      if (isFilling(proxies.length) || proxies.length === 0) return 0;
       const others = proxies.filter((proxy) => proxy !== own);
       const weigh = (proxy: string) => Pick.mix(Pick.mix(0x811c9dc5, instance), proxy);
       const mine = weigh(own);
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -91,6 +91,33 @@
     assert.ok(sent.length > 80, `${sent.length} in 7.5 s`);
   });
 
+  it('lets through no more than its bound while rosters fill after a restart of all', () => {
+    const time = clock();
+    const random = Random.of(5);
+    const names = Array.from({ length: 80 }, (_none, index) => `front-${index}`);
+    const rosters: string[][] = names.map(() => []);
+    const warmups = names.map((own, index) => Warmup.of(own, () => rosters[index]!));
+    const cold = pickOf('cold');
+    for (const one of warmups) one.begin('cold', 60_000);
+    const sent: number[] = [];
+    for (let step = 0; step < 400; step += 1) {
+      time.pass(20);
+      const joined = names.slice(0, Math.floor(step * 0.8));
+      names.forEach((own, index) => {
+        const hears = random.below(10) === 0;
+        if (hears && joined.includes(own)) rosters[index] = joined;
+        const one = warmups[index]!;
+        if (!joined.includes(own) || !one.allows(cold.server, cold.group)) return;
+        one.enter('cold').sent();
+        sent.push(time.now());
+      });
+    }
+    const bound = 20 * 1.5 + 5;
+    assert.ok(most(sent, 1000) <= bound, `${most(sent, 1000)} in a second, where ${bound} may be`);
+    const late = sent.filter((at) => at > time.now() - 2000);
+    assert.ok(late.length >= 20, `${late.length} in the last 2 s, when all know all`);
+  });
+
   it('is over after its span, and forgets servers that are gone', () => {
     const time = clock();
     const [one] = start();
