--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -42,7 +42,7 @@
       ready: !isDraining,
       vouched: voucher.isVouched(),
     }));
-    const mates = () => uplink.places();
+    const peers = () => uplink.places();
     const children = Children.of(roll);
     let roster: readonly string[] = [];
     const serve: Doorway.Needs['serve'] = (link, hello, frames) =>
@@ -50,7 +50,7 @@
         feed,
         roll,
         children,
-        mates,
+        peers,
         relays: () => [],
         roster: () => roster,
         onCold: ({ stamp: _stamp, ...body }) => void uplink.send(body),
@@ -93,9 +93,9 @@
     gauge('epoch', 'epoch of the manifest held', () => feed.stamp().epoch);
     gauge('revision', 'revision of the state held', () => feed.stamp().revision);
     gauge('news_age_seconds', 'age of the last word from the primary', () => feed.age() / 1000);
-    gauge('links_dropped', 'links closed for what they sent', () => doorway.dropped() + inner.dropped());
+    gauge('links_dropped', 'links closed for what they sent', () => doorway.refused() + inner.refused());
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
-    gauge('news_dropped', 'news dropped as not newer', feed.dropped);
+    gauge('news_dropped', 'news dropped as not newer', feed.ignored);
     const ops = Ops.of({
       isReady: () => (isDraining ? 'draining' : undefined),
       metrics,
--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -4,7 +4,7 @@
 import { Client } from '../cli/client.js';
 import { Commands } from '../cli/commands.js';
 import { ReadLog } from '../cli/read-log.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Version } from '../startup/version.js';
 
 type Flags = {
@@ -44,7 +44,7 @@
     },
     (error) => {
       process.stderr.write(`${(error as Error).message}\n`);
-      process.exitCode = Mishap.is(error, 'startup') ? 2 : 3;
+      process.exitCode = Failure.is(error, 'startup') ? 2 : 3;
     },
   );
 };
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,6 +1,6 @@
 // The CLI's way to the control plane: the addresses are tried in turn, for any core takes a call.
 import { request } from 'undici';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 
 export type Client = {
   readonly call: (
@@ -44,11 +44,11 @@
               body: text === '' ? {} : JSON.parse(text),
             };
           } catch (error) {
-            said.push(`${place}: ${Mishap.text(error)}`);
+            said.push(`${place}: ${Failure.text(error)}`);
             if (method !== 'GET' && !mayTryNext(error)) break;
           }
         }
-        throw Mishap.of(
+        throw Failure.of(
           'link',
           `no control node answered (${said.join('; ')}); --control takes their http addresses, as 10.0.0.1:7080`,
         );
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,7 +1,7 @@
 // What the operators' command line does. Each command returns what it prints and its exit code: 0 done,
 // 1 refused or not found, 3 not confirmed (the change may have been taken).
 import { readFileSync } from 'node:fs';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Check } from '../manifest/check.js';
 import type { Client } from './client.js';
 import { Diff } from './diff.js';
@@ -27,9 +27,9 @@
   try {
     return readFileSync(path, 'utf8');
   } catch (cause) {
-    throw Mishap.of(
+    throw Failure.of(
       'startup',
-      `cannot read ${path}: ${Mishap.text(cause)}; name a file, or - for standard input`,
+      `cannot read ${path}: ${Failure.text(cause)}; name a file, or - for standard input`,
     );
   }
 };
@@ -39,9 +39,9 @@
   try {
     return JSON.parse(text);
   } catch (cause) {
-    throw Mishap.of(
+    throw Failure.of(
       'startup',
-      `${path} is no JSON: ${Mishap.text(cause)}; see docs/manifest.md for its form`,
+      `${path} is no JSON: ${Failure.text(cause)}; see docs/manifest.md for its form`,
     );
   }
 };
--- a/src/cli/import.ts
+++ b/src/cli/import.ts
@@ -2,8 +2,8 @@
 // manifest draft. Whatever is not carried over is reported with its place, and so is what the draft still
 // lacks, for that configuration knows neither regions nor homes nor which requests may run twice.
 import { parse } from 'yaml';
+import { Failure } from '../kinds/failure.js';
 import type { Guard } from '../kinds/guard.js';
-import { Mishap } from '../kinds/mishap.js';
 import { Check } from '../manifest/check.js';
 import { Document } from '../manifest/document.js';
 
@@ -39,7 +39,7 @@
     try {
       whole = parse(text);
     } catch (cause) {
-      throw Mishap.of('startup', `the file is neither YAML nor JSON: ${Mishap.text(cause)}`);
+      throw Failure.of('startup', `the file is neither YAML nor JSON: ${Failure.text(cause)}`);
     }
     const root: Node = { value: whole, place: '' };
     const carried = new Set<string>();
--- a/src/control/at-primary.ts
+++ b/src/control/at-primary.ts
@@ -2,8 +2,8 @@
 // and gives its response back as it came. What can't be confirmed is a 503 that says whether it was taken.
 import type { Context } from 'hono';
 import { Agent, request } from 'undici';
-import { Tenure } from '../epoch/tenure.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Term } from '../epoch/term.js';
+import { Failure } from '../kinds/failure.js';
 import type { Core } from './core.js';
 import { Responses } from './responses.js';
 
@@ -52,8 +52,8 @@
       give(context, Responses.unconfirmed('no_primary', text, taken));
     return {
       async pass(context) {
-        const tenure = core.tenure();
-        const primary = tenure && Tenure.core(tenure, tenure.primary);
+        const term = core.term();
+        const primary = term && Term.core(term, term.primary);
         if (!primary || primary.http === needs.ownHttp() || context.req.header(passedBy) !== undefined)
           return noPrimary(context, 'no primary is known just now', 'no');
         const headers = Object.fromEntries(
@@ -78,9 +78,9 @@
           const bytes = await response.body.arrayBuffer();
           return context.body(bytes, response.statusCode as 200, Object.fromEntries(kept));
         } catch (error) {
-          const isDropped = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-          const taken = isDropped || method === 'GET' ? 'no' : 'unknown';
-          return noPrimary(context, `the primary did not answer: ${Mishap.text(error)}`, taken);
+          const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+          const taken = isRefused || method === 'GET' ? 'no' : 'unknown';
+          return noPrimary(context, `the primary did not answer: ${Failure.text(error)}`, taken);
         }
       },
       async confirmed(context, handle) {
@@ -88,9 +88,9 @@
           context.header('bramblebend-node', needs.node);
           return give(context, await handle());
         } catch (error) {
-          needs.note('unconfirmed answer', { path: context.req.path, why: Mishap.text(error) });
-          const taken = String(Mishap.info(error).taken ?? 'unknown');
-          return give(context, Responses.unconfirmed('unconfirmed', Mishap.text(error), taken));
+          needs.note('unconfirmed answer', { path: context.req.path, why: Failure.text(error) });
+          const taken = String(Failure.info(error).taken ?? 'unknown');
+          return give(context, Responses.unconfirmed('unconfirmed', Failure.text(error), taken));
         }
       },
       close: () => agent.destroy(),
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -5,14 +5,14 @@
 import { Ballot } from '../epoch/ballot.js';
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
-import { Tenure } from '../epoch/tenure.js';
-import { Alarm } from '../kinds/alarm.js';
+import { Term } from '../epoch/term.js';
 import { Epoch } from '../kinds/epoch.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Revision } from '../kinds/revision.js';
 import { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import type { View } from '../manifest/view.js';
 import { Primary } from '../replica/primary.js';
 import { State } from '../store/state.js';
@@ -24,7 +24,7 @@
 export type Core = {
   readonly state: () => Core.State;
   readonly leading: () => Primary | undefined;
-  readonly tenure: () => Tenure | undefined;
+  readonly term: () => Term | undefined;
   readonly join: (core: Frame.Core) => Promise<string>;
   readonly isRetired: () => boolean;
   readonly confirmedFor: () => number | undefined;
@@ -80,7 +80,7 @@
       (from, to) => needs.note('core changed', { from, to }),
     );
     let primary: Primary | undefined;
-    let known: Tenure | undefined;
+    let known: Term | undefined;
     let knownBallot = Ballot.none;
     const forming = Forming.of(needs);
     let votes: readonly Proposer.Vote[] = [];
@@ -94,42 +94,42 @@
     let looking: Promise<void> | undefined;
     let wake: () => void = () => {};
 
-    const learn = (tenure: Tenure | null | undefined, ballot: Ballot) => {
-      if (!tenure || (known && Tenure.compare(tenure, ballot, known, knownBallot) <= 0)) return;
-      const isOther = tenure.epoch !== known?.epoch || tenure.primary !== known.primary;
-      known = tenure;
+    const learn = (term: Term | null | undefined, ballot: Ballot) => {
+      if (!term || (known && Term.compare(term, ballot, known, knownBallot) <= 0)) return;
+      const isOther = term.epoch !== known?.epoch || term.primary !== known.primary;
+      known = term;
       knownBallot = ballot;
       if (!isOther) return;
       isAsked = false;
       darkSince = undefined;
-      if (primary && tenure.primary !== register.disk) primary.depose(`deposed by ${Tenure.text(tenure)}`);
+      if (primary && term.primary !== register.disk) primary.depose(`deposed by ${Term.text(term)}`);
     };
-    learn(register.tenure(), register.accepted());
-    register.watch((tenure) => {
+    learn(register.term(), register.accepted());
+    register.watch((term) => {
       votes = [];
-      learn(tenure, register.accepted());
+      learn(term, register.accepted());
       wake();
     });
 
     const look = async () => {
       votes = await proposer.votes();
-      for (const { tenure, accepted } of votes) learn(tenure, accepted ?? Ballot.none);
+      for (const { term, accepted } of votes) learn(term, accepted ?? Ballot.none);
       await primary?.install(votes);
     };
     const survey = async () => {
       while (!stop.signal.aborted) {
-        await look().catch((error) => needs.note('no votes came', { why: Mishap.text(error) }));
+        await look().catch((error) => needs.note('no votes came', { why: Failure.text(error) }));
         wake();
-        await Alarm.pause(phase.is('blank') ? beat : readEvery, stop.signal);
+        await Timer.pause(phase.is('blank') ? beat : readEvery, stop.signal);
       }
     };
-    const lead = async (tenure: Tenure) => {
+    const lead = async (term: Term) => {
       phase.become('leading');
       ledSince = Moment.now();
-      needs.note('leading', { tenure: Tenure.text(tenure) });
+      needs.note('leading', { term: Term.text(term) });
       const mine = Primary.of({
         disk: register.disk,
-        tenure,
+        term,
         losses: needs.losses,
         store,
         proposer,
@@ -148,20 +148,20 @@
       });
       await mine.commit((_state, stamp) => ({ kind: 'opened', stamp }));
     };
-    const claim = async (from: Tenure) => {
+    const claim = async (from: Term) => {
       register.raise(Epoch.after(from.epoch));
       await store.idle();
-      const { isDone, tenure, ballot } = await proposer.change((base) =>
-        base.epoch === from.epoch && Tenure.isInSync(base, register.disk)
-          ? Tenure.next(base, { primary: register.disk })
+      const { isDone, term, ballot } = await proposer.change((base) =>
+        base.epoch === from.epoch && Term.isInSync(base, register.disk)
+          ? Term.next(base, { primary: register.disk })
           : undefined,
       );
-      learn(tenure, ballot);
-      if (isDone && tenure) await lead(tenure);
+      learn(term, ballot);
+      if (isDone && term) await lead(term);
     };
     const settle = async (leader: Primary) => {
       const offered = needs.offered();
-      const { formed } = leader.tenure();
+      const { formed } = leader.term();
       const isLate = Stamp.isNewer(offered.stamp, leader.state().stamp);
       const isUnsettled = leader.state().formed !== formed;
       const isFirst = needs.isInitial && leader.state().formed === Epoch.none;
@@ -185,16 +185,16 @@
         },
       }));
     };
-    const isNext = (tenure: Tenure): boolean => {
-      const core = Tenure.core(tenure, tenure.primary);
+    const isNext = (term: Term): boolean => {
+      const core = Term.core(term, term.primary);
       const courier = core && needs.courierTo(core);
       const isLost = !core || !courier?.reaches(core) || courier.downFor() > takeOverAfter || isAsked;
       darkSince = isLost ? (darkSince ?? Moment.now()) : undefined;
       if (darkSince === undefined) return false;
-      const before = tenure.inSync.slice(0, tenure.inSync.indexOf(register.disk));
+      const before = term.inSync.slice(0, term.inSync.indexOf(register.disk));
       const rank = before.filter((disk) => {
-        const mate = disk === tenure.primary ? undefined : Tenure.core(tenure, disk);
-        return mate !== undefined && needs.courierTo(mate)?.downFor() === 0;
+        const peer = disk === term.primary ? undefined : Term.core(term, disk);
+        return peer !== undefined && needs.courierTo(peer)?.downFor() === 0;
       }).length;
       return Moment.since(darkSince) >= rank * nextAfter;
     };
@@ -203,15 +203,15 @@
       formableSince = undefined;
       if (!store.isSound() && Moment.since(mendedAt) > mendEvery) {
         mendedAt = Moment.now();
-        void store.mend().catch((error) => needs.note('own disk mishap', { why: Mishap.text(error) }));
+        void store.mend().catch((error) => needs.note('own disk failure', { why: Failure.text(error) }));
       }
-      const tenure = known;
-      if (!tenure || !Tenure.isInSync(tenure, register.disk) || !store.isSound()) return;
-      if (tenure.primary !== register.disk) {
-        if (!isNext(tenure)) return;
-        needs.note('taking over', { from: Tenure.core(tenure, tenure.primary)?.node });
+      const term = known;
+      if (!term || !Term.isInSync(term, register.disk) || !store.isSound()) return;
+      if (term.primary !== register.disk) {
+        if (!isNext(term)) return;
+        needs.note('taking over', { from: Term.core(term, term.primary)?.node });
       }
-      await claim(tenure);
+      await claim(term);
     };
     const form = async () => {
       formableSince ??= Moment.now();
@@ -219,18 +219,18 @@
       const wait = (forming.isSure(votes) ? 0 : silentSeedsFor) + (isMine ? 0 : formAnywayAfter);
       if (Moment.since(formableSince) < wait) return;
       const formed = await proposer.form(
-        (grants) => (forming.may(grants) ? forming.tenure(grants) : undefined),
+        (grants) => (forming.may(grants) ? forming.term(grants) : undefined),
         forming.size,
       );
-      if (formed) needs.alert('the cores formed anew', { tenure: Tenure.text(formed) });
+      if (formed) needs.alert('the cores formed anew', { term: Term.text(formed) });
       await look();
     };
     const blankStep = async () => {
       if (forming.may(votes)) return form();
       formableSince = undefined;
-      const tenure = known;
-      const core = tenure && Tenure.core(tenure, tenure.primary);
-      if (!tenure || !core || Tenure.has(tenure, register.disk)) return;
+      const term = known;
+      const core = term && Term.core(term, term.primary);
+      if (!term || !core || Term.has(term, register.disk)) return;
       const reply = await needs.courierTo(core)?.ask({ kind: 'join', core: needs.self() }, 3000);
       if (reply?.kind === 'done') needs.note('asked to join', { why: reply.why });
     };
@@ -241,14 +241,14 @@
       tending ??= mine.tend().finally(() => {
         tending = undefined;
       });
-      await Promise.race([tending, Alarm.pause(beat)]);
+      await Promise.race([tending, Timer.pause(beat)]);
       await settle(mine);
     };
-    const isRetired = () => known !== undefined && !register.isBlank() && !Tenure.has(known, register.disk);
+    const isRetired = () => known !== undefined && !register.isBlank() && !Term.has(known, register.disk);
     const tellRetired = async () => {
       if (isTold || !isRetired()) return;
-      const tenure = await proposer.read();
-      if (!tenure || Tenure.has(tenure, register.disk)) return;
+      const term = await proposer.read();
+      if (!term || Term.has(term, register.disk)) return;
       isTold = true;
       await needs.retire();
       needs.alert('this core’s slot was given to another disk; it takes no part until it is started again');
@@ -266,12 +266,12 @@
         try {
           await step();
         } catch (error) {
-          needs.note('core step failed', { state: phase.state, why: Mishap.text(error) });
+          needs.note('core step failed', { state: phase.state, why: Failure.text(error) });
         }
         const rest = new AbortController();
         wake = () => rest.abort();
         stop.signal.addEventListener('abort', wake, { once: true });
-        await Alarm.pause(beat, rest.signal);
+        await Timer.pause(beat, rest.signal);
         stop.signal.removeEventListener('abort', wake);
       }
       phase.become('stopped');
@@ -284,26 +284,26 @@
       },
       state: () => phase.state,
       leading: () => (primary?.isLeading() ? primary : undefined),
-      tenure: () => primary?.tenure() ?? known,
+      term: () => primary?.term() ?? known,
       join: async (core) => (primary ? primary.join(core) : 'this core does not lead'),
       async force() {
         await look();
         const least = needs.losses + 1;
         if (votes.length < least) return `fewer than ${least} cores answer`;
         if (forming.may(votes)) return 'the cores form by themselves: there is nothing to force';
-        const newest = Forming.remembering(votes).find((vote) => vote.tenure);
-        if (newest?.tenure && Forming.remembering(votes).length >= Tenure.majority(newest.tenure))
+        const newest = Forming.remembering(votes).find((vote) => vote.term);
+        if (newest?.term && Forming.remembering(votes).length >= Term.majority(newest.term))
           return 'a majority remembers: there is nothing to force';
-        const formed = await proposer.form(forming.tenure, least);
+        const formed = await proposer.form(forming.term, least);
         if (!formed) return 'the cores did not agree; try again';
         needs.alert('TOO FEW CORES WERE FORCED TO FORM; what only the missing held is lost', {
-          tenure: Tenure.text(formed),
+          term: Term.text(formed),
         });
         return '';
       },
       isRetired,
       confirmedFor() {
-        const isSettled = primary && State.isSettled(primary.state(), primary.tenure().formed);
+        const isSettled = primary && State.isSettled(primary.state(), primary.term().formed);
         return primary && isSettled && primary.isLeading() ? Moment.since(primary.confirmedAt()) : undefined;
       },
       yielded() {
--- a/src/control/desk.ts
+++ b/src/control/desk.ts
@@ -4,7 +4,7 @@
 import { match } from 'ts-pattern';
 import type { Proposer } from '../epoch/proposer.js';
 import type { Register } from '../epoch/register.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import type { Backup } from '../replica/backup.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
@@ -44,8 +44,8 @@
         .with({ kind: 'prepare' }, async ({ serial, ballot, isForming }) =>
           vote(serial, await register.prepare(ballot, isForming)),
         )
-        .with({ kind: 'accept' }, async ({ serial, ballot, tenure }) =>
-          vote(serial, await register.accept(ballot, tenure)),
+        .with({ kind: 'accept' }, async ({ serial, ballot, term }) =>
+          vote(serial, await register.accept(ballot, term)),
         )
         .with({ kind: 'append' }, (append) => needs.backup.take(append))
         .with({ kind: 'yield' }, async ({ serial }) => {
@@ -53,7 +53,7 @@
           return done(serial, '');
         })
         .with({ kind: 'join' }, async ({ serial, core }) => done(serial, await needs.join(core)))
-        .otherwise(({ kind }) => Promise.reject(Mishap.of('frame', `unexpected ${kind} at the core desk`)));
+        .otherwise(({ kind }) => Promise.reject(Failure.of('frame', `unexpected ${kind} at the core desk`)));
     return {
       async serve(link, frames) {
         for await (const frame of frames) {
@@ -61,8 +61,8 @@
           response(frame).then(
             (reply) => void link.send(reply),
             (error) => {
-              needs.note('core request failed', { kind: frame.kind, why: Mishap.text(error) });
-              if (Mishap.is(error, 'frame')) link.close();
+              needs.note('core request failed', { kind: frame.kind, why: Failure.text(error) });
+              if (Failure.is(error, 'frame')) link.close();
             },
           );
         }
--- a/src/control/folder.ts
+++ b/src/control/folder.ts
@@ -6,7 +6,7 @@
 import { mkdir, open as openFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Register } from '../epoch/register.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { File } from '../store/file.js';
 import type { Seal } from '../store/seal.js';
 import { Store } from '../store/store.js';
@@ -47,9 +47,9 @@
     try {
       return await open(folder, seal);
     } catch (error) {
-      if (!Mishap.text(error).startsWith('damaged')) throw error;
+      if (!Failure.text(error).startsWith('damaged')) throw error;
       const aside = await setAside(folder, 'damaged');
-      alert('the data folder is damaged and set aside', { aside, why: Mishap.text(error) });
+      alert('the data folder is damaged and set aside', { aside, why: Failure.text(error) });
       return open(folder, seal);
     }
   },
--- a/src/control/forming.ts
+++ b/src/control/forming.ts
@@ -1,10 +1,10 @@
-// When and how cores form anew. They may only where too few can still remember: a core of the newest tenure
+// When and how cores form anew. They may only where too few can still remember: a core of the newest term
 // that is merely silent may return with its disk and counts as one that remembers; one whose place another
 // disk answers from is lost. Where all are blank they may form, surely at the very first start or when every
 // seed answers; else only after a while, for a silent seed may remember.
 
 import type { Proposer } from '../epoch/proposer.js';
-import { Tenure } from '../epoch/tenure.js';
+import { Term } from '../epoch/term.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Stamp } from '../kinds/stamp.js';
 import type { Frame } from '../wire/frame.js';
@@ -14,7 +14,7 @@
   readonly may: (votes: readonly Proposer.Vote[]) => boolean;
   readonly isSure: (votes: readonly Proposer.Vote[]) => boolean;
   readonly first: (votes: readonly Proposer.Vote[]) => string | undefined;
-  readonly tenure: (votes: readonly Proposer.Vote[]) => Tenure;
+  readonly term: (votes: readonly Proposer.Vote[]) => Term;
 };
 
 type Votes = readonly Proposer.Vote[];
@@ -34,7 +34,7 @@
         .sort(
           (a, b) =>
             Number(a.isBlank) - Number(b.isBlank) ||
-            (b.tenure?.epoch ?? 0) - (a.tenure?.epoch ?? 0) ||
+            (b.term?.epoch ?? 0) - (a.term?.epoch ?? 0) ||
             (a.core.disk < b.core.disk ? -1 : 1),
         )
         .slice(0, size);
@@ -43,15 +43,15 @@
       may(votes) {
         if (votes.length < size) return false;
         const newest = remembering(votes)
-          .map((vote) => vote.tenure)
+          .map((vote) => vote.term)
           .sort((a, b) => (b?.epoch ?? 0) - (a?.epoch ?? 0))[0];
         if (!newest) return true;
-        const isMate = ({ disk }: Frame.Core) => remembering(votes).some((vote) => vote.core.disk === disk);
+        const isPeer = ({ disk }: Frame.Core) => remembering(votes).some((vote) => vote.core.disk === disk);
         const isAway = ({ disk, wire }: Frame.Core) =>
           wire !== '' && !votes.some(({ core }) => core.disk === disk || core.wire === wire);
-        const left = newest.cores.filter((core) => isMate(core) || isAway(core));
-        const holders = left.filter((core) => Tenure.isInSync(newest, core.disk));
-        const isLost = left.length < Tenure.majority(newest) && !holders.some(isAway);
+        const left = newest.cores.filter((core) => isPeer(core) || isAway(core));
+        const holders = left.filter((core) => Term.isInSync(newest, core.disk));
+        const isLost = left.length < Term.majority(newest) && !holders.some(isAway);
         return isLost || holders.length === 0;
       },
       isSure: (votes) =>
@@ -59,14 +59,14 @@
         remembering(votes).length > 0 ||
         needs.seeds.every((seed) => votes.some(({ core }) => core.wire === seed)),
       first: (votes) => chosen(votes)[0]?.core.disk,
-      tenure(votes) {
+      term(votes) {
         const best = chosen(votes).sort(
           (a, b) =>
             Number(b.isAble) - Number(a.isAble) ||
             Stamp.compare(b.held, a.held) ||
             (a.core.disk < b.core.disk ? -1 : 1),
         )[0]!;
-        const highest = Math.max(...votes.flatMap((vote) => [vote.highest, vote.tenure?.epoch ?? 0]));
+        const highest = Math.max(...votes.flatMap((vote) => [vote.highest, vote.term?.epoch ?? 0]));
         const epoch = Epoch.after(Epoch.of(highest));
         const cores = chosen(votes).map((vote) => vote.core);
         const missing = Array.from({ length: size - cores.length }, (_none, index) => ({
--- a/src/control/office.ts
+++ b/src/control/office.ts
@@ -2,10 +2,10 @@
 // which an answer goes out. An answer that can't be confirmed is a 503 that says whether the change may
 // have been taken.
 import type { Proposer } from '../epoch/proposer.js';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import type { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import type { Primary } from '../replica/primary.js';
 import { State } from '../store/state.js';
 import type { Responses } from './responses.js';
@@ -27,12 +27,12 @@
   of(needs: { readonly leading: () => Primary | undefined; readonly proposer: Proposer }): Office {
     const mustLead = (): Primary => {
       const primary = needs.leading();
-      if (!primary) throw Mishap.of('unconfirmed', 'no primary here', { taken: 'no' });
+      if (!primary) throw Failure.of('unconfirmed', 'no primary here', { taken: 'no' });
       return primary;
     };
     const isSettled = () => {
       const primary = mustLead();
-      return State.isSettled(primary.state(), primary.tenure().formed);
+      return State.isSettled(primary.state(), primary.term().formed);
     };
     const confirm = async (): Promise<State> => {
       const began = Moment.now();
@@ -41,14 +41,14 @@
         const state = primary.state();
         if (await primary.confirm()) {
           if (isSettled()) return state;
-          throw Mishap.of('unconfirmed', 'the cores formed anew and ask the nodes', { taken: 'no' });
+          throw Failure.of('unconfirmed', 'the cores formed anew and ask the nodes', { taken: 'no' });
         }
-        const tenure = await needs.proposer.read();
-        if (tenure && tenure.primary !== primary.tenure().primary)
+        const term = await needs.proposer.read();
+        if (term && term.primary !== primary.term().primary)
           primary.depose('a majority names another primary');
         if (Moment.since(began) > lookAgainFor)
-          throw Mishap.of('unconfirmed', 'no majority confirms the epoch', { taken: 'no' });
-        await Alarm.pause(lookAgainEvery);
+          throw Failure.of('unconfirmed', 'no majority confirms the epoch', { taken: 'no' });
+        await Timer.pause(lookAgainEvery);
       }
     };
     return {
@@ -58,7 +58,7 @@
         const primary = mustLead();
         let isBegun = false;
         let isExpired = false;
-        let drop: Responses | undefined;
+        let refusal: Responses | undefined;
         let change: State.Change | undefined;
         const work = primary.commit((state, stamp) => {
           if (isExpired) return undefined;
@@ -68,34 +68,34 @@
             change = made;
             return made;
           }
-          drop = made;
+          refusal = made;
           return undefined;
         });
         work.catch(() => undefined);
-        let alarm: Alarm | undefined;
+        let timer: Timer | undefined;
         const late = new Promise<never>((_resolve, reject) => {
-          alarm = Alarm.after(responseWithin, () => {
+          timer = Timer.after(responseWithin, () => {
             isExpired = true;
-            reject(Mishap.of('unconfirmed', 'not confirmed in time', { taken: isBegun ? 'unknown' : 'no' }));
+            reject(Failure.of('unconfirmed', 'not confirmed in time', { taken: isBegun ? 'unknown' : 'no' }));
           });
         });
         try {
           const state = await Promise.race([work, late]);
-          if (drop) {
+          if (refusal) {
             await confirm();
-            return drop;
+            return refusal;
           }
           return tell(state, change!);
         } catch (error) {
-          if (Mishap.info(error).taken !== undefined) throw error;
-          throw Mishap.of(
+          if (Failure.info(error).taken !== undefined) throw error;
+          throw Failure.of(
             'unconfirmed',
             'the change was not confirmed',
             { taken: isBegun ? 'unknown' : 'no' },
             error,
           );
         } finally {
-          alarm?.stop();
+          timer?.stop();
         }
       },
     };
--- a/src/control/mates.ts
+++ b/src/control/peers.ts
@@ -1,5 +1,5 @@
 // The other cores this one keeps in touch with: for each address a courier for requests and an uplink
-// for news and the roll. Addresses come from the seeds, from the newest tenure, and from the mates themselves:
+// for news and the roll. Addresses come from the seeds, from the newest term, and from the peers themselves:
 // a seed may know a core that is no seed.
 import { Address } from '../kinds/address.js';
 import type { Roll } from '../membership/roll.js';
@@ -9,7 +9,7 @@
 import { Courier } from '../wire/courier.js';
 import type { Frame } from '../wire/frame.js';
 
-export type Mates = {
+export type Peers = {
   readonly tend: (places: readonly string[]) => void;
   readonly couriers: () => readonly Courier[];
   readonly at: (place: string) => Courier | undefined;
@@ -17,7 +17,7 @@
   readonly stop: () => Promise<void>;
 };
 
-export const Mates = {
+export const Peers = {
   of(needs: {
     readonly seeds: readonly string[];
     readonly own: () => string;
@@ -28,7 +28,7 @@
     readonly onLoads: (loads: readonly Frame.Load[]) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
-  }): Mates {
+  }): Peers {
     const { feed, roll } = needs;
     const held = new Map<string, { courier: Courier; uplink: Uplink }>();
     const heard = new Map<string, readonly string[]>();
@@ -45,11 +45,11 @@
       tend(places) {
         const known = [...needs.seeds, ...places, ...[...heard.values()].flat()];
         const wanted = new Set(known.filter((place) => place !== needs.own() && Address.parse(place)));
-        for (const [place, mate] of held)
+        for (const [place, peer] of held)
           if (!wanted.has(place)) {
             held.delete(place);
             heard.delete(place);
-            void end(mate);
+            void end(peer);
           }
         for (const place of wanted)
           if (!held.has(place))
@@ -62,7 +62,7 @@
                 version: Version,
                 isFixed: true,
                 isUpward: true,
-                onMates: (mates) => void heard.set(place, mates),
+                onPeers: (peers) => void heard.set(place, peers),
                 onTokens: needs.onTokens,
                 onLoads: needs.onLoads,
                 onCold: needs.onCold,
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -7,11 +7,11 @@
 import { ReportDuty } from '../duty/report-duty.js';
 import { Proposer } from '../epoch/proposer.js';
 import { Address } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
 import { Epoch } from '../kinds/epoch.js';
 import { Ident } from '../kinds/ident.js';
 import { Listen } from '../kinds/listen.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Ring } from '../log/ring.js';
 import { Children } from '../membership/children.js';
 import { Downlink } from '../membership/downlink.js';
@@ -35,8 +35,8 @@
 import { DirectoryHttp } from './directory-http.js';
 import { Folder } from './folder.js';
 import { ControlHttp } from './http.js';
-import { Mates } from './mates.js';
 import { Office } from './office.js';
+import { Peers } from './peers.js';
 import type { ReadDirectory } from './queries/read-directory.js';
 
 const nearbyAgents = 6;
@@ -74,7 +74,7 @@
       wire,
       ops: http,
       depth: 0,
-      ready: core?.tenure() !== undefined,
+      ready: core?.term() !== undefined,
       vouched: false,
     }));
     const age = (): number => core?.confirmedFor() ?? feed.age();
@@ -87,15 +87,15 @@
         .map((entry) => entry.node)
         .sort();
     let told: readonly string[] = [];
-    const rosters = Alarm.every(250, () => {
-      quotas.look(core?.tenure()?.epoch ?? 0);
+    const rosters = Timer.every(250, () => {
+      quotas.look(core?.term()?.epoch ?? 0);
       const proxies = roster();
       if (proxies.join() === told.join()) return;
       told = proxies;
       children.broadcast({ kind: 'roster', proxies }, isBelow);
     });
     const sendDown = (frame: BudgetDuty.Tokens) => void children.send(frame.node, frame);
-    const mates: Mates = Mates.of({
+    const peers: Peers = Peers.of({
       seeds: startup.seeds,
       own: () => wire,
       feed,
@@ -113,9 +113,9 @@
     const budget = BudgetDuty.of({
       quotas,
       own: startup.node,
-      tenure: () => core?.tenure(),
+      term: () => core?.term(),
       isLive: (node) => roll.get(node) !== undefined,
-      passUp: (node, frame) => void mates.sendUp(node, frame),
+      passUp: (node, frame) => void peers.sendUp(node, frame),
       sendDown,
     });
     const highest = () =>
@@ -124,7 +124,7 @@
       );
     const proposer = Proposer.of({
       register,
-      couriers: mates.couriers,
+      couriers: peers.couriers,
       core: self,
       highest,
       isAble: store.isSound,
@@ -147,7 +147,7 @@
     const places = () => {
       const cores =
         core
-          ?.tenure()
+          ?.term()
           ?.cores.map((one) => one.wire)
           .filter((place) => place !== '') ?? [];
       return [...new Set([...cores, ...controls().sort(), ...(cores.length > 0 ? [] : startup.seeds)])];
@@ -173,7 +173,7 @@
               feed,
               roll,
               children,
-              mates: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
+              peers: (child) => (child.program === 'control' ? places() : [...places(), ...nearby(child)]),
               relays: (child) => Relays.of(child, roll.all()),
               version: Version,
               age,
@@ -191,8 +191,8 @@
       seeds: startup.seeds,
       proposer,
       self,
-      courierTo: (one) => mates.at(one.wire),
-      tend: mates.tend,
+      courierTo: (one) => peers.at(one.wire),
+      tend: peers.tend,
       places: controls,
       offered: feed.view,
       quietFor: roll.quietFor,
@@ -206,29 +206,29 @@
     const running = core;
     const metrics = Metrics.of();
     const { gauge } = metrics;
-    gauge('epoch', 'epoch of the register', () => running.tenure()?.epoch ?? 0);
+    gauge('epoch', 'epoch of the register', () => running.term()?.epoch ?? 0);
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
     gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
     gauge('members', 'nodes on the roll', () => roll.all().length);
     gauge('servers', 'servers on the list held', () => store.state().platform.servers.length);
     gauge('list_serial', 'serial of the list held', () => store.state().platform.serial);
-    gauge('links_dropped', 'links closed for what they sent', doorway.dropped);
+    gauge('links_dropped', 'links closed for what they sent', doorway.refused);
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknown);
-    gauge('news_dropped', 'news dropped as not newer', feed.dropped);
+    gauge('news_dropped', 'news dropped as not newer', feed.ignored);
     const ops = Ops.of({
       metrics,
       ring,
       isReady: () =>
         running.isRetired()
           ? 'the slot of this core was given to another disk'
-          : running.tenure()
+          : running.term()
             ? undefined
-            : 'no tenure is known yet',
+            : 'no term is known yet',
       describe: () => ({
         node: startup.node,
         state: running.state(),
-        tenure: running.tenure() ?? null,
+        tenure: running.term() ?? null,
         stamp: feed.stamp(),
         held: store.state().stamp,
         version: Version,
@@ -283,7 +283,7 @@
         rosters.stop();
         await Promise.all([list?.stop(), reports?.stop()]);
         await running.stop();
-        await mates.stop();
+        await peers.stop();
         await doorway.close();
         await Promise.all([server, ...(callers ? [callers] : [])].map(closeServer));
         await controlHttp.close();
--- a/src/control/queries/read-status.ts
+++ b/src/control/queries/read-status.ts
@@ -41,7 +41,7 @@
     const state = await office.confirm();
     const proxies = roll.all().filter((entry) => entry.program === 'proxy');
     const behind = proxies.filter((entry) => Stamp.isNewer(state.stamp, entry.stamp));
-    const tenure = core.tenure();
+    const term = core.term();
     const document = state.manifests.at(-1)?.document;
     return {
       status: 200,
@@ -50,7 +50,7 @@
         manifest: state.manifests.at(-1)?.revision ?? 0,
         walls: document ? describeWalls(document) : undefined,
         platform: { serial: state.platform.serial, revision: state.platform.revision },
-        tenure,
+        tenure: term,
         everywhere: behind.length === 0,
         behind: behind.map((entry) => entry.node),
         proxies: proxies.map(({ node, zone, stamp, ready }) => ({ node, zone, stamp, ready })),
--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -19,7 +19,7 @@
 export const BudgetDuty = {
   of(needs: {
     readonly own: string;
-    readonly tenure: () => Frame.Tenure | undefined;
+    readonly term: () => Frame.Term | undefined;
     readonly isLive: (node: string) => boolean;
     readonly passUp: (node: string, frame: BudgetDuty.Tokens) => void;
     readonly sendDown: (frame: BudgetDuty.Tokens) => void;
@@ -28,31 +28,31 @@
     let pool = Purse.of();
     let epoch = 0;
     const holder = (): string | undefined => {
-      const tenure = needs.tenure();
-      return tenure && Order.first(Order.of(tenure), needs.isLive);
+      const term = needs.term();
+      return term && Order.first(Order.of(term), needs.isLive);
     };
-    const hold = (tenure: Frame.Tenure) => {
-      if (tenure.epoch !== epoch) pool = Purse.of();
-      epoch = tenure.epoch;
+    const hold = (term: Frame.Term) => {
+      if (term.epoch !== epoch) pool = Purse.of();
+      epoch = term.epoch;
     };
     return {
       holder,
       pooled: () => pool.total(),
       take(frame) {
-        const tenure = needs.tenure();
+        const term = needs.term();
         const who = holder();
-        if (!tenure || who === undefined) return;
+        if (!term || who === undefined) return;
         if (who !== needs.own) return needs.passUp(who, frame);
         if (frame.uses.length > 0) {
-          const response = needs.quotas.take(frame, tenure.epoch);
+          const response = needs.quotas.take(frame, term.epoch);
           if (response) needs.sendDown(response);
           return;
         }
-        hold(tenure);
+        hold(term);
         pool.add(frame.batches);
         const wanted = Math.min(frame.wanted, pool.total());
         const batches = wanted > 0 ? pool.take(wanted) : undefined;
-        const { epoch: under } = tenure;
+        const { epoch: under } = term;
         if (batches) needs.sendDown({ ...frame, epoch: under, batches, wanted: 0 });
       },
     };
--- a/src/duty/list-duty.ts
+++ b/src/duty/list-duty.ts
@@ -1,9 +1,10 @@
 // The list duty at the acting primary: polls the list of servers and renews the one held when its content
 // changed. The time a server still warms for runs down by itself and is no change; that it begins, ends or
 // is set back is one. A poll that fails or gives nothing changes nothing, and a busy source is left longer.
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
 import type { ListSource } from './list-source.js';
 
@@ -95,9 +96,9 @@
         try {
           pause = await step();
         } catch (error) {
-          needs.note('the list was not renewed', { why: Mishap.text(error) });
+          needs.note('the list was not renewed', { why: Failure.text(error) });
         }
-        await Alarm.pause(pause, stop.signal);
+        await Timer.pause(pause, stop.signal);
       }
     };
     const done = run();
--- a/src/duty/order.ts
+++ b/src/duty/order.ts
@@ -1,13 +1,13 @@
 // The agreed order of those that may do a duty: the primary, the other cores in sync, the rest, as the
-// newest tenure lists them. The first live one does it, under the tenure's epoch.
+// newest term lists them. The first live one does it, under the term's epoch.
 import type { Frame } from '../wire/frame.js';
 
 export type Order = readonly string[];
 
 export const Order = {
-  of(tenure: Frame.Tenure): Order {
-    const nodeOf = (disk: string) => tenure.cores.find((core) => core.disk === disk)?.node;
-    const disks = [tenure.primary, ...tenure.inSync, ...tenure.cores.map((core) => core.disk)];
+  of(term: Frame.Term): Order {
+    const nodeOf = (disk: string) => term.cores.find((core) => core.disk === disk)?.node;
+    const disks = [term.primary, ...term.inSync, ...term.cores.map((core) => core.disk)];
     return [...new Set(disks.map(nodeOf))].filter((node) => node !== undefined);
   },
   first: (order: Order, isLive: (node: string) => boolean): string | undefined => order.find(isLive),
--- a/src/duty/report-duty.ts
+++ b/src/duty/report-duty.ts
@@ -1,7 +1,7 @@
 // The report duty at the acting primary: asks every server that reports for its load, a few at a time, and passes
 // on what changed. One asker for all proxies: a report costs a server what a probe costs. What it says is soft:
 // a proxy that hears nothing judges by what it sent itself.
-import { Alarm } from '../kinds/alarm.js';
+import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
 import type { ReportSource } from './report-source.js';
 
@@ -46,7 +46,7 @@
       for (let round = 0; !stop.signal.aborted; round += 1) {
         if (needs.isHeld()) await step(round);
         else told.clear();
-        await Alarm.pause(every, stop.signal);
+        await Timer.pause(every, stop.signal);
       }
     };
     const done = run();
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -1,29 +1,30 @@
 // Changing and reading the register. A change takes two phases: a majority of the cores promises a
-// ballot and tells what it has accepted, then the changed tenure is accepted by a majority of the cores
+// ballot and tells what it has accepted, then the changed term is accepted by a majority of the cores
 // before and after it. The proposer's own vote is always waited for, so that what its own disk holds is
-// found. A change that turns out not to be wanted writes the tenure it found back, since a tenure that
+// found. A change that turns out not to be wanted writes the term it found back, since a term that
 // only some had accepted may not be relied on: it is chosen once a majority has accepted it. A read is
 // confirmed when a majority has accepted the same ballot.
-import { Alarm } from '../kinds/alarm.js';
+
 import type { Epoch } from '../kinds/epoch.js';
 import type { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import type { Courier } from '../wire/courier.js';
 import type { Frame } from '../wire/frame.js';
 import { Ballot } from './ballot.js';
 import type { Register } from './register.js';
-import { Tenure } from './tenure.js';
+import { Term } from './term.js';
 
 export type Proposer = {
   readonly votes: () => Promise<readonly Proposer.Vote[]>;
-  readonly read: () => Promise<Tenure | undefined>;
-  readonly confirm: (tenure: Tenure) => Promise<boolean>;
+  readonly read: () => Promise<Term | undefined>;
+  readonly confirm: (term: Term) => Promise<boolean>;
   readonly change: (
-    next: (tenure: Tenure) => Tenure | undefined,
-  ) => Promise<{ readonly isDone: boolean; readonly tenure: Tenure | undefined; readonly ballot: Ballot }>;
+    next: (term: Term) => Term | undefined,
+  ) => Promise<{ readonly isDone: boolean; readonly term: Term | undefined; readonly ballot: Ballot }>;
   readonly form: (
-    make: (votes: readonly Proposer.Vote[]) => Tenure | undefined,
+    make: (votes: readonly Proposer.Vote[]) => Term | undefined,
     atLeast: number,
-  ) => Promise<Tenure | undefined>;
+  ) => Promise<Term | undefined>;
   readonly install: () => Promise<void>;
   readonly vote: (isGranted: boolean) => Proposer.Vote;
 };
@@ -44,18 +45,18 @@
 
 const bounded = (work: Promise<boolean>, span: number): Promise<boolean> =>
   new Promise((resolve) => {
-    const alarm = Alarm.after(span, () => resolve(false));
-    work.then(resolve, () => resolve(false)).finally(() => alarm.stop());
+    const timer = Timer.after(span, () => resolve(false));
+    work.then(resolve, () => resolve(false)).finally(() => timer.stop());
   });
 
 const highestOf = (votes: readonly Proposer.Vote[]): Proposer.Vote | undefined =>
   votes
-    .filter((vote) => vote.tenure !== null)
+    .filter((vote) => vote.term !== null)
     .sort((a, b) => Ballot.compare(b.accepted ?? Ballot.none, a.accepted ?? Ballot.none))[0];
 
-const isMajority = (votes: readonly Proposer.Vote[], tenure: Tenure): boolean =>
-  tenure.cores.filter((core) => votes.some((vote) => vote.core.disk === core.disk)).length >=
-  Tenure.majority(tenure);
+const isMajority = (votes: readonly Proposer.Vote[], term: Term): boolean =>
+  term.cores.filter((core) => votes.some((vote) => vote.core.disk === core.disk)).length >=
+  Term.majority(term);
 
 export const Proposer = {
   of(needs: Proposer.Needs): Proposer {
@@ -65,7 +66,7 @@
       isBlank: register.isBlank(),
       promised: register.promised(),
       accepted: register.accepted(),
-      tenure: register.tenure(),
+      term: register.term(),
       core: needs.core(),
       highest: needs.highest(),
       isAble: needs.isAble(),
@@ -105,7 +106,7 @@
       );
     const isQuorum = (votes: readonly Proposer.Vote[]): boolean => {
       if (!votes.some((one) => one.core.disk === register.disk)) return false;
-      const base = highestOf(granted(votes))?.tenure;
+      const base = highestOf(granted(votes))?.term;
       return base !== null && base !== undefined && isMajority(granted(votes), base);
     };
     const peek = () => askAll({ kind: 'peek' }, async () => true);
@@ -115,11 +116,11 @@
         () => register.prepare(ballot, isForming),
         isForming ? undefined : isQuorum,
       );
-    const accept = (ballot: Ballot, tenure: Tenure, before?: Tenure) =>
+    const accept = (ballot: Ballot, term: Term, before?: Term) =>
       askAll(
-        { kind: 'accept', ballot, tenure },
-        () => register.accept(ballot, tenure),
-        before && ((votes) => isMajority(granted(votes), before) && isMajority(granted(votes), tenure)),
+        { kind: 'accept', ballot, term },
+        () => register.accept(ballot, term),
+        before && ((votes) => isMajority(granted(votes), before) && isMajority(granted(votes), term)),
       );
     return {
       vote,
@@ -127,18 +128,18 @@
       async read() {
         const votes = (await peek()).filter((one) => !one.isBlank);
         const top = highestOf(votes);
-        if (!top?.tenure || !top.accepted) return undefined;
+        if (!top?.term || !top.accepted) return undefined;
         const agreeing = votes.filter(
           (one) => one.accepted !== null && Ballot.compare(one.accepted, top.accepted!) === 0,
         );
-        return isMajority(agreeing, top.tenure) ? top.tenure : undefined;
+        return isMajority(agreeing, top.term) ? top.term : undefined;
       },
-      confirm: (tenure) =>
+      confirm: (term) =>
         new Promise((resolve) => {
           const agreeing = new Set<string>();
-          const count = ({ core, tenure: told }: Proposer.Vote) => {
-            if (told?.epoch === tenure.epoch && Tenure.has(tenure, core.disk)) agreeing.add(core.disk);
-            if (agreeing.size >= Tenure.majority(tenure)) resolve(true);
+          const count = ({ core, term: told }: Proposer.Vote) => {
+            if (told?.epoch === term.epoch && Term.has(term, core.disk)) agreeing.add(core.disk);
+            if (agreeing.size >= Term.majority(term)) resolve(true);
           };
           const asked = needs.couriers().map(async (courier) => {
             const reply = await courier.ask({ kind: 'peek' }, within);
@@ -150,18 +151,18 @@
       async change(next) {
         let ballot = nextBallot([]);
         let grants = granted(await prepare(ballot, false));
-        let base = highestOf(grants)?.tenure;
+        let base = highestOf(grants)?.term;
         if ((!base || !isMajority(grants, base)) && highestRound >= ballot.round) {
           ballot = nextBallot([]);
           grants = granted(await prepare(ballot, false));
-          base = highestOf(grants)?.tenure;
+          base = highestOf(grants)?.term;
         }
-        if (!base || !isMajority(grants, base)) return { isDone: false, tenure: undefined, ballot };
+        if (!base || !isMajority(grants, base)) return { isDone: false, term: undefined, ballot };
         const wanted = next(base);
         const value = wanted ?? base;
         const accepts = granted(await accept(ballot, value, base));
         const isChosen = isMajority(accepts, base) && isMajority(accepts, value);
-        return { isDone: isChosen && wanted !== undefined, tenure: isChosen ? value : undefined, ballot };
+        return { isDone: isChosen && wanted !== undefined, term: isChosen ? value : undefined, ballot };
       },
       async form(make, atLeast) {
         const ballot = nextBallot(await peek());
@@ -175,8 +176,8 @@
         return isWhole ? wanted : undefined;
       },
       async install() {
-        const tenure = register.tenure();
-        if (tenure) await accept(register.accepted(), tenure);
+        const term = register.term();
+        if (term) await accept(register.accepted(), term);
       },
     };
   },
--- a/src/epoch/register.ts
+++ b/src/epoch/register.ts
@@ -1,31 +1,31 @@
 // One core's part of the register: what it has promised and accepted, synced before every answer. A
-// blank core, which remembers nothing, gives no promise; it begins to vote only by accepting a tenure
+// blank core, which remembers nothing, gives no promise; it begins to vote only by accepting a term
 // that lists its very disk. The file keeps the last record and is rewritten when it gets long.
 import { randomUUID } from 'node:crypto';
 import { Epoch } from '../kinds/epoch.js';
 import { Turns } from '../kinds/turns.js';
 import type { File } from '../store/file.js';
 import { Ballot } from './ballot.js';
-import { Tenure } from './tenure.js';
+import { Term } from './term.js';
 
 export type Register = {
   readonly disk: string;
   readonly isBlank: () => boolean;
   readonly promised: () => Ballot;
   readonly accepted: () => Ballot;
-  readonly tenure: () => Tenure | null;
+  readonly term: () => Term | null;
   readonly prepare: (ballot: Ballot, isForming?: boolean) => Promise<boolean>;
-  readonly accept: (ballot: Ballot, tenure: Tenure) => Promise<boolean>;
+  readonly accept: (ballot: Ballot, term: Term) => Promise<boolean>;
   readonly floor: () => Epoch;
   readonly raise: (epoch: Epoch) => void;
-  readonly watch: (see: (tenure: Tenure) => void) => () => void;
+  readonly watch: (see: (term: Term) => void) => () => void;
 };
 
 type Kept = {
   readonly disk: string;
   readonly promised: Ballot;
   readonly accepted: Ballot;
-  readonly tenure: Tenure | null;
+  readonly term: Term | null;
 };
 
 const longest = 256 * 1024;
@@ -35,10 +35,10 @@
     const last = file.payloads.at(-1);
     let kept: Kept = last
       ? (JSON.parse(last.toString('utf8')) as Kept)
-      : { disk: randomUUID(), promised: Ballot.none, accepted: Ballot.none, tenure: null };
-    let floor = kept.tenure?.epoch ?? Epoch.none;
+      : { disk: randomUUID(), promised: Ballot.none, accepted: Ballot.none, term: null };
+    let floor = kept.term?.epoch ?? Epoch.none;
     const turns = Turns.of();
-    const watchers = new Set<(tenure: Tenure) => void>();
+    const watchers = new Set<(term: Term) => void>();
     const keep = async (next: Kept) => {
       const bytes = Buffer.from(JSON.stringify(next));
       if (file.length() > longest || file.isBroken()) await file.rewrite([bytes]);
@@ -48,10 +48,10 @@
     if (!last) await keep(kept);
     return {
       disk: kept.disk,
-      isBlank: () => kept.tenure === null,
+      isBlank: () => kept.term === null,
       promised: () => kept.promised,
       accepted: () => kept.accepted,
-      tenure: () => kept.tenure,
+      term: () => kept.term,
       floor: () => floor,
       raise(epoch) {
         if (epoch > floor) floor = epoch;
@@ -62,19 +62,19 @@
       },
       prepare: (ballot, isForming = false) =>
         turns.take(async () => {
-          if (kept.tenure === null && !isForming) return false;
+          if (kept.term === null && !isForming) return false;
           if (Ballot.compare(ballot, kept.promised) <= 0) return false;
           await keep({ ...kept, promised: ballot });
           return true;
         }),
-      accept: (ballot, tenure) =>
+      accept: (ballot, term) =>
         turns.take(async () => {
-          if (!Tenure.has(tenure, kept.disk)) return false;
+          if (!Term.has(term, kept.disk)) return false;
           if (Ballot.compare(ballot, kept.promised) < 0) return false;
           if (Ballot.compare(ballot, kept.accepted) === 0) return true;
-          await keep({ ...kept, promised: ballot, accepted: ballot, tenure });
-          if (tenure.epoch > floor) floor = tenure.epoch;
-          for (const see of [...watchers]) see(tenure);
+          await keep({ ...kept, promised: ballot, accepted: ballot, term });
+          if (term.epoch > floor) floor = term.epoch;
+          for (const see of [...watchers]) see(term);
           return true;
         }),
     };
--- a/src/kinds/epoch.ts
+++ b/src/kinds/epoch.ts
@@ -1,4 +1,4 @@
-// An epoch numbers the tenures of primaries. Whoever has promised an epoch drops everything that
+// An epoch numbers the terms of primaries. Whoever has promised an epoch drops everything that
 // comes from below it.
 export type Epoch = number & { readonly kind: 'epoch' };
 
--- a/src/kinds/mishap.ts
+++ b/src/kinds/failure.ts
@@ -1,9 +1,9 @@
-// Mishaps are errors with a name that code can match on, a cause, and facts for the log.
+// Failures are errors with a name that code can match on, a cause, and facts for the log.
 import VError from 'verror';
 
-export type Mishap = VError;
+export type Failure = VError;
 
-export declare namespace Mishap {
+export declare namespace Failure {
   type Name =
     | 'link'
     | 'frame'
@@ -19,10 +19,10 @@
     | 'left';
 }
 
-export const Mishap = {
-  of: (name: Mishap.Name, text: string, info: Record<string, unknown> = {}, cause?: unknown): Mishap =>
+export const Failure = {
+  of: (name: Failure.Name, text: string, info: Record<string, unknown> = {}, cause?: unknown): Failure =>
     new VError({ name, info, ...(cause instanceof Error ? { cause } : {}) }, '%s', text),
-  is: (error: unknown, name: Mishap.Name): error is Mishap => error instanceof Error && error.name === name,
+  is: (error: unknown, name: Failure.Name): error is Failure => error instanceof Error && error.name === name,
   text: (error: unknown): string => (error instanceof Error ? error.message : String(error)),
   info: (error: unknown): Record<string, unknown> => (error instanceof Error ? VError.info(error) : {}),
 };
--- a/src/kinds/signal.ts
+++ b/src/kinds/signal.ts
@@ -1,5 +1,5 @@
 // A signal that is rung once and waited for within a bound, for tasks that go on when something has moved.
-import { Alarm } from './alarm.js';
+import { Timer } from './timer.js';
 
 export type Signal = {
   readonly ring: () => void;
@@ -11,7 +11,7 @@
     const rung = new AbortController();
     return {
       ring: () => rung.abort(),
-      within: (span) => Alarm.pause(span, rung.signal),
+      within: (span) => Timer.pause(span, rung.signal),
     };
   },
 };
--- a/src/manifest/view.ts
+++ b/src/manifest/view.ts
@@ -1,7 +1,7 @@
 // A view is what news carries: the manifest and the platform's list as of one stamp, always whole. It
 // is never changed, only replaced by one with a higher stamp.
 import { Epoch } from '../kinds/epoch.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Revision } from '../kinds/revision.js';
 import { Stamp } from '../kinds/stamp.js';
 import type { Document } from './document.js';
@@ -37,7 +37,7 @@
     try {
       return JSON.parse(Buffer.from(bytes).toString('utf8')) as View;
     } catch (cause) {
-      throw Mishap.of('frame', 'view cannot be read', {}, cause);
+      throw Failure.of('frame', 'view cannot be read', {}, cause);
     }
   },
 };
--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,11 +1,11 @@
-// The upper end of a session: one task per child. The child says who it is, gets the mates and the
-// newest view, and from then on every newer one, and the mates again when they are others; what the child
+// The upper end of a session: one task per child. The child says who it is, gets the peers and the
+// newest view, and from then on every newer one, and the peers again when they are others; what the child
 // tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
 // child that came with the view that is held here is sent only what changes of it.
 import { match } from 'ts-pattern';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
@@ -21,7 +21,7 @@
   type Needs = {
     readonly feed: Feed;
     readonly roll: Roll;
-    readonly mates: (child: Frame.Entry) => readonly string[];
+    readonly peers: (child: Frame.Entry) => readonly string[];
     readonly relays: (child: Frame.Entry) => readonly string[];
     readonly version: string;
     readonly age: () => number;
@@ -43,7 +43,7 @@
   ): Promise<void> {
     const { feed, roll } = needs;
     const node = hello.self.node;
-    const isMate = hello.self.program === 'control';
+    const isPeer = hello.self.program === 'control';
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
     let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
     const sendNews = () => {
@@ -59,29 +59,29 @@
       if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
     };
     let told = '';
-    const matesNow = () => {
-      const mates = [...needs.mates(hello.self)];
-      const isNew = mates.join() !== told;
-      told = mates.join();
-      return { mates, isNew };
+    const peersNow = () => {
+      const peers = [...needs.peers(hello.self)];
+      const isNew = peers.join() !== told;
+      told = peers.join();
+      return { peers, isNew };
     };
-    const tellMates = () => {
-      const { mates, isNew } = matesNow();
-      if (isNew) link.send({ kind: 'mates', mates });
+    const tellPeers = () => {
+      const { peers, isNew } = peersNow();
+      if (isNew) link.send({ kind: 'peers', peers });
     };
     const unwatch = feed.watch(sendNews);
     needs.children.add(node, link);
-    const looks = Alarm.every(lookEvery, () => {
+    const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
       if (relays.length > 0) link.send({ kind: 'lower', relays: [...relays] });
-      tellMates();
+      tellPeers();
     });
     try {
-      roll.note([hello.self], node, !isMate);
+      roll.note([hello.self], node, !isPeer);
       link.send({
         kind: 'welcome',
         self: roll.self(),
-        mates: matesNow().mates,
+        peers: peersNow().peers,
         relays: [...needs.relays(hello.self)],
         version: needs.version,
         age: needs.age(),
@@ -91,7 +91,7 @@
       for await (const frame of frames)
         match(frame)
           .with({ kind: 'roll' }, ({ entries }) => {
-            roll.note(entries, node, !isMate);
+            roll.note(entries, node, !isPeer);
           })
           .with({ kind: 'ask' }, ({ digests }) => {
             held = new Set(digests);
@@ -104,7 +104,7 @@
           .with({ kind: 'tokens' }, needs.onTokens)
           .with({ kind: 'cold' }, needs.onCold)
           .otherwise(({ kind }) => {
-            throw Mishap.of('frame', `unexpected ${kind} from a child`, { node });
+            throw Failure.of('frame', `unexpected ${kind} from a child`, { node });
           });
     } finally {
       unwatch();
--- a/src/membership/places.ts
+++ b/src/membership/places.ts
@@ -1,6 +1,6 @@
-// Where a node looks for a parent: relays that a control node named, then seeds and the mates learned since.
+// Where a node looks for a parent: relays that a control node named, then seeds and the peers learned since.
 // Those that failed longest ago go first, control nodes before other nodes' agents, but an agent is always
-// among those tried, so that a node cut off from every control node finds its way through a mate. After a
+// among those tried, so that a node cut off from every control node finds its way through a peer. After a
 // relay was no good the node stays with control nodes for a while, whatever they name.
 import { Address } from '../kinds/address.js';
 import { Moment } from '../kinds/moment.js';
@@ -8,7 +8,7 @@
 export type Places = {
   readonly next: () => readonly string[];
   readonly failed: (place: string) => void;
-  readonly learn: (mates: readonly string[]) => void;
+  readonly learn: (peers: readonly string[]) => void;
   readonly lower: (relays: readonly string[], own: string) => boolean;
   readonly all: () => readonly string[];
 };
@@ -43,12 +43,12 @@
         const chosen = named.slice(0, atOnce);
         return other === undefined || chosen.includes(other) ? chosen : [...chosen.slice(0, -1), other];
       },
-      learn(mates) {
+      learn(peers) {
         if (isFixed) return;
-        for (const mate of new Set(mates)) {
-          if (!Address.parse(mate) || seeds.includes(mate)) continue;
-          if (places.includes(mate)) places.splice(places.indexOf(mate), 1);
-          places.push(mate);
+        for (const peer of new Set(peers)) {
+          if (!Address.parse(peer) || seeds.includes(peer)) continue;
+          if (places.includes(peer)) places.splice(places.indexOf(peer), 1);
+          places.push(peer);
         }
         while (places.length > most) places.splice(seeds.length, 1);
       },
--- a/src/membership/roll.ts
+++ b/src/membership/roll.ts
@@ -1,6 +1,6 @@
 // The roll says which nodes are members: each entry left its node some time ago (its age, counted on
 // monotonic clocks along the way) and ends when nothing newer came for a while. Entries that came up
-// from below are passed on upwards; entries told by mates are only kept. Who watches is told which entries from
+// from below are passed on upwards; entries told by peers are only kept. Who watches is told which entries from
 // below changed, so that only those need to be passed on at once.
 import { Moment } from '../kinds/moment.js';
 import type { Frame } from '../wire/frame.js';
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -1,15 +1,15 @@
 // The lower end of a session: one task that keeps this node a member. It seeks a parent among the
-// seeds and the mates learned since, joins, takes news, and passes up what it and the nodes below
+// seeds and the peers learned since, joins, takes news, and passes up what it and the nodes below
 // hold: all of them twice a second, and those that changed at once. It leaves a parent that is silent, or
 // whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
 // a few places are dialled one after another in quick succession, and the first that takes the call is asked.
 import { match } from 'ts-pattern';
 import { Address } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import { View } from '../manifest/view.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
@@ -38,7 +38,7 @@
     readonly isFixed?: boolean;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
-    readonly onMates?: (mates: readonly string[]) => void;
+    readonly onPeers?: (peers: readonly string[]) => void;
     readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
     readonly onLoads?: (loads: readonly Frame.Load[]) => void;
@@ -80,7 +80,7 @@
     };
     const changes = (link: Link) => {
       const changed = new Set<string>();
-      let soon: Alarm | undefined;
+      let soon: Timer | undefined;
       const flush = () => {
         soon = undefined;
         const entries = [...changed].flatMap((node) => roll.get(node) ?? []);
@@ -91,7 +91,7 @@
         see(nodes: readonly string[]) {
           if (!needs.isUpward) return;
           for (const node of nodes) changed.add(node);
-          soon ??= Alarm.after(changesWithin, flush);
+          soon ??= Timer.after(changesWithin, flush);
         },
         stop: () => soon?.stop(),
       };
@@ -103,18 +103,18 @@
       link.close();
       return true;
     };
-    const learnMates = (mates: readonly string[]) => {
-      places.learn(mates);
-      needs.onMates?.(mates);
+    const learnPeers = (peers: readonly string[]) => {
+      places.learn(peers);
+      needs.onPeers?.(peers);
     };
     const take = (frame: Frame, link: Link) =>
       match(frame)
-        .with({ kind: 'welcome' }, ({ self, mates, relays, stamp, age }) => {
-          learnMates(mates);
+        .with({ kind: 'welcome' }, ({ self, peers, relays, stamp, age }) => {
+          learnPeers(peers);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
           if (isBelowAgent && age > oldAfter && isFree())
-            throw Mishap.of('silence', 'no fresh word from the primary there');
+            throw Failure.of('silence', 'no fresh word from the primary there');
           phase.become('joined');
           joinedAt = Moment.now();
           parent = self.node;
@@ -123,7 +123,7 @@
           tell(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
-        .with({ kind: 'mates' }, ({ mates }) => learnMates(mates))
+        .with({ kind: 'peers' }, ({ peers }) => learnPeers(peers))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
         .with({ kind: 'news' }, ({ view }) => {
           feed.offer(View.decode(view));
@@ -132,7 +132,7 @@
           try {
             feed.offer(Ranges.mend(Copies.of(feed.view()), patch));
           } catch (error) {
-            needs.note('asking for the whole view', { why: Mishap.text(error) });
+            needs.note('asking for the whole view', { why: Failure.text(error) });
             link.send({ kind: 'ask', digests: [] });
           }
         })
@@ -144,19 +144,19 @@
           needs.onWord?.();
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
           const isOld = feed.age() > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
-          if (isOld && isFree()) throw Mishap.of('silence', 'no fresh word from the primary here');
+          if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
           if (isFar && Moment.since(joinedAt) > stayFar)
-            throw Mishap.of('silence', 'time to look for a nearer parent');
+            throw Failure.of('silence', 'time to look for a nearer parent');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
         .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
-        .with({ kind: 'drop' }, ({ reason }) => {
-          throw Mishap.of('link', `dropped by parent: ${reason}`);
+        .with({ kind: 'refuse' }, ({ reason }) => {
+          throw Failure.of('link', `refused by parent: ${reason}`);
         })
         .otherwise(({ kind }) => {
-          throw Mishap.of('frame', `unexpected ${kind} from a parent`);
+          throw Failure.of('frame', `unexpected ${kind} from a parent`);
         });
     const dial = (): Promise<{ readonly place: string; readonly link: Link }> => {
       const terms = { stamp: feed.stamp, age: feed.age, pingEvery, silence };
@@ -164,8 +164,8 @@
       const list = places.next().filter((place) => !below.has(place) && Address.parse(place) !== undefined);
       const hasOne = new AbortController();
       const dials = list.map(async (place, index) => {
-        await Alarm.pause(index * nextAfter, hasOne.signal);
-        if (hasOne.signal.aborted) throw Mishap.of('link', 'another place took the call');
+        await Timer.pause(index * nextAfter, hasOne.signal);
+        if (hasOne.signal.aborted) throw Failure.of('link', 'another place took the call');
         const either = AbortSignal.any([stop.signal, hasOne.signal]);
         const link = await Link.open(Address.checked(place), terms, either).catch((error: unknown) => {
           if (!hasOne.signal.aborted) places.failed(place);
@@ -183,13 +183,13 @@
       stop.signal.addEventListener('abort', onStop, { once: true });
       const soon = changes(link);
       const unwatch = [feed.watch(() => soon.see([roll.self().node])), roll.watch(soon.see), soon.stop];
-      const rolls = Alarm.every(rollEvery, () => tell(link));
+      const rolls = Timer.every(rollEvery, () => tell(link));
       try {
         current = link;
         link.send({ kind: 'hello', self: roll.self(), version: needs.version, aim: 'session' });
         for await (const frame of link.frames()) take(frame, link);
       } catch (error) {
-        if (phase.is('joined')) needs.note('session ended', { place, why: Mishap.text(error) });
+        if (phase.is('joined')) needs.note('session ended', { place, why: Failure.text(error) });
       } finally {
         places.failed(place);
         current = undefined;
@@ -207,7 +207,7 @@
         parent = '';
         if (stop.signal.aborted) break;
         phase.become('seeking');
-        if (!wasJoined) await Alarm.pause(Math.min(50 * (round + 1), 250), stop.signal);
+        if (!wasJoined) await Timer.pause(Math.min(50 * (round + 1), 250), stop.signal);
         else round = 0;
       }
       phase.become('stopped');
--- a/src/news/feed.ts
+++ b/src/news/feed.ts
@@ -15,7 +15,7 @@
   readonly hear: (age: number, stamp: Stamp) => void;
   readonly age: () => number;
   readonly vouchedAt: () => Moment;
-  readonly dropped: () => number;
+  readonly ignored: () => number;
 };
 
 export const Feed = {
@@ -23,15 +23,15 @@
     let view = first;
     let heard = Moment.past;
     let vouched = Moment.past;
-    let dropped = 0;
+    let ignored = 0;
     const watchers = new Set<(view: View) => void>();
     return {
       view: () => view,
       stamp: () => view.stamp,
-      dropped: () => dropped,
+      ignored: () => ignored,
       offer(next) {
         if (!Stamp.isNewer(next.stamp, view.stamp)) {
-          if (!Stamp.isSame(next.stamp, view.stamp)) dropped += 1;
+          if (!Stamp.isSame(next.stamp, view.stamp)) ignored += 1;
           return false;
         }
         if (!next.manifest && view.manifest) return false;
--- a/src/news/voucher.ts
+++ b/src/news/voucher.ts
@@ -1,5 +1,5 @@
 // May the view held be put in force? A node that starts empty could be handed an older view than it served
-// under before, by a relay that lags or a mate that is cut off. So it serves only once its view is vouched
+// under before, by a relay that lags or a peer that is cut off. So it serves only once its view is vouched
 // for: by word that left the primary after this start and names that very view, or by the other half of its
 // own machine, which holds at least what this half ever had. What came to be vouched for stays so.
 import { Moment } from '../kinds/moment.js';
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -2,8 +2,8 @@
 import type { MiddlewareHandler } from 'hono';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Budget } from '../upstream/budget.js';
-import type { Busyness } from '../upstream/busyness.js';
 import type { Ejector } from '../upstream/ejector.js';
+import type { InFlight } from '../upstream/in-flight.js';
 import type { Placement } from '../upstream/placement.js';
 import type { Pool } from '../upstream/pool.js';
 import type { Prover } from '../upstream/prover.js';
@@ -26,7 +26,7 @@
     readonly dialect: Dialect;
     readonly zone: string;
     readonly pool: Pool;
-    readonly busyness: Busyness;
+    readonly inFlight: InFlight;
     readonly ejector: Ejector;
     readonly budget: Budget;
     readonly quotas: Quotas;
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -2,8 +2,8 @@
 // reads the body up to the largest limit of the rules that could match, within their deadline.
 import type { IncomingMessage } from 'node:http';
 import { match } from 'ts-pattern';
-import { Alarm } from '../../kinds/alarm.js';
 import { Moment } from '../../kinds/moment.js';
+import { Timer } from '../../kinds/timer.js';
 import type { Compiled } from '../../manifest/compiled.js';
 import type { Filter } from '../filter.js';
 import { Prompt } from '../prompt.js';
@@ -34,7 +34,7 @@
       if (typeof how === 'string') incoming.pause();
       resolve(how);
     };
-    const late = Alarm.after(Moment.left(until), () => finish('late'));
+    const late = Timer.after(Moment.left(until), () => finish('late'));
     incoming.on('data', (chunk: Buffer) => {
       length += chunk.length;
       if (length > longest) finish('long');
@@ -59,14 +59,14 @@
       const { incoming } = context.env;
       const compiled = needs.compiled();
       if (!compiled)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 503,
           code: 'no_manifest',
           text: 'no manifest is in force here yet',
           retryAfter: 1000,
         });
       if (needs.active() > needs.concurrent)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 503,
           code: 'crowded',
           text: 'this proxy serves as many requests as it may',
@@ -75,7 +75,7 @@
       const key = call.dialect.isOpenAi ? readKey(incoming.headers) : undefined;
       const team = key === undefined ? compiled.openTeam : compiled.findTeam(key);
       if (!team)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 401,
           code: 'invalid_api_key',
           text: 'the key is missing or unknown',
@@ -84,8 +84,8 @@
       call.team = team;
       call.wall = compiled.walls?.of(team.name);
       if (compiled.walls && !call.wall) {
-        needs.meters.drops.inc({ code: 'no_wall' });
-        return Responses.drop(context, {
+        needs.meters.refusals.inc({ code: 'no_wall' });
+        return Responses.refuse(context, {
           status: 503,
           code: 'no_wall',
           text: 'the wall around this tenant can’t be told',
@@ -102,13 +102,13 @@
       );
       const body = await readBody(incoming, longest, Moment.after(total, call.arrived));
       if (body === 'late' || body === 'left')
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 408,
           code: 'body_too_slow',
           text: 'the body did not come in the time that the whole request has',
         });
       if (body === 'long')
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 413,
           code: 'body_too_long',
           text: `the body is longer than ${longest} bytes`,
@@ -131,7 +131,11 @@
           const prompt = Prompt.read(body);
           if (!prompt)
             return Promise.resolve(
-              Responses.drop(context, { status: 400, code: 'bad_json', text: 'the body is no JSON object' }),
+              Responses.refuse(context, {
+                status: 400,
+                code: 'bad_json',
+                text: 'the body is no JSON object',
+              }),
             );
           call.prompt = prompt;
           return next();
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -91,8 +91,8 @@
       const compiled = Call.need(call, 'compiled');
       const groups = rule.steps.flatMap((step) => step.groups.map((name) => compiled.groups.get(name)));
       if (!groups.some((group) => group && mayGo(group))) {
-        needs.meters.drops.inc({ code: 'no_wall' });
-        return Responses.drop(context, {
+        needs.meters.refusals.inc({ code: 'no_wall' });
+        return Responses.refuse(context, {
           status: 503,
           code: 'no_wall',
           text: 'no servers of this rule keep the wall around this tenant',
@@ -105,7 +105,7 @@
         capacityOf(compiled, rule),
       );
       if (!share)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 503,
           code: 'crowded',
           text: 'the servers are crowded and your team holds its part of them',
@@ -136,7 +136,7 @@
           budget: needs.budget,
           pick: () => ({
             compiled: needs.compiled() ?? compiled,
-            busyness: needs.busyness,
+            inFlight: needs.inFlight,
             ejector: needs.ejector,
             allowance: needs.ramp.allowance,
             isDark: needs.prover.isDark,
@@ -152,7 +152,7 @@
             let sentAt = Moment.now();
             const trial = await Trial.run(pick, {
               pool: needs.pool,
-              busyness: needs.busyness,
+              inFlight: needs.inFlight,
               request: (left) =>
                 buildRequest(call, context.env.incoming, { pick, step: tier.step, left, hops, after }),
               weight: rule.aim === undefined ? (call.body?.length ?? 0) : placed.uncached,
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -5,10 +5,10 @@
 import type { ServerResponse } from 'node:http';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { match } from 'ts-pattern';
-import { Alarm } from '../../kinds/alarm.js';
-import { Mishap } from '../../kinds/mishap.js';
+import { Failure } from '../../kinds/failure.js';
 import { Moment } from '../../kinds/moment.js';
 import { Stamp } from '../../kinds/stamp.js';
+import { Timer } from '../../kinds/timer.js';
 import type { Trial } from '../../upstream/trial.js';
 import type { Tries } from '../../upstream/tries.js';
 import { Call } from '../call.js';
@@ -47,13 +47,13 @@
       quiet.stop();
       resolve(how);
     };
-    const quiet = Alarm.after(idle, () => trial.body.abort(Mishap.of('timeout', 'the stream fell silent')));
+    const quiet = Timer.after(idle, () => trial.body.abort(Failure.of('timeout', 'the stream fell silent')));
     const onDrain = () => {
       quiet.move(idle);
       flow?.resume();
     };
     const onClose = () => {
-      if (!isEnded) trial.body.abort(Mishap.of('left', 'the client left'));
+      if (!isEnded) trial.body.abort(Failure.of('left', 'the client left'));
       finish(outgoing.writableFinished ? 'done' : 'client');
     };
     outgoing.on('drain', onDrain);
@@ -131,10 +131,12 @@
 const why: Partial<Record<Tries.Why, string>> = {
   no_server: 'no server may run this request just now',
   budget: 'the share of extra tries is used up',
-  dropped: 'the servers tried dropped it',
+  refused: 'the servers tried refused it',
   total: 'the request ran out of time',
 };
 
+const publicCodes: Partial<Record<Tries.Why, string>> = { refused: 'dropped' };
+
 export const Commit = {
   filter:
     (needs: Filter.Needs): Filter =>
@@ -145,12 +147,12 @@
       const rule = Call.need(call, 'rule');
       const count = (outcome: string) => needs.meters.requests.inc({ rule: rule.name, outcome });
       return match(verdict)
-        .with({ kind: 'drop' }, ({ status, why: cause, retryAfter, tries }) => {
+        .with({ kind: 'refusal' }, ({ status, why: cause, retryAfter, tries }) => {
           count(`drop_${status}`);
-          needs.meters.drops.inc({ code: cause });
-          return Responses.drop(context, {
+          needs.meters.refusals.inc({ code: publicCodes[cause] ?? cause });
+          return Responses.refuse(context, {
             status,
-            code: cause,
+            code: publicCodes[cause] ?? cause,
             text: why[cause] ?? `no server answered: ${cause}`,
             ran: status === 503 ? 'no' : 'unknown',
             retryAfter,
--- a/src/proxy/filters/home.ts
+++ b/src/proxy/filters/home.ts
@@ -22,14 +22,14 @@
       const name = told === undefined ? team.home : String(told);
       const regions = name === undefined ? undefined : Call.need(call, 'compiled').homes.get(name);
       if (!regions)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 400,
           code: 'unknown_home',
           text:
             name === undefined ? 'neither the request nor its team names a home' : 'the home is not known',
         });
       if (team.homes && !team.homes.some((one) => one === name))
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 403,
           code: 'forbidden_home',
           text: 'the home is not among those of the team',
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -40,13 +40,13 @@
           (one.teams === undefined || one.teams.includes(team.name)),
       );
       if (!rule)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 404,
           code: 'no_rule',
           text: 'no rule takes this path, method, model and team',
         });
       if ((call.body?.length ?? 0) > rule.body)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 413,
           code: 'body_too_long',
           text: `the body is longer than ${rule.body} bytes`,
@@ -54,7 +54,7 @@
       const asked = headers[overrides];
       const timeouts = asked === undefined ? rule.timeouts : readOverrides(String(asked), rule);
       if (!timeouts)
-        return Responses.drop(context, {
+        return Responses.refuse(context, {
           status: 400,
           code: 'bad_timeouts',
           text: `${overrides} must read name=milliseconds, with names out of ${Object.keys(rule.timeouts).join(', ')}`,
--- a/src/proxy/filters/quota.ts
+++ b/src/proxy/filters/quota.ts
@@ -16,8 +16,8 @@
       const team = Call.need(call, 'team');
       const admitted = await needs.quotas.admit(team, call.body?.length ?? 0);
       if (admitted.kind === 'over') {
-        needs.meters.drops.inc({ code: 'over_quota' });
-        return Responses.drop(context, {
+        needs.meters.refusals.inc({ code: 'over_quota' });
+        return Responses.refuse(context, {
           status: 429,
           code: 'over_quota',
           text: 'your team has used up its quota for now',
@@ -25,7 +25,7 @@
         });
       }
       await next();
-      if (call.verdict === undefined || (call.verdict.kind === 'drop' && call.verdict.status === 503))
+      if (call.verdict === undefined || (call.verdict.kind === 'refusal' && call.verdict.status === 503))
         admitted.undo();
     },
 };
--- a/src/proxy/meters.ts
+++ b/src/proxy/meters.ts
@@ -23,7 +23,7 @@
         'outcome',
         'extra',
       ]),
-      drops: counter('drops_total', 'requests dropped, by code', ['code']),
+      refusals: counter('drops_total', 'requests dropped, by code', ['code']),
       dark: counter('servers_dark_total', 'times a server went dark to this proxy, by group', ['group']),
       ejections: counter('ejections_total', 'ejections by group', ['group']),
       wrong: counter(
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -1,11 +1,11 @@
 // The proxy as a program: the callers' port, the operations port, and the session with its agent over
 // loopback. It serves on under its last manifest when the agent or the control plane is gone.
 import { Address } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
+import { Failure } from '../kinds/failure.js';
 import { Ident } from '../kinds/ident.js';
 import { Listen } from '../kinds/listen.js';
-import { Mishap } from '../kinds/mishap.js';
 import { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import type { Ring } from '../log/ring.js';
 import { Compiled } from '../manifest/compiled.js';
 import { Roll } from '../membership/roll.js';
@@ -17,8 +17,8 @@
 import type { Startup } from '../startup/startup.js';
 import { Version } from '../startup/version.js';
 import { Budget } from '../upstream/budget.js';
-import { Busyness } from '../upstream/busyness.js';
 import { Ejector } from '../upstream/ejector.js';
+import { InFlight } from '../upstream/in-flight.js';
 import { Placement } from '../upstream/placement.js';
 import { Pool } from '../upstream/pool.js';
 import { Prover } from '../upstream/prover.js';
@@ -51,11 +51,11 @@
       (batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }),
       extra && { tries: extra.count, window: extra.window, proxies: () => roster.length },
     );
-    const tending = Alarm.every(500, () => {
+    const tending = Timer.every(500, () => {
       budget.tend();
       quotas.tend();
     });
-    const busyness = Busyness.of();
+    const inFlight = InFlight.of();
     const stall = Stall.of();
     const boot = Ident.boot();
     let active = 0;
@@ -75,7 +75,7 @@
       newest: () => compiled,
       onWrong(server, cause) {
         meters.wrong.inc({ group: server.group });
-        const facts = { instance: server.instance, why: Mishap.text(cause), ...Mishap.info(cause) };
+        const facts = { instance: server.instance, why: Failure.text(cause), ...Failure.info(cause) };
         if (prover.isDark(server.instance)) ring.note('wrong identity still', facts);
         else ring.alert('wrong identity', facts);
       },
@@ -86,7 +86,7 @@
     const warmup = Warmup.of(startup.node, () => roster);
     const placement = Placement.of({
       region: () => compiled?.regionOf(startup.zone),
-      busyness,
+      inFlight,
       hasIdle: pool.hasIdle,
       random: Math.random,
     });
@@ -162,7 +162,7 @@
         placement,
         warmup,
         pool,
-        busyness,
+        inFlight,
         ejector,
         budget,
         quotas,
@@ -242,11 +242,11 @@
       async drain() {
         isDraining = true;
         uplink.announce();
-        await Alarm.pause(startup.linger ?? 0);
-        const late = Alarm.after((startup.drain ?? 30_000) - (startup.linger ?? 0), () =>
+        await Timer.pause(startup.linger ?? 0);
+        const late = Timer.after((startup.drain ?? 30_000) - (startup.linger ?? 0), () =>
           server.closeAllConnections(),
         );
-        const idle = Alarm.every(100, () => server.closeIdleConnections());
+        const idle = Timer.every(100, () => server.closeIdleConnections());
         await new Promise<void>((resolve) => {
           server.close(() => resolve());
           server.closeIdleConnections();
--- a/src/proxy/quotas.ts
+++ b/src/proxy/quotas.ts
@@ -4,8 +4,8 @@
 // others, it rather waits. What it let in is remembered here and told: twice a second of every team, and for
 // requests that wait, at once and together, only of their teams.
 import { Ledger } from '../duty/ledger.js';
-import { Alarm } from '../kinds/alarm.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Document } from '../manifest/document.js';
 import type { Frame } from '../wire/frame.js';
@@ -100,7 +100,7 @@
         must: [...account.waiting].reduce(Ledger.sum, Ledger.none),
       }));
       for (const [, account] of told) account.lately = Ledger.none;
-      const late = Alarm.after(responseWithin, () => made.settle(false));
+      const late = Timer.after(responseWithin, () => made.settle(false));
       void made.answered.then(() => {
         late.stop();
         if (open === made) open = undefined;
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -14,7 +14,7 @@
 };
 
 export const Responses = {
-  drop(context: Context<Call.Env>, response: Responses): Response {
+  refuse(context: Context<Call.Env>, response: Responses): Response {
     const { id, compiled, dialect } = context.var.call;
     const isClosing = !context.env.incoming.complete;
     const { status, headers, body } = dialect.own({
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import type { Call } from './call.js';
 import type { Dialect } from './dialect.js';
@@ -44,7 +44,7 @@
     const left = new AbortController();
     outgoing.once('close', () => {
       active.change(-1);
-      if (!outgoing.writableFinished) left.abort(Mishap.of('left', 'the client left'));
+      if (!outgoing.writableFinished) left.abort(Failure.of('left', 'the client left'));
     });
     active.change(1);
     if (active.isDraining()) outgoing.shouldKeepAlive = false;
@@ -82,10 +82,10 @@
     app.use('*', Attempt.filter(needs));
     app.use('*', Commit.filter(needs));
     app.onError((error, context) => {
-      needs.note('mishap in a filter', { why: Mishap.text(error) });
+      needs.note('failure in a filter', { why: Failure.text(error) });
       const { call } = context.var;
       const mayHaveRun = call?.verdict !== undefined;
-      return Responses.drop(context, {
+      return Responses.refuse(context, {
         status: mayHaveRun ? 502 : 500,
         code: 'internal',
         text: 'something went wrong here',
--- a/src/proxy/stall.ts
+++ b/src/proxy/stall.ts
@@ -1,8 +1,9 @@
 // A process that was frozen must not send old work. When the event loop has just resumed after a gap,
-// what happened meanwhile (a client that left, alarms that rang) is still waiting to be handled, so
+// what happened meanwhile (a client that left, timers that rang) is still waiting to be handled, so
 // sending first lets the loop turn until it has been; also when the beat was the first to be handled.
-import { Alarm } from '../kinds/alarm.js';
+
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 
 export type Stall = { readonly settle: () => Promise<void>; readonly stop: () => void };
 
@@ -22,7 +23,7 @@
       await turns();
       hasJustWoken = false;
     };
-    const beats = Alarm.every(beat, () => {
+    const beats = Timer.every(beat, () => {
       if (Moment.since(last) >= gap) void wake();
       last = Moment.now();
     });
--- a/src/repair/ranges.ts
+++ b/src/repair/ranges.ts
@@ -2,7 +2,7 @@
 // only the ranges that differ. The seal is a digest over all ranges in order: a copy put together from
 // ranges is taken only when its seal is the one that came with them.
 import { createHash } from 'node:crypto';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import type { View } from '../manifest/view.js';
 
 export type Ranges = ReadonlyMap<string, Ranges.Range>;
@@ -71,7 +71,7 @@
     for (const { name, digest, body } of patch.ranges) {
       const text = body === '' ? known.get(digest) : body;
       if (text === undefined || digestOf(text) !== digest)
-        throw Mishap.of('frame', 'a range cannot be mended', { name });
+        throw Failure.of('frame', 'a range cannot be mended', { name });
       parts.set(name, text);
     }
     const meta = JSON.parse(parts.get('meta') ?? '{}') as {
@@ -92,7 +92,7 @@
       platform: { ...meta.platform, servers: join(parts, 'servers') },
     } as unknown as View;
     if (Ranges.seal(Ranges.cut(view)) !== patch.seal)
-      throw Mishap.of('frame', 'the mended view has another seal');
+      throw Failure.of('frame', 'the mended view has another seal');
     return view;
   },
 };
--- a/src/replica/backup.ts
+++ b/src/replica/backup.ts
@@ -4,7 +4,7 @@
 // held up on its way: it is dropped, for the primary may count on what came after it.
 import type { Register } from '../epoch/register.js';
 import { Epoch } from '../kinds/epoch.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
 import { Store } from '../store/store.js';
@@ -46,7 +46,7 @@
           try {
             await store.take(change, frame.whole ? undefined : frame.previous);
           } catch (error) {
-            return reply(false, Mishap.text(error));
+            return reply(false, Failure.text(error));
           }
           return epoch < register.floor() ? reply(false, 'below the epoch promised') : reply(true);
         }),
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -5,15 +5,15 @@
 // under this one: the primary goes on above it. A primary whose own disk fails or stalls hands its place to a
 // backup; one that finds another primary's epoch is deposed and never acknowledges again.
 import type { Proposer } from '../epoch/proposer.js';
-import { Tenure } from '../epoch/tenure.js';
-import { Alarm } from '../kinds/alarm.js';
+import { Term } from '../epoch/term.js';
 import { Epoch } from '../kinds/epoch.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Revision } from '../kinds/revision.js';
 import { Signal } from '../kinds/signal.js';
 import type { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import { Turns } from '../kinds/turns.js';
 import { State } from '../store/state.js';
 import { Store } from '../store/store.js';
@@ -21,7 +21,7 @@
 import type { Frame } from '../wire/frame.js';
 
 export type Primary = {
-  readonly tenure: () => Tenure;
+  readonly term: () => Term;
   readonly state: () => State;
   readonly isLeading: () => boolean;
   readonly confirmedAt: () => Moment;
@@ -40,12 +40,12 @@
 export declare namespace Primary {
   type Needs = {
     readonly disk: string;
-    readonly tenure: Tenure;
+    readonly term: Term;
     readonly losses: number;
     readonly store: Store;
     readonly proposer: Proposer;
     readonly courierTo: (core: Frame.Core) => Courier | undefined;
-    readonly publish: (state: State, tenure: Tenure) => void;
+    readonly publish: (state: State, term: Term) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
 }
@@ -61,15 +61,15 @@
 
 const bounded = <T>(work: Promise<T>, span: number, what: string): Promise<T> =>
   new Promise((resolve, reject) => {
-    const alarm = Alarm.after(span, () => reject(Mishap.of('store', `${what} took too long`)));
-    work.then(resolve, reject).finally(() => alarm.stop());
+    const timer = Timer.after(span, () => reject(Failure.of('store', `${what} took too long`)));
+    work.then(resolve, reject).finally(() => timer.stop());
   });
 
 export const Primary = {
   of(needs: Primary.Needs): Primary {
     const { store, disk, proposer } = needs;
     const turns = Turns.of();
-    let tenure = needs.tenure;
+    let term = needs.term;
     let acknowledged = store.state();
     let isOpen = false;
     let isUnsure = false;
@@ -86,45 +86,45 @@
       tellDeposed(why);
     };
     const mustLead = () => {
-      if (!phase.is('leading')) throw Mishap.of('unconfirmed', 'no longer primary');
+      if (!phase.is('leading')) throw Failure.of('unconfirmed', 'no longer primary');
     };
-    const backups = () => tenure.inSync.filter((one) => one !== disk);
+    const backups = () => term.inSync.filter((one) => one !== disk);
     const append = async (core: Frame.Core, change: State.Change, previous: Stamp) => {
       const courier = needs.courierTo(core);
-      if (!courier?.reaches(core)) throw Mishap.of('link', `no courier to the disk of ${core.node}`);
+      if (!courier?.reaches(core)) throw Failure.of('link', `no courier to the disk of ${core.node}`);
       const record = Store.encode(change);
       const whole = change.kind === 'whole';
       const reply = await courier.ask(
-        { kind: 'append', epoch: tenure.epoch, previous, record, whole },
+        { kind: 'append', epoch: term.epoch, previous, record, whole },
         ackWithin,
       );
-      if (reply.kind !== 'appended') throw Mishap.of('frame', `unexpected ${reply.kind}`);
+      if (reply.kind !== 'appended') throw Failure.of('frame', `unexpected ${reply.kind}`);
       return reply;
     };
     const send = async (core: Frame.Core, state: State, step?: Step): Promise<void> => {
       const whole = { kind: 'whole', stamp: state.stamp, state } as const;
       let reply = await append(core, step?.change ?? whole, step?.before ?? state.stamp);
-      const isMendable = !reply.isTaken && reply.floor <= tenure.epoch;
+      const isMendable = !reply.isTaken && reply.floor <= term.epoch;
       if (step && isMendable) reply = await append(core, whole, state.stamp);
       if (!reply.isTaken && reply.floor > promised) promised = Epoch.of(reply.floor);
-      if (!reply.isTaken) throw Mishap.of('stale', `${core.node} did not take it: ${reply.why}`);
+      if (!reply.isTaken) throw Failure.of('stale', `${core.node} did not take it: ${reply.why}`);
     };
-    const alter = async (next: (from: Tenure) => Tenure | undefined): Promise<boolean> => {
-      const mine = tenure;
+    const alter = async (next: (from: Term) => Term | undefined): Promise<boolean> => {
+      const mine = term;
       isUnsure = true;
       const result = await proposer.change((base) =>
         base.epoch === mine.epoch && base.primary === disk ? next(base) : undefined,
       );
-      isUnsure = result.tenure === undefined;
-      if (result.isDone && result.tenure) {
-        tenure = result.tenure;
-        needs.note('register changed', { tenure: Tenure.text(tenure) });
+      isUnsure = result.term === undefined;
+      if (result.isDone && result.term) {
+        term = result.term;
+        needs.note('register changed', { term: Term.text(term) });
         return true;
       }
-      const held = result.tenure;
+      const held = result.term;
       if (!held) return false;
-      if (held.primary !== disk) depose(`another core is primary: ${Tenure.text(held)}`);
-      else if (held.epoch > mine.epoch) tenure = held;
+      if (held.primary !== disk) depose(`another core is primary: ${Term.text(held)}`);
+      else if (held.epoch > mine.epoch) term = held;
       return false;
     };
     const courierDown = (core: Frame.Core): number => {
@@ -132,8 +132,8 @@
       return courier?.reaches(core) ? courier.downFor() : Number.POSITIVE_INFINITY;
     };
     const goAbove = (epoch: Epoch) =>
-      alter((base) => Tenure.next({ ...base, epoch: Epoch.of(Math.max(base.epoch, epoch)) }, {}));
-    const isWhole = () => tenure.inSync.length > needs.losses;
+      alter((base) => Term.next({ ...base, epoch: Epoch.of(Math.max(base.epoch, epoch)) }, {}));
+    const isWhole = () => term.inSync.length > needs.losses;
     const replicate = async (state: State, step?: Step, isOnce = false): Promise<boolean> => {
       const holders = new Set<string>();
       const asked = new Set<string>();
@@ -147,7 +147,7 @@
             () => void holders.add(core.disk),
             (error) => {
               failedAt.set(core.disk, Moment.now());
-              needs.note('backup did not confirm', { node: core.node, why: Mishap.text(error) });
+              needs.note('backup did not confirm', { node: core.node, why: Failure.text(error) });
             },
           )
           .finally(() => {
@@ -165,40 +165,40 @@
         !asked.has(core.disk) &&
         courierDown(core) === 0 &&
         Moment.since(failedAt.get(core.disk) ?? Moment.past) > offerAgainAfter;
-      for (const core of tenure.cores) if (backups().includes(core.disk)) offer(core, step);
+      for (const core of term.cores) if (backups().includes(core.disk)) offer(core, step);
       const patience = Moment.after(isWhole() && !isUnsure ? slowAfter : 0);
       const mayWait = () => phase.is('leading') && failedAt.size === 0 && !Moment.isPast(patience);
       while (mayWait() && !isHeld()) await stir(Moment.left(patience));
       while (phase.is('leading') && !isHeld()) {
-        for (const core of tenure.cores.filter(isFree)) offer(core);
+        for (const core of term.cores.filter(isFree)) offer(core);
         const inSyncFirst = [...new Set([...backups(), ...holders])].filter((one) => holders.has(one));
         const taken = inSyncFirst.slice(0, needs.losses);
-        if (promised > tenure.epoch) {
+        if (promised > term.epoch) {
           const isDone = await goAbove(promised).catch(() => false);
           if (!isDone && isOnce) return false;
-          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+          if (!isDone) await Promise.all([proposer.install(), Timer.pause(againAfter)]);
         } else if (taken.length === needs.losses) {
           const inSync = [disk, ...taken];
           const isDone = await alter((base) =>
-            inSync.every((one) => Tenure.has(base, one)) ? Tenure.next(base, { inSync }) : undefined,
+            inSync.every((one) => Term.has(base, one)) ? Term.next(base, { inSync }) : undefined,
           ).catch(() => false);
           if (!isDone && isOnce) return false;
-          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+          if (!isDone) await Promise.all([proposer.install(), Timer.pause(againAfter)]);
         } else if (isOnce && asked.size === 0) return false;
         else await stir(againAfter);
       }
       return phase.is('leading');
     };
     const handOver = async (cause: unknown): Promise<never> => {
-      needs.note('own disk mishap', { why: Mishap.text(cause) });
-      for (const core of tenure.cores)
+      needs.note('own disk failure', { why: Failure.text(cause) });
+      for (const core of term.cores)
         if (backups().includes(core.disk))
           void needs
             .courierTo(core)
-            ?.ask({ kind: 'yield', epoch: tenure.epoch }, ackWithin)
+            ?.ask({ kind: 'yield', epoch: term.epoch }, ackWithin)
             .catch(() => undefined);
-      depose(`own disk: ${Mishap.text(cause)}`);
-      throw Mishap.of('unconfirmed', 'own disk mishap', {}, cause);
+      depose(`own disk: ${Failure.text(cause)}`);
+      throw Failure.of('unconfirmed', 'own disk failure', {}, cause);
     };
     const write = async (change: State.Change): Promise<void> => {
       const before = store.state();
@@ -213,21 +213,21 @@
       await replicate(state);
       mustLead();
       acknowledged = state;
-      needs.publish(acknowledged, tenure);
+      needs.publish(acknowledged, term);
     };
     const confirm = async (): Promise<boolean> => {
       const asked = Moment.now();
       const mayTell = isOpen;
-      const mine = tenure;
+      const mine = term;
       const isConfirmed = await proposer.confirm(mine);
       if (isConfirmed && phase.is('leading') && asked > confirmedAt) confirmedAt = asked;
       return isConfirmed && mayTell;
     };
-    const confirms = Alarm.every(confirmEvery, () => void confirm());
+    const confirms = Timer.every(confirmEvery, () => void confirm());
     void confirm();
     void deposed.then(confirms.stop);
     return {
-      tenure: () => tenure,
+      term: () => term,
       state: () => acknowledged,
       isLeading: () => phase.is('leading'),
       confirmedAt: () => confirmedAt,
@@ -238,19 +238,19 @@
         turns.take(async () => {
           mustLead();
           await resolve();
-          const stamp = { epoch: tenure.epoch, revision: Revision.after(store.state().stamp.revision) };
+          const stamp = { epoch: term.epoch, revision: Revision.after(store.state().stamp.revision) };
           const change = make(acknowledged, stamp);
           if (!change) return acknowledged;
           await write(change);
           acknowledged = store.state();
           isOpen = true;
-          needs.publish(acknowledged, tenure);
+          needs.publish(acknowledged, term);
           return acknowledged;
         }),
       rise: (above) =>
         turns.take(async () => {
           mustLead();
-          if (above.epoch < tenure.epoch) return;
+          if (above.epoch < term.epoch) return;
           await goAbove(above.epoch);
         }),
       async tend() {
@@ -258,9 +258,9 @@
         if (!store.isSound())
           await turns.take(() => handOver(new Error('the store is broken'))).catch(() => {});
         const isDead = (core: Frame.Core) => courierDown(core) > deadAfter;
-        const inSync = () => tenure.cores.filter((core) => backups().includes(core.disk));
+        const inSync = () => term.cores.filter((core) => backups().includes(core.disk));
         const spares = () =>
-          tenure.cores.filter((core) => core.disk !== disk && !backups().includes(core.disk));
+          term.cores.filter((core) => core.disk !== disk && !backups().includes(core.disk));
         const isLacking = () => !isWhole() || inSync().some(isDead);
         if (isOpen && isLacking() && spares().some((core) => courierDown(core) === 0))
           await turns.take(async () => {
@@ -269,17 +269,16 @@
           });
       },
       async install(votes) {
-        if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk)))
-          await proposer.install();
+        if (votes.some((vote) => vote.isBlank && Term.has(term, vote.core.disk))) await proposer.install();
       },
       join: (core) =>
         turns.take(async () => {
           mustLead();
-          if (Tenure.has(tenure, core.disk)) return '';
-          const isFull = tenure.cores.length > 2 * needs.losses;
+          if (Term.has(term, core.disk)) return '';
+          const isFull = term.cores.length > 2 * needs.losses;
           const downOf = (one: Frame.Core) =>
             one.wire === core.wire ? Number.POSITIVE_INFINITY : courierDown(one);
-          const old = tenure.cores
+          const old = term.cores
             .filter((one) => one.disk !== disk && downOf(one) > replaceAfter)
             .sort((a, b) => (downOf(a) < downOf(b) ? 1 : -1))[0];
           if (isFull && !old) return 'all cores are alive';
@@ -289,7 +288,7 @@
             if (backups().includes(old.disk)) return 'the state is not yet held by enough others';
           }
           const isDone = await alter((base) =>
-            Tenure.next(base, {
+            Term.next(base, {
               cores: isFull
                 ? base.cores.map((one) => (one.disk === old?.disk ? core : one))
                 : [...base.cores, core],
--- a/src/startup/program.ts
+++ b/src/startup/program.ts
@@ -1,10 +1,10 @@
 // What all daemons share: flags and a startup file are read and checked with all findings at once, one
 // JSON line on standard output says when the program is ready and where it listens, SIGTERM drains and
-// a second one ends at once. Exit codes: 0 ended in order, 1 a mishap, 2 a bad startup.
+// a second one ends at once. Exit codes: 0 ended in order, 1 a failure, 2 a bad startup.
 import { readFileSync } from 'node:fs';
 import sade from 'sade';
+import { Failure } from '../kinds/failure.js';
 import type { Guard } from '../kinds/guard.js';
-import { Mishap } from '../kinds/mishap.js';
 import { Ring } from '../log/ring.js';
 import { Version } from './version.js';
 
@@ -41,7 +41,7 @@
   try {
     return JSON.parse(readFileSync(path, 'utf8')) as Record<string, unknown>;
   } catch (error) {
-    return fail([{ place: path, text: Mishap.text(error) }], 'the startup file');
+    return fail([{ place: path, text: Failure.text(error) }], 'the startup file');
   }
 };
 
@@ -69,7 +69,7 @@
 const run = async (terms: Program.Made): Promise<void> => {
   const ring = Ring.of(terms.node);
   const die = (error: unknown) => {
-    ring.alert('the program ends', { why: Mishap.text(error), stack: (error as Error)?.stack });
+    ring.alert('the program ends', { why: Failure.text(error), stack: (error as Error)?.stack });
     process.exit(1);
   };
   process.on('uncaughtException', die);
--- a/src/store/file.ts
+++ b/src/store/file.ts
@@ -4,7 +4,7 @@
 // makes the file sound again. A file whose write has been under way for a second is not sound until it is done.
 import { type FileHandle, mkdir, open, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import { Phase } from '../kinds/phase.js';
 import { Turns } from '../kinds/turns.js';
@@ -52,7 +52,7 @@
     await rm(fresh, { force: true });
     const bytes = await readFile(path).catch((cause: NodeJS.ErrnoException) => {
       if (cause.code === 'ENOENT') return Buffer.alloc(0);
-      throw Mishap.of('store', `cannot read ${name}`, {}, cause);
+      throw Failure.of('store', `cannot read ${name}`, {}, cause);
     });
     const found = Records.decode(bytes);
     let handle = await open(path, 'a+').then(async (made) => {
@@ -69,14 +69,14 @@
     const guarded = (work: () => Promise<void>, isWhole = false) =>
       turns.take(async () => {
         if (!phase.is('sound') && !(isWhole && phase.is('broken')))
-          throw Mishap.of('store', `${name} is ${phase.state}`);
+          throw Failure.of('store', `${name} is ${phase.state}`);
         busySince = Moment.now();
         try {
           await work();
           if (phase.is('broken')) phase.become('sound');
         } catch (cause) {
           if (phase.is('sound')) phase.become('broken');
-          throw Mishap.of('store', `cannot write ${name}`, {}, cause);
+          throw Failure.of('store', `cannot write ${name}`, {}, cause);
         } finally {
           busySince = undefined;
         }
--- a/src/store/records.ts
+++ b/src/store/records.ts
@@ -3,7 +3,7 @@
 // payload, was never acknowledged and is cut off; damage with a whole record after it makes the whole copy
 // untrusted, for what follows it can't be vouched for.
 import { crc32 } from 'node:zlib';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 
 export type Records = { readonly payloads: readonly Buffer[]; readonly length: number };
 
@@ -40,13 +40,13 @@
       const length = rest.readUInt32BE(0);
       if (crc32(rest.subarray(0, 4)) !== rest.readUInt32BE(4)) {
         if (!isFollowed(rest)) break;
-        throw Mishap.of('store', 'damaged record', { offset });
+        throw Failure.of('store', 'damaged record', { offset });
       }
       if (rest.length < head + length) break;
       const payload = rest.subarray(head, head + length);
       if (crc32(payload) !== rest.readUInt32BE(8)) {
         if (rest.length === head + length) break;
-        throw Mishap.of('store', 'damaged record', { offset });
+        throw Failure.of('store', 'damaged record', { offset });
       }
       payloads.push(payload);
       offset += head + length;
--- a/src/store/seal.ts
+++ b/src/store/seal.ts
@@ -2,7 +2,7 @@
 // that does not open under the key is no damage of the disk: the wrong key was given, and nothing is set aside.
 import { createCipheriv, createDecipheriv, randomBytes } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 
 export type Seal = {
   readonly seal: (plain: Uint8Array) => Buffer;
@@ -15,10 +15,10 @@
 export const Seal = {
   async read(path: string): Promise<Seal> {
     const text = await readFile(path, 'utf8').catch((cause: unknown) => {
-      throw Mishap.of('startup', `cannot read the key file ${path}`, {}, cause);
+      throw Failure.of('startup', `cannot read the key file ${path}`, {}, cause);
     });
     if (!/^[0-9a-f]{64}\s*$/.test(text))
-      throw Mishap.of('startup', `the key file ${path} must hold 32 bytes in hexadecimal`);
+      throw Failure.of('startup', `the key file ${path} must hold 32 bytes in hexadecimal`);
     return Seal.of(Buffer.from(text.trim(), 'hex'));
   },
   of: (key: Uint8Array): Seal => ({
@@ -34,7 +34,7 @@
         decipher.setAuthTag(sealed.subarray(marks.iv, marks.iv + marks.tag));
         return Buffer.concat([decipher.update(sealed.subarray(marks.iv + marks.tag)), decipher.final()]);
       } catch (cause) {
-        throw Mishap.of('store', 'the state does not open under the key file given', {}, cause);
+        throw Failure.of('store', 'the state does not open under the key file given', {}, cause);
       }
     },
   }),
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -4,7 +4,7 @@
 // of what it holds anew. Under a key file each record is sealed on the disk, and without one no manifest with
 // walls is kept, for its secret may not lie there in plain.
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Turns } from '../kinds/turns.js';
 import { File } from './file.js';
@@ -52,12 +52,14 @@
 const rest = (change: State.Change, seal: Seal | undefined): Buffer => {
   if (seal) return Buffer.concat([Buffer.of(sealed), seal.seal(encode(change))]);
   if (hasSecret(change))
-    throw Mishap.of('store', 'a manifest with walls is not kept without a key file', { key_file: 'missing' });
+    throw Failure.of('store', 'a manifest with walls is not kept without a key file', {
+      key_file: 'missing',
+    });
   return encode(change);
 };
 const read = (payload: Uint8Array, seal: Seal | undefined): State.Change => {
   if (payload[0] !== sealed) return decode(payload);
-  if (!seal) throw Mishap.of('store', 'the state is sealed: name its key file in the startup file');
+  if (!seal) throw Failure.of('store', 'the state is sealed: name its key file in the startup file');
   return decode(seal.open(payload.subarray(1)));
 };
 
@@ -81,9 +83,9 @@
       take: (change, previous) =>
         turns.take(async () => {
           if (previous && !Stamp.isSame(previous, state.stamp))
-            throw Mishap.of('stale', 'another state is held', { held: Stamp.text(state.stamp) });
+            throw Failure.of('stale', 'another state is held', { held: Stamp.text(state.stamp) });
           if (change.kind !== 'whole' && !Stamp.isNewer(change.stamp, state.stamp))
-            throw Mishap.of('stale', 'change is not newer', {
+            throw Failure.of('stale', 'change is not newer', {
               held: Stamp.text(state.stamp),
               offered: Stamp.text(change.stamp),
             });
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -4,7 +4,7 @@
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
 import { Address } from '../kinds/address.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Phase } from '../kinds/phase.js';
 import type { Compiled } from '../manifest/compiled.js';
 import { Exchange } from './exchange.js';
@@ -32,7 +32,7 @@
       signal.removeEventListener('abort', onAbort);
       socket.destroy();
       reject(
-        Mishap.of(
+        Failure.of(
           'connect',
           `no connection to ${Address.text(server.address)}`,
           { to: server.instance },
@@ -64,7 +64,7 @@
       const isOver = isSpent || socket.destroyed;
       isSpent = true;
       queueMicrotask(() => {
-        if (isOver) callback(Mishap.of('connect', 'the connection has ended'), null);
+        if (isOver) callback(Failure.of('connect', 'the connection has ended'), null);
         else callback(null, socket);
       });
     },
@@ -77,10 +77,10 @@
     { method: 'GET', path: group.identity.path, headers: { accept: 'application/json' }, body: null },
     { maySend: () => true, signal },
   );
-  if (response.kind === 'mishap') throw response.cause;
+  if (response.kind === 'failure') throw response.cause;
   const text = (await response.body.collect(longestIdentity)).toString('utf8');
   if (response.status !== 200)
-    throw Mishap.of('connect', 'identity was not told', { status: response.status, to: server.instance });
+    throw Failure.of('connect', 'identity was not told', { status: response.status, to: server.instance });
   let body: unknown;
   try {
     body = JSON.parse(text);
@@ -122,11 +122,11 @@
       if (!group.proof) await prove(client, server, group, signal);
     } catch (error) {
       await destroy();
-      throw Mishap.is(error, 'identity')
+      throw Failure.is(error, 'identity')
         ? error
-        : Mishap.of('connect', 'identity was not proved', { to: server.instance }, error);
+        : Failure.of('connect', 'identity was not proved', { to: server.instance }, error);
     }
-    if (phase.is('closed')) throw Mishap.of('connect', 'the connection has ended');
+    if (phase.is('closed')) throw Failure.of('connect', 'the connection has ended');
     phase.become('idle');
     return {
       server,
@@ -136,9 +136,9 @@
       run(request, terms) {
         if (!phase.is('idle'))
           return Promise.resolve({
-            kind: 'mishap',
+            kind: 'failure',
             isSent: false,
-            cause: Mishap.of('connect', `the connection is ${phase.state}`),
+            cause: Failure.of('connect', `the connection is ${phase.state}`),
           });
         phase.become('busy');
         return Exchange.run(client, request, terms);
--- a/src/upstream/ejector.ts
+++ b/src/upstream/ejector.ts
@@ -14,7 +14,7 @@
   readonly out: () => readonly string[];
 };
 
-type Health = { mishaps: number; ejections: number; outUntil: Moment; restUntil: Moment };
+type Health = { failures: number; ejections: number; outUntil: Moment; restUntil: Moment };
 
 const longestEjection = 60_000;
 
@@ -24,7 +24,7 @@
     const healthOf = (server: Compiled.Server): Health => {
       const known = healths.get(server.instance);
       if (known) return known;
-      const fresh = { mishaps: 0, ejections: 0, outUntil: 0 as Moment, restUntil: 0 as Moment };
+      const fresh = { failures: 0, ejections: 0, outUntil: 0 as Moment, restUntil: 0 as Moment };
       healths.set(server.instance, fresh);
       return fresh;
     };
@@ -39,16 +39,16 @@
       out: () => [...healths].filter(([, one]) => !Moment.isPast(one.outUntil)).map(([name]) => name),
       good(server) {
         const health = healthOf(server);
-        health.mishaps = 0;
+        health.failures = 0;
         health.ejections = 0;
       },
       bad(server, group) {
         const health = healthOf(server);
-        health.mishaps += 1;
-        if (health.mishaps < group.ejection.consecutive || isOut(server)) return;
+        health.failures += 1;
+        if (health.failures < group.ejection.consecutive || isOut(server)) return;
         const outNow = group.servers.filter(isOut).length;
         if ((outNow + 1) * 100 > group.servers.length * group.ejection.percent) return;
-        health.mishaps = group.ejection.consecutive - 1;
+        health.failures = group.ejection.consecutive - 1;
         const span = Math.min(longestEjection, group.ejection.base * 2 ** health.ejections);
         health.ejections += 1;
         health.outUntil = Moment.after(span);
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -1,9 +1,9 @@
 // One exchange over one connection: the request is handed to the socket, and either a head comes back
-// with a body to read, or a mishap that says whether any byte of the request may have left. The check
+// with a body to read, or a failure that says whether any byte of the request may have left. The check
 // given runs at the very moment of sending: when it says no, nothing is written.
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Client, Dispatcher } from 'undici';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 
 export type Exchange =
   | {
@@ -12,7 +12,7 @@
       readonly headers: IncomingHttpHeaders;
       readonly body: Exchange.Body;
     }
-  | { readonly kind: 'mishap'; readonly isSent: boolean; readonly cause: Error };
+  | { readonly kind: 'failure'; readonly isSent: boolean; readonly cause: Error };
 
 export declare namespace Exchange {
   type Request = {
@@ -67,7 +67,7 @@
         body.pump({
           write(chunk) {
             length += chunk.length;
-            if (length > longest) controller.abort(Mishap.of('reset', 'body too long'));
+            if (length > longest) controller.abort(Failure.of('reset', 'body too long'));
             else chunks.push(chunk);
             return true;
           },
@@ -90,7 +90,7 @@
       const fail = (cause: Error) => {
         finish();
         if (made) made.tell({ kind: 'end', cause });
-        else resolve({ kind: 'mishap', isSent, cause });
+        else resolve({ kind: 'failure', isSent, cause });
       };
       if (terms.signal.aborted) return fail(terms.signal.reason as Error);
       terms.signal.addEventListener('abort', onAbort, { once: true });
@@ -105,7 +105,7 @@
           onRequestStart(controller) {
             abort = (cause) => controller.abort(cause);
             if (terms.signal.aborted || !terms.maySend())
-              throw Mishap.of('left', 'not sent: its time or its client was gone');
+              throw Failure.of('left', 'not sent: its time or its client was gone');
             isSent = true;
           },
           onResponseStart(controller, status, headers) {
--- a/src/upstream/identity.ts
+++ b/src/upstream/identity.ts
@@ -1,7 +1,7 @@
 // Who is at the other end? Each new connection asks before it carries a request. The service is proved
 // by what the group declares, or for model servers by their listing every model of the group; the
 // instance by the declared place, or by the x-instance-id header wherever a server sends one.
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Document } from '../manifest/document.js';
 
@@ -33,7 +33,7 @@
   prove(identity: Identity, server: Compiled.Server, group: Compiled.Group): void {
     const { service, instance } = group.identity;
     const fail = (text: string, found: unknown) => {
-      throw Mishap.of('identity', text, { instance: server.instance, group: group.name, found });
+      throw Failure.of('identity', text, { instance: server.instance, group: group.name, found });
     };
     if (service) {
       const found = readPlace(identity, service.at);
--- a/src/upstream/busyness.ts
+++ b/src/upstream/in-flight.ts
@@ -1,21 +1,21 @@
 // How busy this node keeps each server. Prefill work (bytes of prompts whose response has not begun)
 // and decode work (responses being streamed) load a server differently, so they are counted apart.
-export type Busyness = {
-  readonly of: (instance: string) => Busyness.Level;
-  readonly begin: (instance: string, prompt: number) => Busyness.Job;
+export type InFlight = {
+  readonly of: (instance: string) => InFlight.Level;
+  readonly begin: (instance: string, prompt: number) => InFlight.Job;
 };
 
-export declare namespace Busyness {
+export declare namespace InFlight {
   type Level = { readonly prefill: number; readonly decode: number; readonly jobs: number };
   type Job = { readonly toDecode: () => void; readonly end: () => void };
 }
 
-const none: Busyness.Level = { prefill: 0, decode: 0, jobs: 0 };
+const none: InFlight.Level = { prefill: 0, decode: 0, jobs: 0 };
 
-export const Busyness = {
+export const InFlight = {
   none,
-  of(): Busyness {
-    const levels = new Map<string, Busyness.Level>();
+  of(): InFlight {
+    const levels = new Map<string, InFlight.Level>();
     const add = (instance: string, prefill: number, decode: number, jobs: number) => {
       const level = levels.get(instance) ?? none;
       const next = {
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -4,8 +4,8 @@
 // requests go to the less busy of two drawn at random.
 import type { Ident } from '../kinds/ident.js';
 import type { Compiled } from '../manifest/compiled.js';
-import type { Busyness } from './busyness.js';
 import type { Ejector } from './ejector.js';
+import type { InFlight } from './in-flight.js';
 import type { Placement } from './placement.js';
 
 export type Pick = { readonly server: Compiled.Server; readonly group: Compiled.Group };
@@ -17,7 +17,7 @@
   };
   type Needs = {
     readonly compiled: Compiled;
-    readonly busyness: Busyness;
+    readonly inFlight: InFlight;
     readonly ejector: Ejector;
     readonly allowance: (instance: string) => number;
     readonly isDark: (instance: string) => boolean;
@@ -39,7 +39,7 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 };
 
-const weigh = (level: Busyness.Level): number => level.prefill / 4096 + level.decode;
+const weigh = (level: InFlight.Level): number => level.prefill / 4096 + level.decode;
 
 export const Pick = {
   mix,
@@ -71,10 +71,10 @@
     needs: Pick.Needs,
     want?: Placement.Want,
   ): Pick | undefined {
-    const { busyness } = needs;
+    const { inFlight } = needs;
     const free = among.filter(
       ({ server, group }) =>
-        busyness.of(server.instance).jobs < Math.min(group.concurrent, needs.allowance(server.instance)),
+        inFlight.of(server.instance).jobs < Math.min(group.concurrent, needs.allowance(server.instance)),
     );
     if (free.length <= 1) return free[0];
     if (want) return needs.placement.choose(free, want);
@@ -82,7 +82,7 @@
       const a = free[Math.floor(needs.random() * free.length)]!;
       const others = free.filter((one) => one !== a);
       const b = others[Math.floor(needs.random() * others.length)]!;
-      const jobs = (one: Pick) => busyness.of(one.server.instance).jobs;
+      const jobs = (one: Pick) => inFlight.of(one.server.instance).jobs;
       return jobs(a) <= jobs(b) ? a : b;
     }
     const seed = mix(0x811c9dc5, key);
@@ -90,7 +90,7 @@
       .map((one) => ({ one, score: mix(seed, one.server.instance) }))
       .sort((a, b) => b.score - a.score || (a.one.server.instance < b.one.server.instance ? -1 : 1))
       .map(({ one }) => one);
-    const weights = ranked.map((one) => weigh(busyness.of(one.server.instance)));
+    const weights = ranked.map((one) => weigh(inFlight.of(one.server.instance)));
     const mean = weights.reduce((sum, weight) => sum + weight, 0) / weights.length;
     return ranked.find((_one, index) => weights[index]! <= bound * mean + 1) ?? ranked[0];
   },
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -6,7 +6,7 @@
 // same for all proxies and regions. A server that came lately is not taken to keep anything by hashing alone.
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
-import type { Busyness } from './busyness.js';
+import type { InFlight } from './in-flight.js';
 import { Pick } from './pick.js';
 import { Reading } from './reading.js';
 
@@ -41,7 +41,7 @@
   };
   type Needs = {
     readonly region: () => string | undefined;
-    readonly busyness: Busyness;
+    readonly inFlight: InFlight;
     readonly hasIdle: (instance: string) => boolean;
     readonly random: () => number;
   };
@@ -121,7 +121,7 @@
       holders: Holders,
     ): number => {
       const { instance, slots } = server;
-      const level = needs.busyness.of(instance);
+      const level = needs.inFlight.of(instance);
       const told = heard(instance);
       const isFar = server.region !== needs.region();
       const isHolder = instance === holders.first;
@@ -179,7 +179,7 @@
         const isSure =
           chains.length > 1 &&
           chains.slice(0, -1).every(({ key }) => held.has(key)) &&
-          needs.busyness.of(instance).prefill === 0 &&
+          needs.inFlight.of(instance).prefill === 0 &&
           (told?.load.queued ?? 0) + (told?.sent ?? 0) === 0;
         if (told) told.sent += 1;
         for (const { key, tokens } of chains.slice(0, -1)) {
--- a/src/upstream/pool.ts
+++ b/src/upstream/pool.ts
@@ -1,7 +1,7 @@
 // Proved connections by instance. One is taken for one exchange and given back; those of an instance
 // that the newest manifest or platform list no longer holds at that address are dropped.
 import { Address } from '../kinds/address.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 import { Connection } from './connection.js';
@@ -54,7 +54,7 @@
         connection.onClose(() => forget(connection));
         return connection;
       } catch (error) {
-        if (Mishap.is(error, 'identity')) terms.onWrong(server, error);
+        if (Failure.is(error, 'identity')) terms.onWrong(server, error);
         throw error;
       }
     };
--- a/src/upstream/prover.ts
+++ b/src/upstream/prover.ts
@@ -2,8 +2,9 @@
 // A dark server gets no request. One task for each dark server proves it again in the background, with
 // back-off, and what it proved is kept as a connection; only then may requests go there. A server that makes
 // a request wait, or that ended a connection just used, is asked beside the requests before one fails there.
-import { Alarm } from '../kinds/alarm.js';
+
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Connection } from './connection.js';
 import type { Pool } from './pool.js';
@@ -47,7 +48,7 @@
     const attend = async (instance: string, isHearsay: boolean, stop: AbortController) => {
       let span = isHearsay ? 0 : first;
       for (let count = 0; !stop.signal.aborted; count += 1) {
-        await Alarm.pause(span * (0.75 + Math.random() / 2), stop.signal);
+        await Timer.pause(span * (0.75 + Math.random() / 2), stop.signal);
         const server = find(instance);
         if (!server || stop.signal.aborted) break;
         const connection = await prove(server, stop.signal);
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -1,13 +1,13 @@
 // One try of one request on one server: connect and prove, then send, then wait for the response to
 // begin. How it ended is told as a tagged union that always says whether the request may have run.
 import type { IncomingHttpHeaders } from 'node:http';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
-import type { Busyness } from './busyness.js';
 import type { Connection } from './connection.js';
 import type { Exchange } from './exchange.js';
+import type { InFlight } from './in-flight.js';
 import type { Pick } from './pick.js';
 import type { Pool } from './pool.js';
 
@@ -27,7 +27,7 @@
       readonly headers: IncomingHttpHeaders;
       readonly body: Exchange.Body;
       readonly connection: Connection;
-      readonly job: Busyness.Job;
+      readonly job: InFlight.Job;
       readonly pick: Pick;
     };
 
@@ -35,7 +35,7 @@
   type Why = 'connect' | 'identity' | 'first_byte' | 'per_try' | 'total' | 'reset' | 'left' | 'late';
   type Needs = {
     readonly pool: Pool;
-    readonly busyness: Busyness;
+    readonly inFlight: InFlight;
     readonly request: (left: number) => Exchange.Request;
     readonly timeouts: Document.Timeouts;
     readonly deadline: Moment;
@@ -56,16 +56,16 @@
   spans.reduce((least, one) => (one[1] < least[1] ? one : least));
 
 const whyOf = (error: unknown, other: Trial.Why): Trial.Why => {
-  const told = Mishap.info(error).why as Trial.Why | undefined;
+  const told = Failure.info(error).why as Trial.Why | undefined;
   if (told) return told;
-  return Mishap.is(error, 'identity') ? 'identity' : Mishap.is(error, 'connect') ? 'connect' : other;
+  return Failure.is(error, 'identity') ? 'identity' : Failure.is(error, 'connect') ? 'connect' : other;
 };
 
 export const Trial = {
   async run(pick: Pick, needs: Trial.Needs): Promise<Trial> {
-    const { timeouts, deadline, busyness } = needs;
+    const { timeouts, deadline, inFlight } = needs;
     const cut = new AbortController();
-    const end = (why: Trial.Why) => cut.abort(Mishap.of('timeout', `ended by ${why}`, { why }));
+    const end = (why: Trial.Why) => cut.abort(Failure.of('timeout', `ended by ${why}`, { why }));
     const onLeave = () => end('left');
     const perTry = Moment.after(timeouts.per_try);
     const bounds = (): (readonly [Trial.Why, number])[] => [
@@ -73,12 +73,12 @@
       ['total', Moment.left(deadline)],
     ];
     let [why, span] = limit([['connect', timeouts.connect], ...bounds()]);
-    const alarm = Alarm.after(span, () => end(why));
+    const timer = Timer.after(span, () => end(why));
     if (needs.signal.aborted) onLeave();
     needs.signal.addEventListener('abort', onLeave, { once: true });
-    const job = busyness.begin(pick.server.instance, needs.weight);
+    const job = inFlight.begin(pick.server.instance, needs.weight);
     const finish = () => {
-      alarm.stop();
+      timer.stop();
       needs.signal.removeEventListener('abort', onLeave);
       job.end();
     };
@@ -91,8 +91,8 @@
     }
     await needs.settle();
     [why, span] = limit([['first_byte', timeouts.first_byte], ...bounds()]);
-    alarm.move(span);
-    const wait = Alarm.after(suspectAfter, needs.onWait);
+    timer.move(span);
+    const wait = Timer.after(suspectAfter, needs.onWait);
     const begin = () => {
       needs.onSend();
       return true;
@@ -107,7 +107,7 @@
         begin(),
     });
     wait.stop();
-    if (result.kind === 'mishap') {
+    if (result.kind === 'failure') {
       finish();
       await connection.destroy();
       if (result.isSent) return { kind: 'lost', why: whyOf(result.cause, 'reset'), pick };
@@ -121,7 +121,7 @@
       return { kind: 'lost', why: 'reset', pick };
     }
     if (status < 400) {
-      alarm.stop();
+      timer.stop();
       job.toDecode();
       needs.signal.removeEventListener('abort', onLeave);
       return { kind: 'stream', status, headers, body, connection, job, pick };
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -3,9 +3,9 @@
 // request certainly was not run. Every try beyond the first needs a token, and one deadline and hop
 // budget bound them all. A verdict is given the moment it is known.
 import { match } from 'ts-pattern';
-import { Alarm } from '../kinds/alarm.js';
 import type { Ident } from '../kinds/ident.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Budget } from './budget.js';
 import { Pick } from './pick.js';
@@ -29,7 +29,7 @@
       readonly isNotRun: boolean;
     }
   | {
-      readonly kind: 'drop';
+      readonly kind: 'refusal';
       readonly status: 502 | 503 | 504;
       readonly why: Tries.Why;
       readonly retryAfter: number;
@@ -37,7 +37,7 @@
     };
 
 export declare namespace Tries {
-  type Why = Trial.Why | 'no_server' | 'budget' | 'dropped' | 'attempts';
+  type Why = Trial.Why | 'no_server' | 'budget' | 'refused' | 'attempts';
   type Plan = {
     readonly rule: Compiled.Rule;
     readonly regions: readonly Ident.Region[];
@@ -116,10 +116,10 @@
     if (last?.kind === 'response' && why === undefined && !isSurelyNotRun(last) && last.status < 500)
       return { kind: 'response', trial: last, tries, isNotRun: false };
     const cause: Tries.Why =
-      last?.kind === 'lost' || last?.kind === 'unsent' ? last.why : last ? 'dropped' : (why ?? 'no_server');
+      last?.kind === 'lost' || last?.kind === 'unsent' ? last.why : last ? 'refused' : (why ?? 'no_server');
     const isTimeout = ['first_byte', 'per_try', 'total', 'late'].includes(cause);
     const status = !mayHaveRun ? 503 : isTimeout ? 504 : 502;
-    return { kind: 'drop', status, why: why ?? cause, retryAfter, tries };
+    return { kind: 'refusal', status, why: why ?? cause, retryAfter, tries };
   };
   const isOver = () => plan.signal.aborted || Moment.isPast(plan.deadline);
 
@@ -200,7 +200,7 @@
         if (told === undefined && plan.before.sent === 0) plan.budget.earn();
         told = await plan.run(step.value.pick, step.value.tier, step.value.hops);
       } else {
-        await Alarm.pause(Math.min(step.value.span, Moment.left(plan.deadline)), plan.signal);
+        await Timer.pause(Math.min(step.value.span, Moment.left(plan.deadline)), plan.signal);
       }
     }
   },
--- a/src/wire/courier.ts
+++ b/src/wire/courier.ts
@@ -1,10 +1,10 @@
-// A courier keeps one link to a mate open and carries requests over it, each answered by a reply of the
+// A courier keeps one link to a peer open and carries requests over it, each answered by a reply of the
 // same serial. When the link is down a request fails at once; whoever asks decides what that means. From the
 // votes it carries it knows whose disk answers there, which may be another one than was there before.
 import { Address } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
+import { Timer } from '../kinds/timer.js';
 import type { Frame } from './frame.js';
 import { Link } from './link.js';
 
@@ -42,7 +42,7 @@
     let disk = '';
 
     const failAll = () => {
-      const cause = Mishap.of('link', `the link to ${needs.place} ended`);
+      const cause = Failure.of('link', `the link to ${needs.place} ended`);
       for (const settle of [...waiting.values()]) settle(cause);
     };
     const attend = async () => {
@@ -72,7 +72,7 @@
     const run = async () => {
       while (!stop.signal.aborted) {
         await attend().catch(() => undefined);
-        await Alarm.pause(100, stop.signal);
+        await Timer.pause(100, stop.signal);
       }
     };
     const done = run();
@@ -86,16 +86,16 @@
           const mine = ++serial;
           const settle = (reply: Frame.Reply | Error) => {
             waiting.delete(mine);
-            alarm.stop();
+            timer.stop();
             if (reply instanceof Error) reject(reply);
             else resolve(reply);
           };
-          const alarm = Alarm.after(within, () =>
-            settle(Mishap.of('silence', `${needs.place} did not answer`)),
+          const timer = Timer.after(within, () =>
+            settle(Failure.of('silence', `${needs.place} did not answer`)),
           );
           waiting.set(mine, settle);
           if (!link?.send({ ...request, serial: mine } as Frame.Request))
-            settle(Mishap.of('link', `no link to ${needs.place}`));
+            settle(Failure.of('link', `no link to ${needs.place}`));
         }),
       async stop() {
         stop.abort();
--- a/src/wire/doorway.ts
+++ b/src/wire/doorway.ts
@@ -2,16 +2,16 @@
 // in time or sends what cannot be read is closed and counted, and never ends the process.
 import { createServer } from 'node:net';
 import { Address } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
+import { Failure } from '../kinds/failure.js';
 import { Listen } from '../kinds/listen.js';
-import { Mishap } from '../kinds/mishap.js';
 import type { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import type { Frame } from './frame.js';
 import { Link } from './link.js';
 
 export type Doorway = {
   readonly address: Address;
-  readonly dropped: () => number;
+  readonly refused: () => number;
   readonly close: () => Promise<void>;
 };
 
@@ -33,18 +33,18 @@
 const greet = async (frames: AsyncGenerator<Frame, void, void>): Promise<Doorway.Hello> => {
   for (;;) {
     const { value } = await frames.next();
-    if (!value) throw Mishap.of('link', 'link ended before its hello');
+    if (!value) throw Failure.of('link', 'link ended before its hello');
     if (value.kind === 'hello') return value;
-    if (value.kind !== 'ping') throw Mishap.of('frame', `${value.kind} before hello`);
+    if (value.kind !== 'ping') throw Failure.of('frame', `${value.kind} before hello`);
   }
 };
 
 export const Doorway = {
   async open(needs: Doorway.Needs): Promise<Doorway> {
     const links = new Set<Link>();
-    let dropped = 0;
+    let refused = 0;
     const attend = async (link: Link) => {
-      const late = Alarm.after(helloWithin, () => link.close(Mishap.of('silence', 'no hello')));
+      const late = Timer.after(helloWithin, () => link.close(Failure.of('silence', 'no hello')));
       const frames = link.frames();
       try {
         const hello = await greet(frames);
@@ -52,8 +52,8 @@
         if (hello.aim === 'core') link.send({ kind: 'ping', age: needs.age() });
         await needs.serve(link, hello, frames);
       } catch (error) {
-        dropped += 1;
-        needs.note('link closed', { mate: link.mate, why: Mishap.text(error) });
+        refused += 1;
+        needs.note('link closed', { peer: link.peer, why: Failure.text(error) });
       } finally {
         late.stop();
         links.delete(link);
@@ -62,7 +62,7 @@
     };
     const server = createServer((socket) => {
       if (links.size >= mostLinks) {
-        dropped += 1;
+        refused += 1;
         socket.destroy();
         return;
       }
@@ -71,10 +71,10 @@
       void attend(link);
     });
     const address = await Listen(server, needs.address);
-    server.on('error', (error) => needs.note('doorway mishap', { why: Mishap.text(error) }));
+    server.on('error', (error) => needs.note('doorway failure', { why: Failure.text(error) }));
     return {
       address,
-      dropped: () => dropped,
+      refused: () => refused,
       close: () =>
         new Promise((resolve) => {
           server.close(() => resolve());
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -1,8 +1,8 @@
 // One frame as a tagged union, and its bytes. Each carries the sender's stamp. What cannot be decoded is a
-// mishap of its sender's, never of ours. A frame of a kind that this program does not know comes from a
+// failure of its sender's, never of ours. A frame of a kind that this program does not know comes from a
 // newer one: it is dropped and counted, and its link goes on.
 import type { Epoch } from '../kinds/epoch.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Schema } from './schema.js';
 
@@ -30,7 +30,7 @@
     | {
         readonly kind: 'welcome';
         readonly self: Entry;
-        readonly mates: readonly string[];
+        readonly peers: readonly string[];
         readonly relays: readonly string[];
         readonly version: string;
         readonly age: number;
@@ -44,9 +44,9 @@
       }
     | { readonly kind: 'news'; readonly view: Uint8Array }
     | { readonly kind: 'roll'; readonly entries: readonly Entry[] }
-    | { readonly kind: 'drop'; readonly reason: string }
+    | { readonly kind: 'refuse'; readonly reason: string }
     | { readonly kind: 'lower'; readonly relays: readonly string[] }
-    | { readonly kind: 'mates'; readonly mates: readonly string[] }
+    | { readonly kind: 'peers'; readonly peers: readonly string[] }
     | { readonly kind: 'roster'; readonly proxies: readonly string[] }
     | { readonly kind: 'loads'; readonly loads: readonly Load[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
@@ -69,7 +69,7 @@
         readonly ballot: Ballot;
         readonly isForming: boolean;
       }
-    | { readonly kind: 'accept'; readonly serial: number; readonly ballot: Ballot; readonly tenure: Tenure }
+    | { readonly kind: 'accept'; readonly serial: number; readonly ballot: Ballot; readonly term: Term }
     | { readonly kind: 'peek'; readonly serial: number }
     | {
         readonly kind: 'append';
@@ -89,7 +89,7 @@
         readonly isBlank: boolean;
         readonly promised: Ballot | null;
         readonly accepted: Ballot | null;
-        readonly tenure: Tenure | null;
+        readonly term: Term | null;
         readonly core: Core;
         readonly highest: Epoch;
         readonly isAble: boolean;
@@ -121,7 +121,7 @@
   type Grant = Work & { readonly team: string };
   type Ballot = { readonly round: number; readonly disk: string };
   type Core = { readonly disk: string; readonly node: string; readonly wire: string; readonly http: string };
-  type Tenure = {
+  type Term = {
     readonly epoch: Epoch;
     readonly primary: string;
     readonly inSync: readonly string[];
@@ -139,7 +139,7 @@
   encode(stamp: Stamp, frame: Frame.Body): Buffer {
     const { kind, ...body } = frame;
     const bytes = Schema.frame.encode(Schema.frame.fromObject({ stamp, [kind]: body })).finish();
-    if (bytes.length > longest) throw Mishap.of('frame', 'frame too long', { length: bytes.length });
+    if (bytes.length > longest) throw Failure.of('frame', 'frame too long', { length: bytes.length });
     const framed = Buffer.allocUnsafe(4 + bytes.length);
     framed.writeUInt32BE(bytes.length, 0);
     framed.set(bytes, 4);
@@ -151,7 +151,7 @@
     try {
       plain = Schema.frame.toObject(Schema.frame.decode(bytes), shape);
     } catch (cause) {
-      throw Mishap.of('frame', 'frame cannot be read', { length: bytes.length }, cause);
+      throw Failure.of('frame', 'frame cannot be read', { length: bytes.length }, cause);
     }
     const kind = plain.body as string | undefined;
     if (kind === undefined) {
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -1,12 +1,12 @@
 // A link is one TCP connection that carries frames both ways. Each end pings; an end that hears
-// nothing for a while gives the link up, so a frozen or cut mate shows within two seconds. Reading is
+// nothing for a while gives the link up, so a frozen or cut peer shows within two seconds. Reading is
 // written straight down: one task per link loops over its frames.
 import { connect, type Socket } from 'node:net';
 import { type Address, Address as Addresses } from '../kinds/address.js';
-import { Alarm } from '../kinds/alarm.js';
-import { Mishap } from '../kinds/mishap.js';
+import { Failure } from '../kinds/failure.js';
 import { Phase } from '../kinds/phase.js';
 import type { Stamp } from '../kinds/stamp.js';
+import { Timer } from '../kinds/timer.js';
 import { Frame } from './frame.js';
 
 export type Link = {
@@ -15,7 +15,7 @@
   readonly close: (cause?: Error) => void;
   readonly closed: Promise<void>;
   readonly isOpen: () => boolean;
-  readonly mate: string;
+  readonly peer: string;
 };
 
 type Terms = {
@@ -31,14 +31,14 @@
     held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
     while (held.length >= 4) {
       const length = held.readUInt32BE(0);
-      if (length > Frame.longest) throw Mishap.of('frame', 'frame too long', { length });
+      if (length > Frame.longest) throw Failure.of('frame', 'frame too long', { length });
       if (held.length < 4 + length) break;
       const frame = Frame.decode(held.subarray(4, 4 + length));
       held = held.subarray(4 + length);
       if (frame) yield frame;
     }
   }
-  if (held.length > 0) throw Mishap.of('frame', 'frame cut short', { length: held.length });
+  if (held.length > 0) throw Failure.of('frame', 'frame cut short', { length: held.length });
 }
 
 export const Link = {
@@ -60,15 +60,15 @@
     const send = (body: Frame.Body): boolean => {
       if (phase.is('closed') || socket.destroyed) return false;
       if (socket.writableLength > 2 * Frame.longest) {
-        close(Mishap.of('link', 'mate reads too slowly'));
+        close(Failure.of('link', 'peer reads too slowly'));
         return false;
       }
       socket.write(Frame.encode(terms.stamp(), body));
       return true;
     };
     socket.setNoDelay(true);
-    const pings = Alarm.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
-    const quiet = Alarm.after(silence, () => close(Mishap.of('silence', 'nothing heard from mate')));
+    const pings = Timer.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
+    const quiet = Timer.after(silence, () => close(Failure.of('silence', 'nothing heard from peer')));
     socket.on('data', () => {
       if (phase.is('open')) quiet.move(silence);
     });
@@ -80,7 +80,7 @@
       close,
       closed,
       isOpen: () => phase.is('open'),
-      mate: `${socket.remoteAddress}:${socket.remotePort}`,
+      peer: `${socket.remoteAddress}:${socket.remotePort}`,
       async *frames() {
         try {
           yield* read(socket);
@@ -96,11 +96,11 @@
       const fail = (cause?: unknown) => {
         settle();
         socket.destroy();
-        reject(Mishap.of('link', `no link to ${Addresses.text(address)}`, {}, cause));
+        reject(Failure.of('link', `no link to ${Addresses.text(address)}`, {}, cause));
       };
-      const alarm = Alarm.after(1000, fail);
+      const timer = Timer.after(1000, fail);
       const settle = () => {
-        alarm.stop();
+        timer.stop();
         signal?.removeEventListener('abort', fail);
         socket.removeAllListeners('error');
       };
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -9,7 +9,7 @@
   string http = 6; string wire = 7; string via = 8; uint64 counter = 9; double age = 10; bool ready = 11; string ops = 12; uint32 depth = 13;
   bool vouched = 14; }
 message Hello { Entry self = 1; string version = 2; string aim = 3; }
-message Welcome { Entry self = 1; repeated string mates = 2; string version = 3; repeated string relays = 4;
+message Welcome { Entry self = 1; repeated string peers = 2; string version = 3; repeated string relays = 4;
   double age = 5; }
 message Ping { double age = 1; }
 message Ask { repeated string digests = 1; }
@@ -19,19 +19,19 @@
 message Roll { repeated Entry entries = 1; }
 message Ballot { uint64 round = 1; string disk = 2; }
 message Core { string disk = 1; string node = 2; string wire = 3; string http = 4; }
-message Tenure { uint64 epoch = 1; string primary = 2; repeated string inSync = 3; repeated Core cores = 4;
+message Term { uint64 epoch = 1; string primary = 2; repeated string inSync = 3; repeated Core cores = 4;
   uint64 formed = 5; }
 message Prepare { uint64 serial = 1; Ballot ballot = 2; bool isForming = 3; }
-message Accept { uint64 serial = 1; Ballot ballot = 2; Tenure tenure = 3; }
+message Accept { uint64 serial = 1; Ballot ballot = 2; Term term = 3; }
 message Peek { uint64 serial = 1; }
 message Vote { uint64 serial = 1; bool isGranted = 2; bool isBlank = 3; Ballot promised = 4; Ballot accepted = 5;
-  Tenure tenure = 6; Core core = 7; uint64 highest = 8; bool isAble = 9; Stamp held = 10; }
+  Term term = 6; Core core = 7; uint64 highest = 8; bool isAble = 9; Stamp held = 10; }
 message Append { uint64 serial = 1; uint64 epoch = 2; Stamp previous = 3; bytes record = 4; bool whole = 5; }
 message Appended { uint64 serial = 1; bool isTaken = 2; Stamp held = 3; uint64 floor = 4; string why = 5; }
 message Yield { uint64 serial = 1; uint64 epoch = 2; }
 message Join { uint64 serial = 1; Core core = 2; }
 message Done { uint64 serial = 1; bool isDone = 2; string why = 3; }
-message Drop { string reason = 1; }
+message Refuse { string reason = 1; }
 message Batch { uint64 amount = 1; double age = 2; }
 message Work { double requests = 1; double prompt = 2; }
 message Use { string team = 1; Work used = 2; Work holds = 3; Work wanted = 4; Work must = 5; }
@@ -39,17 +39,17 @@
 message Tokens { string node = 1; uint64 epoch = 2; repeated Batch batches = 3; uint64 wanted = 4;
   uint64 serial = 5; repeated Use uses = 6; repeated Grant grants = 7; }
 message Lower { repeated string relays = 1; }
-message Mates { repeated string mates = 1; }
+message Peers { repeated string peers = 1; }
 message Roster { repeated string proxies = 1; }
 message Cold { string instance = 1; double age = 2; bool dark = 3; }
 message Load { string instance = 1; uint32 queued = 2; uint32 active = 3; float bound = 4; }
 message Loads { repeated Load loads = 1; }
 message Frame { Stamp stamp = 1;
   oneof body { Hello hello = 2; Welcome welcome = 3; Ping ping = 4; Ask ask = 5; News news = 6; Roll roll = 7;
-    Drop drop = 8;
+    Refuse refuse = 8;
     Prepare prepare = 9; Accept accept = 10; Peek peek = 11; Vote vote = 12; Append append = 13;
     Appended appended = 14; Yield yield = 15; Join join = 16; Done done = 17; Tokens tokens = 18; Lower lower = 19; Roster roster = 20; Cold cold = 21; Patch patch = 22;
-    Mates mates = 23; Loads loads = 24; } }
+    Peers peers = 23; Loads loads = 24; } }
 `;
 
 export const Schema = { frame: protobuf.parse(source, { keepCase: true }).root.lookupType('Frame') };
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -8,7 +8,7 @@
 import { Core } from '../src/control/core.js';
 import { Proposer } from '../src/epoch/proposer.js';
 import { Register } from '../src/epoch/register.js';
-import { Tenure } from '../src/epoch/tenure.js';
+import { Term } from '../src/epoch/term.js';
 import { Epoch } from '../src/kinds/epoch.js';
 import { View } from '../src/manifest/view.js';
 import { Backup } from '../src/replica/backup.js';
@@ -120,7 +120,7 @@
       ),
     );
   const [one, two, third] = members as [Member, Member, Member];
-  const first: Tenure = {
+  const first: Term = {
     epoch: Epoch.of(1),
     formed: Epoch.none,
     primary: one.self.disk,
@@ -139,7 +139,7 @@
 const takeAlone = async ({ one, two, third, lost }: Three, member: Member): Promise<void> => {
   const from = [one, two, third].indexOf(member);
   for (const to of [0, 1, 2]) lost.add(`${from}>${to} accept`);
-  const alone = await member.proposer.change((base) => Tenure.next(base, { primary: member.self.disk }));
+  const alone = await member.proposer.change((base) => Term.next(base, { primary: member.self.disk }));
   assert.deepEqual([alone.isDone, alone.tenure], [false, undefined]);
   assert.deepEqual(
     [member.register.tenure()?.epoch, member.register.tenure()?.primary],
@@ -193,12 +193,12 @@
     begin(two);
     assert.equal(two.core.tenure()?.primary, two.self.disk);
     const chosen = await one.proposer.change((base) =>
-      Tenure.next(base, { inSync: [one.self.disk, third.self.disk] }),
+      Term.next(base, { inSync: [one.self.disk, third.self.disk] }),
     );
     assert.equal(chosen.isDone, true);
     lost.clear();
     await until(() => two.core.tenure()?.primary === one.self.disk, 'it knows the chosen primary');
-    assert.equal(Tenure.isInSync(two.core.tenure()!, two.self.disk), false);
+    assert.equal(Term.isInSync(two.core.tenure()!, two.self.disk), false);
   });
 
   it('takes changes after its backup has promised a higher epoch in vain, though the third is away', async () => {
--- a/test/losses.ts
+++ b/test/losses.ts
@@ -10,7 +10,7 @@
 import { Bench } from './bench.js';
 
 type Core = FleetKit.Core;
-type Tenure = { epoch: number; primary: string; inSync: string[]; cores: { disk: string; node: string }[] };
+type Term = { epoch: number; primary: string; inSync: string[]; cores: { disk: string; node: string }[] };
 
 export const Losses = {
   describe: (losses: number) =>
@@ -44,7 +44,7 @@
       const told = async (core: Core) =>
         (await (await fetch(`http://${core.http}/health`, { signal: AbortSignal.timeout(1000) })).json()) as {
           state: string;
-          tenure: Tenure | null;
+          tenure: Term | null;
         };
       const up = () => bench.kit.cores.filter((core) => core.process?.isUp());
       const leader = async (among = up()): Promise<Core> =>
@@ -136,7 +136,7 @@
           .map((one) => ({ one, at: random.next() }))
           .sort((a, b) => a.at - b.at)
           .map(({ one }) => one);
-      const coreOf = (now: Tenure, disk: string): Core =>
+      const coreOf = (now: Term, disk: string): Core =>
         bench.kit.cores.find((core) => core.node === now.cores.find((one) => one.disk === disk)?.node)!;
       const inSyncFirst = async (): Promise<Core[]> => {
         const now = await tenure();
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -51,7 +51,7 @@
       age: () => 0,
       note: () => {},
       async serve(link, _hello, frames) {
-        link.send({ kind: 'welcome', self: parent.self(), mates: [], relays: [], version: '', age: 0 });
+        link.send({ kind: 'welcome', self: parent.self(), peers: [], relays: [], version: '', age: 0 });
         for await (const frame of frames) {
           if (frame.kind === 'roll') rolls.push(frame.entries);
           came();
@@ -130,7 +130,7 @@
           feed,
           roll,
           children,
-          mates: () => [],
+          peers: () => [],
           relays: () => [],
           roster: () => [],
           version: '',
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -7,7 +7,7 @@
 import { after, describe, it } from 'node:test';
 import { Proposer } from '../src/epoch/proposer.js';
 import { Register } from '../src/epoch/register.js';
-import { Tenure } from '../src/epoch/tenure.js';
+import { Term } from '../src/epoch/term.js';
 import { Epoch } from '../src/kinds/epoch.js';
 import { Stamp } from '../src/kinds/stamp.js';
 import { File } from '../src/store/file.js';
@@ -32,7 +32,7 @@
         ...proposer.vote(isGranted),
       });
       if (request.kind === 'prepare') return vote(await register.prepare(request.ballot, request.isForming));
-      if (request.kind === 'accept') return vote(await register.accept(request.ballot, request.tenure));
+      if (request.kind === 'accept') return vote(await register.accept(request.ballot, request.term));
       return vote(true);
     },
     isUp: () => true,
@@ -54,7 +54,7 @@
     });
     members.push({ register, proposer, core });
   }
-  const first: Tenure = {
+  const first: Term = {
     epoch: Epoch.of(1),
     formed: Epoch.of(1),
     primary: members[0]!.core.disk,
@@ -73,20 +73,20 @@
       const { members, lost, first } = await group(count);
       const [one, two] = members as [Member, Member];
       for (let to = 1; to < count; to += 1) lost.add(`0>${to} accept`);
-      const alone = await one.proposer.change((base) => Tenure.next(base, { inSync: [one.core.disk] }));
-      assert.deepEqual([alone.isDone, alone.tenure], [false, undefined]);
-      assert.deepEqual(one.register.tenure()?.inSync, [one.core.disk]);
+      const alone = await one.proposer.change((base) => Term.next(base, { inSync: [one.core.disk] }));
+      assert.deepEqual([alone.isDone, alone.term], [false, undefined]);
+      assert.deepEqual(one.register.term()?.inSync, [one.core.disk]);
       const again = await one.proposer.change(() => undefined);
-      assert.deepEqual([again.isDone, again.tenure], [false, undefined]);
+      assert.deepEqual([again.isDone, again.term], [false, undefined]);
       lost.add('1>0');
       const taken = await two.proposer.change((base) =>
-        base.epoch === first.epoch ? Tenure.next(base, { primary: two.core.disk }) : undefined,
+        base.epoch === first.epoch ? Term.next(base, { primary: two.core.disk }) : undefined,
       );
       assert.equal(taken.isDone, true);
       lost.clear();
       const found = await one.proposer.change(() => undefined);
-      assert.equal(found.tenure?.primary, two.core.disk);
-      assert.deepEqual(found.tenure?.inSync, first.inSync);
+      assert.equal(found.term?.primary, two.core.disk);
+      assert.deepEqual(found.term?.inSync, first.inSync);
     });
 
   it('settles a tenure that a few accepted by writing it back, and then tells it', async () => {
@@ -94,14 +94,14 @@
     const [one, two] = members as [Member, Member];
     for (const to of [2, 3, 4]) lost.add(`0>${to} accept`);
     const few = await one.proposer.change((base) =>
-      Tenure.next(base, { inSync: [one.core.disk, two.core.disk] }),
+      Term.next(base, { inSync: [one.core.disk, two.core.disk] }),
     );
-    assert.equal(few.tenure, undefined);
+    assert.equal(few.term, undefined);
     lost.clear();
     const settled = await two.proposer.change(() => undefined);
-    assert.deepEqual(settled.tenure?.inSync, [one.core.disk, two.core.disk]);
+    assert.deepEqual(settled.term?.inSync, [one.core.disk, two.core.disk]);
     const isEverywhere = () =>
-      members.every(({ register }) => register.tenure()?.epoch === settled.tenure?.epoch);
+      members.every(({ register }) => register.term()?.epoch === settled.term?.epoch);
     for (const began = performance.now(); !isEverywhere() && performance.now() - began < 5000; )
       await new Promise((resolve) => setImmediate(resolve));
     assert.equal(isEverywhere(), true);
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -5,7 +5,7 @@
 import type { Compiled } from '../src/manifest/compiled.js';
 import { Stall } from '../src/proxy/stall.js';
 import { Budget } from '../src/upstream/budget.js';
-import { Busyness } from '../src/upstream/busyness.js';
+import { InFlight } from '../src/upstream/in-flight.js';
 import type { Pick } from '../src/upstream/pick.js';
 import { Placement } from '../src/upstream/placement.js';
 import { Reading } from '../src/upstream/reading.js';
@@ -153,10 +153,10 @@
       regions: ['a'],
     }) as unknown as Compiled;
   const make = (seed: number) => {
-    const busyness = Busyness.of();
+    const busyness = InFlight.of();
     const placement = Placement.of({
       region: () => 'a',
-      busyness,
+      inFlight,
       hasIdle: () => true,
       random: chance(seed),
     });
--- a/test/walls-manifest.test.ts
+++ b/test/walls-manifest.test.ts
@@ -7,7 +7,7 @@
 import type { Document } from '../src/manifest/document.js';
 import { Wall } from '../src/manifest/wall.js';
 import { WallChange } from '../src/manifest/wall-change.js';
-import { Busyness } from '../src/upstream/busyness.js';
+import { InFlight } from '../src/upstream/in-flight.js';
 import { Placement } from '../src/upstream/placement.js';
 import { Bench } from './bench.js';
 
@@ -150,7 +150,7 @@
   it('is parted by wall, and no wall pushes out another', () => {
     const placement = Placement.of({
       region: () => 'a',
-      busyness: Busyness.of(),
+      inFlight: InFlight.of(),
       hasIdle: () => true,
       random: () => 0,
     });
--- a/tools/scale/hollow.ts
+++ b/tools/scale/hollow.ts
@@ -2,9 +2,9 @@
 // budget, without callers' and servers' connections. Requests only earn tokens and are charged to quotas.
 import { request } from 'undici';
 import { Agent } from '../../src/agent/program.js';
-import { Alarm } from '../../src/kinds/alarm.js';
 import { Ident } from '../../src/kinds/ident.js';
 import { Stamp } from '../../src/kinds/stamp.js';
+import { Timer } from '../../src/kinds/timer.js';
 import { Ring } from '../../src/log/ring.js';
 import { Roll } from '../../src/membership/roll.js';
 import { Uplink } from '../../src/membership/uplink.js';
@@ -79,11 +79,11 @@
       void quotas.admit(charged, promptBytes);
     };
     const alarms = [
-      Alarm.every(tendEvery, () => {
+      Timer.every(tendEvery, () => {
         budget.tend();
         quotas.tend();
       }),
-      Alarm.every(requestsEvery, () => {
+      Timer.every(requestsEvery, () => {
         due += (terms.requests * requestsEvery) / 1000;
         for (; due >= 1; due -= 1) serve();
       }),
