Let an empty core into the register only by a tenure that is chosen

Where the other cores of before did not get it, the primary and the new core were a majority of the new tenure and the two others one of the old: both sides could change the register. New test, failed before: both changes were done, which is two primaries; now only the one of before.

Now an empty core accepts only what is told to be chosen: a forming, and what the primary installs, which is the tenure it knows as chosen under its ballot, no longer whatever its own register holds. A new field of accept; an older program ignores it, and an empty core of this one waits under an older primary until that is rolled too.

Trial ruled out: settling the unknown change by the primary and the new core; it made the two majorities likelier.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -123,13 +123,14 @@
         await Alarm.pause(phase.is('blank') ? beat : readEvery, stop.signal);
       }
     };
-    const lead = async (tenure: Tenure) => {
+    const lead = async (tenure: Tenure, ballot: Ballot) => {
       phase.become('leading');
       ledSince = Moment.now();
       needs.note('leading', { tenure: Tenure.text(tenure) });
       const mine = Primary.of({
         disk: register.disk,
         tenure,
+        ballot,
         losses: needs.losses,
         store,
         proposer,
@@ -157,7 +158,7 @@
           : undefined,
       );
       learn(tenure, ballot);
-      if (isDone && tenure) await lead(tenure);
+      if (isDone && tenure) await lead(tenure, ballot);
     };
     const settle = async (leader: Primary) => {
       const offered = needs.offered();
--- a/src/control/desk.ts
+++ b/src/control/desk.ts
@@ -44,8 +44,8 @@
         .with({ kind: 'prepare' }, async ({ serial, ballot, isForming }) =>
           vote(serial, await register.prepare(ballot, isForming)),
         )
-        .with({ kind: 'accept' }, async ({ serial, ballot, tenure }) =>
-          vote(serial, await register.accept(ballot, tenure)),
+        .with({ kind: 'accept' }, async ({ serial, ballot, tenure, isChosen }) =>
+          vote(serial, await register.accept(ballot, tenure, isChosen)),
         )
         .with({ kind: 'append' }, (append) => needs.backup.take(append))
         .with({ kind: 'yield' }, async ({ serial }) => {
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -24,7 +24,7 @@
     make: (votes: readonly Proposer.Vote[]) => Tenure | undefined,
     atLeast: number,
   ) => Promise<Tenure | undefined>;
-  readonly install: () => Promise<void>;
+  readonly install: (chosen: Tenure, ballot: Ballot) => Promise<void>;
   readonly vote: (isGranted: boolean) => Proposer.Vote;
 };
 
@@ -117,8 +117,8 @@
       );
     const accept = (ballot: Ballot, tenure: Tenure, before?: Tenure) =>
       askAll(
-        { kind: 'accept', ballot, tenure },
-        () => register.accept(ballot, tenure),
+        { kind: 'accept', ballot, tenure, isChosen: before === undefined },
+        () => register.accept(ballot, tenure, before === undefined),
         before && ((votes) => isMajority(granted(votes), before) && isMajority(granted(votes), tenure)),
       );
     return {
@@ -174,9 +174,8 @@
         const isWhole = asked.every((core) => accepts.some((one) => one.core.disk === core.disk));
         return isWhole ? wanted : undefined;
       },
-      async install() {
-        const tenure = register.tenure();
-        if (tenure) await accept(register.accepted(), tenure);
+      async install(chosen, ballot) {
+        await accept(ballot, chosen);
       },
     };
   },
--- a/src/epoch/register.ts
+++ b/src/epoch/register.ts
@@ -1,6 +1,7 @@
 // One core's part of the register: what it has promised and accepted, synced before every answer. A
 // blank core, which remembers nothing, gives no promise; it begins to vote only by accepting a tenure
-// that lists its very disk. The file keeps the last record and is rewritten when it gets long.
+// that lists its very disk and that is chosen: were it to help choose the one that brings it in, a majority
+// of the cores before and one of those after could do without each other. The file keeps the last record and is rewritten when it gets long.
 import { randomUUID } from 'node:crypto';
 import { Epoch } from '../kinds/epoch.js';
 import { Turns } from '../kinds/turns.js';
@@ -15,7 +16,7 @@
   readonly accepted: () => Ballot;
   readonly tenure: () => Tenure | null;
   readonly prepare: (ballot: Ballot, isForming?: boolean) => Promise<boolean>;
-  readonly accept: (ballot: Ballot, tenure: Tenure) => Promise<boolean>;
+  readonly accept: (ballot: Ballot, tenure: Tenure, isChosen?: boolean) => Promise<boolean>;
   readonly floor: () => Epoch;
   readonly raise: (epoch: Epoch) => void;
   readonly watch: (see: (tenure: Tenure) => void) => () => void;
@@ -67,8 +68,9 @@
           await keep({ ...kept, promised: ballot });
           return true;
         }),
-      accept: (ballot, tenure) =>
+      accept: (ballot, tenure, isChosen = false) =>
         turns.take(async () => {
+          if (kept.tenure === null && !isChosen) return false;
           if (!Tenure.has(tenure, kept.disk)) return false;
           if (Ballot.compare(ballot, kept.promised) < 0) return false;
           if (Ballot.compare(ballot, kept.accepted) === 0) return true;
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -4,6 +4,7 @@
 // one's place. A backup that has promised a higher epoch to one that then did not get it takes nothing more
 // under this one: the primary goes on above it. A primary whose own disk fails or stalls hands its place to a
 // backup; one that finds another primary's epoch is deposed and never acknowledges again.
+import type { Ballot } from '../epoch/ballot.js';
 import type { Proposer } from '../epoch/proposer.js';
 import { Tenure } from '../epoch/tenure.js';
 import { Alarm } from '../kinds/alarm.js';
@@ -41,6 +42,7 @@
   type Needs = {
     readonly disk: string;
     readonly tenure: Tenure;
+    readonly ballot: Ballot;
     readonly losses: number;
     readonly store: Store;
     readonly proposer: Proposer;
@@ -70,6 +72,8 @@
     const { store, disk, proposer } = needs;
     const turns = Turns.of();
     let tenure = needs.tenure;
+    let chosenAt = needs.ballot;
+    const install = () => proposer.install(tenure, chosenAt);
     let acknowledged = store.state();
     let isOpen = false;
     let isUnsure = false;
@@ -118,13 +122,17 @@
       isUnsure = result.tenure === undefined;
       if (result.isDone && result.tenure) {
         tenure = result.tenure;
+        chosenAt = result.ballot;
         needs.note('register changed', { tenure: Tenure.text(tenure) });
         return true;
       }
       const held = result.tenure;
       if (!held) return false;
       if (held.primary !== disk) depose(`another core is primary: ${Tenure.text(held)}`);
-      else if (held.epoch > mine.epoch) tenure = held;
+      else {
+        tenure = held;
+        chosenAt = result.ballot;
+      }
       return false;
     };
     const courierDown = (core: Frame.Core): number => {
@@ -176,14 +184,14 @@
         if (promised > tenure.epoch) {
           const isDone = await goAbove(promised).catch(() => false);
           if (!isDone && isOnce) return false;
-          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+          if (!isDone) await Promise.all([install(), Alarm.pause(againAfter)]);
         } else if (taken.length === needs.losses) {
           const inSync = [disk, ...taken];
           const isDone = await alter((base) =>
             inSync.every((one) => Tenure.has(base, one)) ? Tenure.next(base, { inSync }) : undefined,
           ).catch(() => false);
           if (!isDone && isOnce) return false;
-          if (!isDone) await Promise.all([proposer.install(), Alarm.pause(againAfter)]);
+          if (!isDone) await Promise.all([install(), Alarm.pause(againAfter)]);
         } else if (isOnce && asked.size === 0) return false;
         else await stir(againAfter);
       }
@@ -269,8 +277,7 @@
           });
       },
       async install(votes) {
-        if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk)))
-          await proposer.install();
+        if (votes.some((vote) => vote.isBlank && Tenure.has(tenure, vote.core.disk))) await install();
       },
       join: (core) =>
         turns.take(async () => {
@@ -295,6 +302,7 @@
                 : [...base.cores, core],
             }),
           );
+          if (isDone) await install();
           return isDone ? '' : 'the register was not changed';
         }),
     };
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -69,7 +69,13 @@
         readonly ballot: Ballot;
         readonly isForming: boolean;
       }
-    | { readonly kind: 'accept'; readonly serial: number; readonly ballot: Ballot; readonly tenure: Tenure }
+    | {
+        readonly kind: 'accept';
+        readonly serial: number;
+        readonly ballot: Ballot;
+        readonly tenure: Tenure;
+        readonly isChosen: boolean;
+      }
     | { readonly kind: 'peek'; readonly serial: number }
     | {
         readonly kind: 'append';
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -22,7 +22,7 @@
 message Tenure { uint64 epoch = 1; string primary = 2; repeated string inSync = 3; repeated Core cores = 4;
   uint64 formed = 5; }
 message Prepare { uint64 serial = 1; Ballot ballot = 2; bool isForming = 3; }
-message Accept { uint64 serial = 1; Ballot ballot = 2; Tenure tenure = 3; }
+message Accept { uint64 serial = 1; Ballot ballot = 2; Tenure tenure = 3; bool isChosen = 4; }
 message Peek { uint64 serial = 1; }
 message Vote { uint64 serial = 1; bool isGranted = 2; bool isBlank = 3; Ballot promised = 4; Ballot accepted = 5;
   Tenure tenure = 6; Core core = 7; uint64 highest = 8; bool isAble = 9; Stamp held = 10; }
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -84,14 +84,15 @@
   });
   const answer: Member['answer'] = async (request) => {
     if (request.kind === 'prepare') return vote(await register.prepare(request.ballot, request.isForming));
-    if (request.kind === 'accept') return vote(await register.accept(request.ballot, request.tenure));
+    if (request.kind === 'accept')
+      return vote(await register.accept(request.ballot, request.tenure, request.isChosen));
     if (request.kind === 'append') return backup.take({ ...request, serial: 0 });
     return vote(true);
   };
   return { register, proposer, self, core, answer };
 };
 
-/** Three cores, the first of them primary with the second in sync, and a set of links that lose what they carry. */
+/** Three cores, the first of them primary with the second in sync, an empty one beside, and links that can be lost. */
 const three = async () => {
   const members: Member[] = [];
   const lost = new Set<string>();
@@ -109,7 +110,7 @@
       stop: async () => {},
     };
   };
-  for (const from of [0, 1, 2])
+  for (const from of [0, 1, 2, 3])
     members.push(
       await open(
         () => members.flatMap((_one, to) => (to === from ? [] : [courier(from, to)])),
@@ -119,18 +120,19 @@
         },
       ),
     );
-  const [one, two, third] = members as [Member, Member, Member];
+  const [one, two, third, empty] = members as [Member, Member, Member, Member];
+  const cores = [one, two, third];
   const first: Tenure = {
     epoch: Epoch.of(1),
     formed: Epoch.none,
     primary: one.self.disk,
     inSync: [one.self.disk, two.self.disk],
-    cores: members.map(({ self }) => self),
+    cores: cores.map(({ self }) => self),
   };
   assert.ok(await one.proposer.form(() => first, 3));
-  const held = () => members.every(({ register }) => register.tenure()?.epoch === first.epoch);
+  const held = () => cores.every(({ register }) => register.tenure()?.epoch === first.epoch);
   await until(held, 'all hold the first tenure');
-  return { one, two, third, lost };
+  return { one, two, third, empty, lost };
 };
 
 type Three = Awaited<ReturnType<typeof three>>;
@@ -219,4 +221,38 @@
     await until(() => isTaken, 'a change is taken');
     assert.deepEqual(one.core.leading()?.tenure().inSync, [one.self.disk, two.self.disk]);
   });
+
+  it('lets no new core help to choose the tenure that brings it in', async () => {
+    const { one, two, third, empty, lost } = await three();
+    begin(one);
+    await until(() => one.core.leading() !== undefined, 'it leads');
+    const leading = one.core.leading()!;
+    await leading.commit((_state, stamp) => ({ kind: 'opened', stamp }));
+    lost.add('0>2');
+    lost.add('1>2');
+    lost.add('0>1 accept');
+    assert.equal(await leading.join(empty.self), 'the register was not changed');
+    assert.equal(empty.register.isBlank(), true);
+    lost.add('0>1');
+    lost.delete('1>2');
+    const here = await one.proposer.change((base) =>
+      Tenure.next(base, { inSync: [one.self.disk, empty.self.disk] }),
+    );
+    const there = await two.proposer.change((base) =>
+      Tenure.next(base, { primary: two.self.disk, inSync: [two.self.disk, third.self.disk] }),
+    );
+    assert.deepEqual([here.isDone, there.isDone], [false, true]);
+  });
+
+  it('brings a new core in once the tenure that lists it is chosen', async () => {
+    const { one, empty, lost } = await three();
+    begin(one);
+    await until(() => one.core.leading() !== undefined, 'it leads');
+    const leading = one.core.leading()!;
+    await leading.commit((_state, stamp) => ({ kind: 'opened', stamp }));
+    lost.add('0>2');
+    lost.add('1>2');
+    assert.equal(await leading.join(empty.self), '');
+    await until(() => !empty.register.isBlank(), 'it votes');
+  });
 });
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -32,7 +32,8 @@
         ...proposer.vote(isGranted),
       });
       if (request.kind === 'prepare') return vote(await register.prepare(request.ballot, request.isForming));
-      if (request.kind === 'accept') return vote(await register.accept(request.ballot, request.tenure));
+      if (request.kind === 'accept')
+        return vote(await register.accept(request.ballot, request.tenure, request.isChosen));
       return vote(true);
     },
     isUp: () => true,
