--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -123,13 +123,14 @@
         await Timer.pause(phase.is('blank') ? beat : readEvery, stop.signal);
       }
     };
-    const lead = async (term: Term) => {
+    const lead = async (term: Term, ballot: Ballot) => {
       phase.become('leading');
       ledSince = Moment.now();
       needs.note('leading', { term: Term.text(term) });
       const mine = Primary.of({
         disk: register.disk,
         term,
+        ballot,
         losses: needs.losses,
         store,
         proposer,
@@ -157,7 +158,7 @@
           : undefined,
       );
       learn(term, ballot);
-      if (isDone && term) await lead(term);
+      if (isDone && term) await lead(term, ballot);
     };
     const settle = async (leader: Primary) => {
       const offered = needs.offered();
