--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -124,13 +124,14 @@
         await Timer.pause(phase.is('blank') ? beat : readEvery, stop.signal);
       }
     };
-    const lead = async (term: Term) => {
+    const lead = async (term: Term, ballot: Ballot) => {
       phase.become('leading');
       ledSince = Moment.now();
       needs.note('leading', { term: Term.text(term) });
       const mine = Primary.of({
         disk: register.disk,
         term,
+        ballot,
         losses: needs.losses,
         store,
         proposer,
@@ -158,7 +159,7 @@
           : undefined,
       );
       learn(term, ballot);
-      if (isDone && term) await lead(term);
+      if (isDone && term) await lead(term, ballot);
     };
     const settle = async (leader: Primary) => {
       const offered = needs.offered();
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -25,7 +25,7 @@
     make: (votes: readonly Proposer.Vote[]) => Term | undefined,
     atLeast: number,
   ) => Promise<Term | undefined>;
-  readonly install: () => Promise<void>;
+  readonly install: (chosen: Term, ballot: Ballot) => Promise<void>;
   readonly vote: (isGranted: boolean) => Proposer.Vote;
 };
 
@@ -118,8 +118,8 @@
       );
     const accept = (ballot: Ballot, term: Term, before?: Term) =>
       askAll(
-        { kind: 'accept', ballot, term },
-        () => register.accept(ballot, term),
+        { kind: 'accept', ballot, term, isChosen: before === undefined },
+        () => register.accept(ballot, term, before === undefined),
         before && ((votes) => isMajority(granted(votes), before) && isMajority(granted(votes), term)),
       );
     return {
@@ -175,9 +175,8 @@
         const isWhole = asked.every((core) => accepts.some((one) => one.core.disk === core.disk));
         return isWhole ? wanted : undefined;
       },
-      async install() {
-        const term = register.term();
-        if (term) await accept(register.accepted(), term);
+      async install(chosen, ballot) {
+        await accept(ballot, chosen);
       },
     };
   },
--- a/src/epoch/register.ts
+++ b/src/epoch/register.ts
@@ -1,6 +1,7 @@
 // One core's part of the register: what it has promised and accepted, synced before every answer. A
 // blank core, which remembers nothing, gives no promise; it begins to vote only by accepting a term
-// that lists its very disk. The file keeps the last record and is rewritten when it gets long.
+// that lists its very disk and that is chosen: were it to help choose the one that brings it in, a majority
+// of the cores before and one of those after could do without each other. The file keeps the last record and is rewritten when it gets long.
 import { randomUUID } from 'node:crypto';
 import { Epoch } from '../kinds/epoch.js';
 import { Turns } from '../kinds/turns.js';
@@ -15,7 +16,7 @@
   readonly accepted: () => Ballot;
   readonly term: () => Term | null;
   readonly prepare: (ballot: Ballot, isForming?: boolean) => Promise<boolean>;
-  readonly accept: (ballot: Ballot, term: Term) => Promise<boolean>;
+  readonly accept: (ballot: Ballot, term: Term, isChosen?: boolean) => Promise<boolean>;
   readonly floor: () => Epoch;
   readonly raise: (epoch: Epoch) => void;
   readonly watch: (see: (term: Term) => void) => () => void;
@@ -76,8 +77,9 @@
           await keep({ ...kept, promised: ballot });
           return true;
         }),
-      accept: (ballot, term) =>
+      accept: (ballot, term, isChosen = false) =>
         turns.take(async () => {
+          if (kept.term === null && !isChosen) return false;
           if (!Term.has(term, kept.disk)) return false;
           if (Ballot.compare(ballot, kept.promised) < 0) return false;
           if (Ballot.compare(ballot, kept.accepted) === 0) return true;
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -101,7 +101,13 @@
         readonly ballot: Ballot;
         readonly isForming: boolean;
       }
-    | { readonly kind: 'accept'; readonly serial: number; readonly ballot: Ballot; readonly term: Term }
+    | {
+        readonly kind: 'accept';
+        readonly serial: number;
+        readonly ballot: Ballot;
+        readonly term: Term;
+        readonly isChosen: boolean;
+      }
     | { readonly kind: 'peek'; readonly serial: number; readonly known?: string }
     | {
         readonly kind: 'append';
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -1,4 +1,4 @@
-// The register among cores of one process: a tenure that only a few accepted is relied on by nobody before
+// The register among cores of one process: a term that only a few accepted is relied on by nobody before
 // a majority has accepted it, and what a majority accepted is found by every later change.
 import assert from 'node:assert/strict';
 import { mkdtempSync, rmSync } from 'node:fs';
@@ -32,7 +32,8 @@
         ...proposer.vote(isGranted),
       });
       if (request.kind === 'prepare') return vote(await register.prepare(request.ballot, request.isForming));
-      if (request.kind === 'accept') return vote(await register.accept(request.ballot, request.term));
+      if (request.kind === 'accept')
+        return vote(await register.accept(request.ballot, request.term, request.isChosen));
       return vote(true);
     },
     isUp: () => true,
@@ -69,7 +70,7 @@
   after(() => rmSync(folder, { recursive: true, force: true }));
 
   for (const count of [3, 5])
-    it(`tells no tenure of ${count} cores that only its proposer has accepted`, async () => {
+    it(`tells no term of ${count} cores that only its proposer has accepted`, async () => {
       const { members, lost, first } = await group(count);
       const [one, two] = members as [Member, Member];
       for (let to = 1; to < count; to += 1) lost.add(`0>${to} accept`);
@@ -89,7 +90,7 @@
       assert.deepEqual(found.term?.inSync, first.inSync);
     });
 
-  it('settles a tenure that a few accepted by writing it back, and then tells it', async () => {
+  it('settles a term that a few accepted by writing it back, and then tells it', async () => {
     const { members, lost } = await group(5);
     const [one, two] = members as [Member, Member];
     for (const to of [2, 3, 4]) lost.add(`0>${to} accept`);
