Keep requests from an instance at whose address another one answered

Cause: an answer by the status of proof.misdirected (421) counted as a good answer of the server named; the next request picked it again while the list lags. On rules that allow one server each is a refusal. Change: the ejector keeps such an instance out at this proxy until the list shows it at another address, or 5 s are over, doubling to 20 s while it goes on. Requests that wait for a connection there are not sent. Test misdirected: before, 60 of 60 requests after the first answer were refused (one of two servers), now 0; a server alone got 3 of 3 requests, now 1. Tests tries, upstream, resuming pass.

--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -52,6 +52,7 @@
       newest?.isOpen === true &&
       group !== undefined &&
       mayGo(group) &&
+      !needs.ejector.isMisdirected(newest) &&
       newest.group === server.group &&
       newest.address.host === server.address.host &&
       newest.address.port === server.address.port &&
@@ -69,6 +70,8 @@
   if (trial.kind === 'unsent' && (trial.why === 'connect' || trial.why === 'identity'))
     needs.prover.lost(server);
   if (trial.kind === 'lost' && trial.why !== 'left') needs.prover.suspect(server);
+  const isMisdirected = trial.kind === 'response' && trial.status === group.proof?.misdirected;
+  if (isMisdirected) return needs.ejector.misdirected(server);
   if (trial.kind === 'stream' || trial.kind === 'response') needs.ramp.good(server.instance);
   if (trial.kind === 'stream' || (trial.kind === 'response' && trial.status < 500))
     needs.ejector.good(server);
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -67,9 +67,9 @@
       active: () => active,
       age: feed.age,
     });
-    const ejector = Ejector.of((server, span) => {
+    const ejector = Ejector.of((server, span, why) => {
       meters.ejections.inc({ group: server.group });
-      ring.note('ejected', { instance: server.instance, span });
+      ring.note('ejected', { instance: server.instance, span, why });
     });
     const pool = Pool.of({
       newest: () => compiled,
--- a/src/upstream/ejector.ts
+++ b/src/upstream/ejector.ts
@@ -1,6 +1,8 @@
 // Health, derived from the outcomes this node forwards: a server with so many failures in a row is
 // ejected for a span that grows with each ejection, but never more than a share of its group at once.
-// A server that asked us to come back later rests until then.
+// A server that asked us to come back later rests until then. An instance at whose address another one
+// answered gets nothing more until the list shows it elsewhere or a short span is over.
+import { Address } from '../kinds/address.js';
 import { Moment } from '../kinds/moment.js';
 import type { Compiled } from '../manifest/compiled.js';
 
@@ -10,17 +12,27 @@
   readonly good: (server: Compiled.Server) => void;
   readonly bad: (server: Compiled.Server, group: Compiled.Group) => void;
   readonly rest: (server: Compiled.Server, span: number) => void;
+  readonly misdirected: (server: Compiled.Server) => void;
+  readonly isMisdirected: (server: Compiled.Server) => boolean;
   readonly retain: (compiled: Compiled) => void;
   readonly out: () => readonly string[];
 };
 
+export declare namespace Ejector {
+  type Why = 'failures' | 'misdirected';
+}
+
 type Health = { failures: number; ejections: number; outUntil: Moment; restUntil: Moment };
 
+type Misdirection = { readonly address: string; readonly count: number; readonly until: Moment };
+
 const longestEjection = 60_000;
+const misdirectedFor = { first: 5000, longest: 20_000 } as const;
 
 export const Ejector = {
-  of(note: (server: Compiled.Server, span: number) => void): Ejector {
+  of(note: (server: Compiled.Server, span: number, why: Ejector.Why) => void): Ejector {
     const healths = new Map<string, Health>();
+    const misdirections = new Map<string, Misdirection>();
     const healthOf = (server: Compiled.Server): Health => {
       const known = healths.get(server.instance);
       if (known) return known;
@@ -36,11 +48,36 @@
       isOut,
       restsFor: (server) =>
         Math.max(0, Moment.left(healths.get(server.instance)?.restUntil ?? (0 as Moment))),
-      out: () => [...healths].filter(([, one]) => !Moment.isPast(one.outUntil)).map(([name]) => name),
+      out: () => [
+        ...new Set([
+          ...[...healths].filter(([, one]) => !Moment.isPast(one.outUntil)).map(([name]) => name),
+          ...[...misdirections].filter(([, one]) => !Moment.isPast(one.until)).map(([name]) => name),
+        ]),
+      ],
       good(server) {
         const health = healthOf(server);
         health.failures = 0;
         health.ejections = 0;
+        misdirections.delete(server.instance);
+      },
+      misdirected(server) {
+        const known = misdirections.get(server.instance);
+        if (known && !Moment.isPast(known.until)) return;
+        const count = known?.count ?? 0;
+        const span = Math.min(misdirectedFor.longest, misdirectedFor.first * 2 ** count);
+        const until = Moment.after(span);
+        misdirections.set(server.instance, {
+          address: Address.text(server.address),
+          count: count + 1,
+          until,
+        });
+        note(server, span, 'misdirected');
+      },
+      isMisdirected(server) {
+        const known = misdirections.get(server.instance);
+        return (
+          known !== undefined && known.address === Address.text(server.address) && !Moment.isPast(known.until)
+        );
       },
       bad(server, group) {
         const health = healthOf(server);
@@ -52,13 +89,14 @@
         const span = Math.min(longestEjection, group.ejection.base * 2 ** health.ejections);
         health.ejections += 1;
         health.outUntil = Moment.after(span);
-        note(server, span);
+        note(server, span, 'failures');
       },
       rest(server, span) {
         healthOf(server).restUntil = Moment.after(span);
       },
       retain(compiled) {
-        for (const instance of healths.keys()) if (!compiled.servers.has(instance)) healths.delete(instance);
+        for (const kept of [healths, misdirections])
+          for (const instance of kept.keys()) if (!compiled.servers.has(instance)) kept.delete(instance);
       },
     };
   },
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -59,6 +59,7 @@
             server.isOpen &&
             tier.regions.includes(server.region) &&
             !needs.ejector.isOut(server) &&
+            !needs.ejector.isMisdirected(server) &&
             !needs.isDark(server.instance) &&
             needs.mayWarm(server, group),
         )
