Let a broken stream ask the pool for its token before it is given up

Cause: a launch that takes up a broken stream spent or gave up; only later tries asked the pool, before their pause. Change: such a launch asks and waits up to 0.3 s for the grant, asking for as many as wait, and then chooses its server anew. Refusals are as immediate as before: nothing else waits. Test: five streams broken at once at a proxy that holds one token, with the pool full; before, some ended broken, now all are whole.

--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -1,7 +1,7 @@
 // All tries of one request. A generator decides: it yields what to do next, is told how that ended,
 // and returns the verdict; the task around it does the work. A once rule is tried again only when the
 // request certainly was not run. Every try beyond the first needs a token, and one deadline and hop
-// budget bound them all. A verdict is given the moment it is known.
+// budget bound them all. A verdict is given the moment it is known; only a stream that broke waits for its token.
 import { match } from 'ts-pattern';
 import type { Ident } from '../kinds/ident.js';
 import { Moment } from '../kinds/moment.js';
@@ -53,11 +53,13 @@
   };
   type Step =
     | { readonly kind: 'try'; readonly pick: Pick; readonly tier: Pick.Tier; readonly hops: number }
-    | { readonly kind: 'pause'; readonly span: number };
+    | { readonly kind: 'pause'; readonly span: number }
+    | { readonly kind: 'token'; readonly span: number };
 }
 
 const longestRetryAfter = 5000;
 const mostUnsent = 6;
+const grantWithin = 300;
 
 const isSurelyNotRun = (trial: Trial): boolean =>
   trial.kind === 'unsent' ||
@@ -121,6 +123,7 @@
     const status = !mayHaveRun ? 503 : isTimeout ? 504 : 502;
     return { kind: 'refusal', status, why: why ?? cause, retryAfter, tries };
   };
+  const isResumed = sent > 0;
   const isOver = () => plan.signal.aborted || Moment.isPast(plan.deadline);
 
   if (sent > rule.retry.count) return verdict('attempts');
@@ -136,7 +139,18 @@
   }
   for (;;) {
     const isExtra = sent > 0;
-    if (isExtra && !plan.budget.spend()) return verdict('budget');
+    if (isExtra && !plan.budget.spend()) {
+      if (!isResumed) return verdict('budget');
+      const until = Moment.after(grantWithin);
+      do {
+        if (isOver() || Moment.isPast(until)) return verdict('budget');
+        yield { kind: 'token', span: Moment.left(until) };
+      } while (!plan.budget.spend());
+      const anew = choose(tierIndex, true);
+      if (!anew || (anew.index > tierIndex && hops >= rule.hops)) return verdict('no_server');
+      if (anew.index > tierIndex) hops += 1;
+      next = anew;
+    }
     tierIndex = next.index;
     tried.add(next.pick.server.instance);
     const trial = yield { kind: 'try', pick: next.pick, tier: tiers[tierIndex]!, hops };
@@ -200,7 +214,9 @@
         if (told === undefined && plan.before.sent === 0) plan.budget.earn();
         told = await plan.run(step.value.pick, step.value.tier, step.value.hops);
       } else {
-        await Timer.pause(Math.min(step.value.span, Moment.left(plan.deadline)), plan.signal);
+        const span = Math.min(step.value.span, Moment.left(plan.deadline));
+        if (step.value.kind === 'token') await plan.budget.arrival(span, plan.signal);
+        else await Timer.pause(span, plan.signal);
       }
     }
   },
--- a/test/resuming.test.ts
+++ b/test/resuming.test.ts
@@ -6,6 +6,7 @@
 import { gunzipSync, gzipSync } from 'node:zlib';
 import { request } from 'undici';
 import type { Document } from '../src/manifest/document.js';
+import type { FleetKit } from '../tools/fleet-kit.js';
 import { Bench } from './bench.js';
 
 const regions = ['a', 'b'];
@@ -63,17 +64,19 @@
   let servers: Bench.BackEnd[];
   let script: Bench.Handle[] = [];
 
-  const call = (name: string, headers: Record<string, string> = {}) =>
-    Bench.call(bench.kit.fronts[0]!.listen, `/${name}/x`, 'prompt', {
+  const callAt = (front: FleetKit.Front, name: string, headers: Record<string, string> = {}) =>
+    Bench.call(front.listen, `/${name}/x`, 'prompt', {
       host: 'streams.example',
       authorization: '',
       'content-type': 'text/plain',
       ...headers,
     });
+  const call = (name: string, headers: Record<string, string> = {}) =>
+    callAt(bench.kit.fronts[0]!, name, headers);
   const reached = () => servers.flatMap((one) => one.reached.map((run) => ({ by: one.instance, ...run })));
 
   before(async () => {
-    bench = await Bench.start({ manifest });
+    bench = await Bench.start({ manifest, fronts: 2 });
     const handle: Bench.Handle = (incoming, response, body) =>
       (script.shift() ?? goOn)(incoming, response, body);
     servers = await Promise.all(
@@ -112,6 +115,27 @@
     assert.ok(runs.every((run) => run.body === 'prompt' && run.url === '/resumable/x'));
   });
 
+  it('asks the pool for tokens when this proxy holds none', async () => {
+    const [own, other] = bench.kit.fronts;
+    const metric = async (address: string, name: string): Promise<number> => {
+      const text = await (await fetch(`http://${address}/metrics`)).text();
+      return Number(new RegExp(`^bramblebend_${name} (\\S+)$`, 'm').exec(text)?.[1] ?? 0);
+    };
+    const pooled = async () =>
+      (await Promise.all(bench.kit.cores.map((core) => metric(core.http, 'tokens_pooled')))).reduce(
+        (sum, one) => sum + one,
+        0,
+      );
+    while ((await pooled()) < 6 || (await metric(own!.ops, 'tokens')) >= 2)
+      await Promise.all(Array.from({ length: 10 }, () => callAt(other!, 'once')));
+    script = Array.from({ length: 5 }, () => cutAfter(events(1, 3)));
+    const answers = await Promise.all(Array.from({ length: 5 }, () => call('resumable')));
+    assert.deepEqual(
+      answers.map(({ text, isBroken }) => [text, isBroken]),
+      answers.map(() => [events(1, 6), false]),
+    );
+  });
+
   it('takes it up twice, and leaves out what a server sends again', async () => {
     await earn();
     const again: Bench.Handle = (_incoming, response) => {
