Let cores look at the list of servers themselves while none of them leads

Cause: only a primary polls the list; while no core leads, fronts go on sending to servers that leave or are gone. Change: a core that has heard of no primary for 2 s polls in its turn and at its part of the rate, and tells fronts and the other cores (a new frame, dropped by older programs) which servers are to get nothing more. Nothing is committed; what is new is not told. Ruled out: what backups hold (the old list), polling by all cores or by fronts (price, one rate for all).

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -81,6 +81,7 @@
         children.broadcast({ kind: 'roster', proxies });
       },
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
+      onLeaving: (instances) => children.broadcast({ kind: 'leaving', instances }),
       onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
         depth = parent.depth + 1;
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -26,6 +26,7 @@
     readonly roll: Roll;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onLoads: (loads: readonly Frame.Load[]) => void;
+    readonly onLeaving: (instances: readonly string[]) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): Peers {
@@ -65,6 +66,7 @@
                 onPeers: (peers) => void heard.set(place, peers),
                 onTokens: needs.onTokens,
                 onLoads: needs.onLoads,
+                onLeaving: needs.onLeaving,
                 onCold: needs.onCold,
                 note: needs.note,
               }),
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http';
 import { BudgetDuty } from '../duty/budget-duty.js';
 import { ListDuty } from '../duty/list-duty.js';
+import { LookoutDuty } from '../duty/lookout-duty.js';
 import { QuotaDuty } from '../duty/quota-duty.js';
 import { ReportDuty } from '../duty/report-duty.js';
 import { Proposer } from '../epoch/proposer.js';
@@ -42,6 +43,7 @@
 const nearbyAgents = 6;
 const knowsAfter = 1500;
 const confirmedWithin = 1200;
+const unheardAfter = 2000;
 
 export type Control = {
   readonly start: (startup: Startup['control'], ring: Ring, adapter?: Adapter) => Promise<Program>;
@@ -103,6 +105,7 @@
       roll,
       onTokens: ({ stamp: _stamp, ...frame }) => sendDown(frame),
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }, isBelow),
+      onLeaving: (instances) => children.broadcast({ kind: 'leaving', instances }, isBelow),
       onCold: ({ stamp: _stamp, ...frame }) => children.broadcast(frame, isBelow),
       note: ring.note,
     });
@@ -265,6 +268,20 @@
         renew: async (servers) => (await RenewList.run(office, { servers })).status === 200,
         note: ring.note,
       });
+    const lookout =
+      adapter.list &&
+      LookoutDuty.run({
+        source: adapter.list,
+        hasPrimary: () => Moment.since(began) < unheardAfter || age() < unheardAfter,
+        turn() {
+          const cores = running.term()?.cores ?? [];
+          const index = cores.findIndex((one) => one.disk === register.disk);
+          return { index: Math.max(0, index), count: Math.max(cores.length, startup.seeds.length) };
+        },
+        held: () => (feed.view().manifest ? feed.view() : store.state()).platform.servers,
+        tell: (instances) => children.broadcast({ kind: 'leaving', instances }),
+        note: ring.note,
+      });
     const reports =
       adapter.reports &&
       ReportDuty.run({
@@ -281,7 +298,7 @@
       ready: { wire, http },
       async drain() {
         rosters.stop();
-        await Promise.all([list?.stop(), reports?.stop()]);
+        await Promise.all([list?.stop(), lookout?.stop(), reports?.stop()]);
         await running.stop();
         await peers.stop();
         await doorway.close();
--- a/src/duty/list-duty.ts
+++ b/src/duty/list-duty.ts
@@ -6,7 +6,7 @@
 import { Moment } from '../kinds/moment.js';
 import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
-import type { ListSource } from './list-source.js';
+import { ListSource } from './list-source.js';
 
 export type ListDuty = { readonly stop: () => Promise<void> };
 
@@ -22,10 +22,8 @@
 
 type Told = { readonly servers: readonly Document.Server[]; readonly at: Moment };
 
-const pollEvery = 700;
-const ownPart = 0.5;
+const { pollEvery } = ListSource;
 const lookEvery = 100;
-const longestRest = 5600;
 const slack = 300;
 
 const withoutWarming = ({ warming: _warming, ...rest }: Document.Server): string =>
@@ -65,7 +63,7 @@
     const stop = new AbortController();
     let told: Told | undefined;
     let missed: ReadonlySet<string> = new Set();
-    let rest = pollEvery;
+    let rest: number = pollEvery;
     const step = async (): Promise<number> => {
       if (!needs.isHeld()) {
         told = undefined;
@@ -75,13 +73,13 @@
       }
       const polled = await needs.source.poll();
       if (polled.kind === 'busy') {
-        rest = Math.min(longestRest, rest * 2);
+        rest = ListSource.restWhenBusy(rest);
         return rest;
       }
       rest = pollEvery;
       if (polled.kind === 'failed') needs.note('the list could not be polled', { why: polled.why });
       if (polled.kind === 'failed' || polled.servers.length === 0 || !needs.isHeld()) return rest;
-      rest = Math.max(pollEvery, (polled.pieces * 1000) / (needs.source.rate() * ownPart));
+      rest = ListSource.rest(needs.source, polled.pieces);
       const at = Moment.now();
       const before = told ?? { servers: needs.held(), at };
       const servers = polled.pieces > 1 ? keepOnce(before.servers, polled.servers, missed) : polled.servers;
--- /dev/null
+++ b/src/duty/lookout-duty.ts
@@ -0,0 +1,92 @@
+// The lookout at each core that hears of no primary: it polls the list itself, in its turn among the cores and at
+// its part of their rate, and tells the fronts which servers are to get nothing more. Only that: a server that
+// leaves, is gone, or whose address is another's. It commits nothing, so nobody has to agree, and the worst that
+// a wrong word does is that a server rests. What is new waits for a primary.
+import { Failure } from '../kinds/failure.js';
+import { Timer } from '../kinds/timer.js';
+import type { Document } from '../manifest/document.js';
+import { ListSource } from './list-source.js';
+
+export type LookoutDuty = { readonly stop: () => Promise<void> };
+
+export declare namespace LookoutDuty {
+  type Turn = { readonly index: number; readonly count: number };
+  type Needs = {
+    readonly source: ListSource;
+    readonly hasPrimary: () => boolean;
+    readonly turn: () => LookoutDuty.Turn;
+    readonly held: () => readonly Document.Server[];
+    readonly tell: (instances: readonly string[]) => void;
+    readonly note: (text: string, facts?: Record<string, unknown>) => void;
+  };
+}
+
+const lookEvery = 250;
+
+const leavingOf = (
+  held: readonly Document.Server[],
+  polled: readonly Document.Server[],
+  missingBefore: ReadonlySet<string>,
+): { readonly leaving: readonly string[]; readonly missing: ReadonlySet<string> } => {
+  const listed = new Set<string>(polled.map((one) => one.instance));
+  const addresses = new Set(polled.map((one) => one.address));
+  const missing = held.filter((one) => !listed.has(one.instance));
+  const gone = missing.filter((one) => missingBefore.has(one.instance) || addresses.has(one.address));
+  const draining = polled.filter((one) => one.isLeaving === true);
+  return {
+    leaving: [...draining, ...gone].map((one) => one.instance),
+    missing: new Set(missing.map((one) => one.instance)),
+  };
+};
+
+export const LookoutDuty = {
+  run(needs: LookoutDuty.Needs): LookoutDuty {
+    const stop = new AbortController();
+    let missing: ReadonlySet<string> = new Set();
+    let rest: number = ListSource.pollEvery;
+    let isOut = false;
+    const step = async (): Promise<number> => {
+      const { index, count } = needs.turn();
+      if (needs.hasPrimary()) {
+        isOut = false;
+        missing = new Set();
+        return lookEvery;
+      }
+      if (!isOut) {
+        isOut = true;
+        rest = ListSource.pollEvery * count;
+        needs.note('no primary is heard: looking at the list', { index, count });
+        if (index > 0) return ListSource.pollEvery * index;
+      }
+      const polled = await needs.source.poll();
+      if (polled.kind === 'busy') {
+        rest = ListSource.restWhenBusy(rest, count);
+        return rest;
+      }
+      rest = ListSource.rest(needs.source, polled.kind === 'list' ? polled.pieces : 1, count);
+      if (polled.kind === 'failed' || polled.servers.length === 0 || needs.hasPrimary()) return rest;
+      const found = leavingOf(needs.held(), polled.servers, missing);
+      missing = found.missing;
+      if (found.leaving.length > 0) needs.tell(found.leaving);
+      return rest;
+    };
+    const run = async () => {
+      while (!stop.signal.aborted) {
+        let pause = lookEvery;
+        try {
+          pause = await step();
+        } catch (error) {
+          needs.note('the lookout failed', { why: Failure.text(error) });
+        }
+        await Timer.pause(pause, stop.signal);
+      }
+    };
+    const done = run();
+    return {
+      async stop() {
+        stop.abort();
+        await done;
+      },
+    };
+  },
+};
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -42,6 +42,7 @@
     readonly onWord?: () => void;
     readonly onRoster?: (proxies: readonly string[]) => void;
     readonly onLoads?: (loads: readonly Frame.Load[]) => void;
+    readonly onLeaving?: (instances: readonly string[]) => void;
     readonly onCold?: (frame: Extract<Frame, { kind: 'cold' }>) => void;
     readonly onTokens?: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
@@ -151,6 +152,7 @@
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
         .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
         .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
+        .with({ kind: 'leaving' }, ({ instances }) => needs.onLeaving?.(instances))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'refuse' }, ({ reason }) => {
           throw Failure.of('link', `refused by parent: ${reason}`);
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -25,6 +25,7 @@
 import { Ramp } from '../upstream/ramp.js';
 import { Warmup } from '../upstream/warmup.js';
 import type { Frame } from '../wire/frame.js';
+import { Departures } from './departures.js';
 import { Dialect } from './dialect.js';
 import { Meters } from './meters.js';
 import { Quotas } from './quotas.js';
@@ -134,7 +135,7 @@
     const enforce = () => {
       if (!voucher.isVouched()) return;
       const before = compiled;
-      compiled = Compiled.of(feed.view());
+      compiled = Compiled.of(departures.over(feed.view()));
       if (!compiled) return;
       feedGently(before, compiled);
       ring.note('in force', { stamp: Stamp.text(compiled.stamp) });
@@ -142,6 +143,10 @@
       ejector.retain(compiled);
       prover.retain(compiled);
     };
+    const departures = Departures.of({
+      serial: () => feed.view().platform.serial,
+      onChange: () => enforce(),
+    });
     const voucher = Voucher.of(feed, enforce);
     feed.watch(enforce);
     const isReady = () =>
@@ -193,6 +198,7 @@
         stamp: inForce(),
         out: ejector.out(),
         dark: prover.dark(),
+        leaving: departures.instances(),
         version: Version,
       }),
     }).server();
@@ -225,6 +231,7 @@
         roster = proxies;
       },
       onLoads: placement.hear,
+      onLeaving: departures.hear,
       onCold({ instance, age, dark }) {
         if (dark) {
           prover.hear(instance);
@@ -257,6 +264,7 @@
         await uplink.done;
         prover.stop();
         await pool.close();
+        departures.stop();
         stall.stop();
         tending.stop();
         ops.close();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -49,6 +49,7 @@
     | { readonly kind: 'peers'; readonly peers: readonly string[] }
     | { readonly kind: 'roster'; readonly proxies: readonly string[] }
     | { readonly kind: 'loads'; readonly loads: readonly Load[] }
+    | { readonly kind: 'leaving'; readonly instances: readonly string[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
         readonly kind: 'tokens';
--- /dev/null
+++ b/test/lookout.test.ts
@@ -0,0 +1,119 @@
+// While no core leads, a core that is left looks at the platform's list itself and tells the fronts which servers
+// are to get nothing more, and nothing else: what is new waits for a primary.
+import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { request } from 'undici';
+import { ListServer } from './list-server.js';
+import { PlatformKit } from './platform-kit.js';
+
+const host = 'nony24.example';
+const configuration = {
+  revision: 3,
+  'route-table': [
+    {
+      name: 'r-1',
+      'origin-host': host,
+      'path-prefix': '/lohu930/',
+      'route-class': 'safe',
+      'timeout-ms': 5000,
+      priority: 0,
+      'target-service': 'huvo11a',
+      'max-attempts': 1,
+    },
+  ],
+  services: [{ name: 'huvo11a', 'health-path': '/health', 'max-connections': 360 }],
+  limits: {},
+};
+
+describe('a list that nobody leads', () => {
+  let kit: PlatformKit;
+  const servers: Server[] = [];
+  let serial = 0;
+
+  const serverOf = async (instance: string): Promise<string> => {
+    const server = createServer((incoming, response) => {
+      const isMeant = incoming.headers['target-instance'] === instance;
+      response.writeHead(isMeant ? 200 : 421, { 'attempt-id': incoming.headers['attempt-id'] ?? '' });
+      response.end(instance);
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+  const callAt = async (front: PlatformKit.Front): Promise<string> => {
+    serial += 1;
+    const answer = await request(`http://${front.listen}/lohu930/x`, {
+      headers: { host, 'attempt-id': `a-${serial}`, 'remaining-time': '3000' },
+    });
+    const text = await answer.body.text();
+    return answer.statusCode === 200 ? text : String(answer.statusCode);
+  };
+  const answers = async (count: number): Promise<readonly string[]> => {
+    const all: string[] = [];
+    for (let done = 0; done < count; done += 1)
+      all.push(...(await Promise.all(kit.fronts.map((front) => callAt(front).catch(() => 'none')))));
+    return [...new Set(all)].sort();
+  };
+  const untilAnswers = (wanted: readonly string[]) =>
+    PlatformKit.until(
+      async () => ((await answers(15)).join() === wanted.join() ? true : undefined),
+      `answers by ${wanted.join()}`,
+    );
+  const available = new Map<string, string>();
+  const listed = (instance: string, more: object = {}) =>
+    ListServer.instance(instance, 'sto-a', { address: available.get(instance), ...more });
+
+  before(async () => {
+    kit = await PlatformKit.start({ fronts: ['sto-a', 'got-a'] });
+    for (const instance of ['i-1', 'i-2', 'i-3']) available.set(instance, await serverOf(instance));
+    kit.list.instances = [listed('i-1'), listed('i-2')];
+    const put = await kit.order('/configuration/replace', JSON.stringify(configuration), {
+      'base-revision': '0',
+    });
+    assert.equal(put.status, 200);
+    await untilAnswers(['i-1', 'i-2']);
+  });
+  after(async () => {
+    await kit.stop();
+    for (const server of servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  });
+
+  it('is looked at by a core alone, and a server that leaves gets nothing more', {
+    timeout: 40_000,
+  }, async () => {
+    const primary = await kit.primary();
+    const [other, left] = kit.cores.filter((core) => core !== primary);
+    await Promise.all([primary, other!].map((core) => core.process?.end('SIGKILL')));
+    kit.list.instances = [listed('i-1', { state: 'draining' }), listed('i-2')];
+    await untilAnswers(['i-2']);
+    const health = await kit.call(left!, 'GET', '/health');
+    assert.equal(health.body.state, 'following');
+  });
+
+  it('is asked no more often than the part of one core among three', { timeout: 40_000 }, async () => {
+    await kit.list.polls(1);
+    const began = performance.now();
+    await kit.list.polls(2);
+    assert.ok(performance.now() - began > 2 * 3 * 700 * 0.95);
+  });
+
+  it('takes one away that is gone, and shows none that is new', { timeout: 40_000 }, async () => {
+    kit.list.instances = [listed('i-3')];
+    await untilAnswers(['503']);
+    await kit.list.polls(2);
+    assert.deepEqual(await answers(15), ['503']);
+  });
+
+  it('is what counts again once a primary took it', { timeout: 40_000 }, async () => {
+    kit.list.instances = [listed('i-1'), listed('i-3')];
+    await Promise.all(
+      kit.cores.filter((core) => core.process?.isUp() !== true).map((core) => kit.startCore(core)),
+    );
+    await untilAnswers(['i-1', 'i-3']);
+  });
+});
