Enforce the machine's limits and a group's connections at the proxy

Cause: the limits of a configuration and the connections of a group were read and used nowhere. Change: head length (431), time for the head (408) and rest (keep-alive) follow the newest manifest on the running server; a connection opened under another bound of its head ends behind its next answer. No rule allows a body above limits.body_bytes. Each proxy holds its part of a server's connections, by the roster, at least three; requests go only where it has room, connections at rest end first. A try that found no room counts as not sent. A kept connection to an address the server no longer has is now ended when it is met; it was dropped from the list and left open.

--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -98,6 +98,9 @@
   idle: 15_000,
 };
 
+const longestBody = 4 * 1024 * 1024;
+const longestOfAll = 64 * 1024 * 1024;
+
 const compileRule = (rule: Document.Rule, limits: Document.Limits = {}): Compiled.Rule => {
   const own = { ...timeouts, ...rule.timeouts };
   return {
@@ -136,7 +139,7 @@
     },
     isAffine: rule.affinity ?? true,
     isShared: rule.wall === 'shared',
-    body: rule.body ?? limits.body_bytes ?? 4 * 1024 * 1024,
+    body: Math.min(rule.body ?? limits.body_bytes ?? longestBody, limits.body_bytes ?? longestOfAll),
     teams: rule.teams,
   };
 };
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -77,7 +77,7 @@
     needs.ejector.good(server);
   else if (trial.kind === 'response') {
     if (!group.isNotRun(trial.status, trial.headers)) needs.ejector.bad(server, group);
-  } else if (!['left', 'late', 'total'].includes(trial.why)) needs.ejector.bad(server, group);
+  } else if (!['left', 'late', 'total', 'full'].includes(trial.why)) needs.ejector.bad(server, group);
 };
 
 export const Attempt = {
@@ -142,6 +142,7 @@
             inFlight: needs.inFlight,
             ejector: needs.ejector,
             allowance: needs.ramp.allowance,
+            connections: needs.pool.part,
             isDark: needs.prover.isDark,
             mayWarm: needs.warmup.allows,
             mayGo,
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -81,6 +81,7 @@
         else ring.alert('wrong identity', facts);
       },
       onEnded: (server) => prover.suspect(server),
+      proxies: () => roster.length,
     });
     let roster: readonly string[] = [];
     const ramp = Ramp.of(startup.node, () => roster);
@@ -138,6 +139,7 @@
       compiled = Compiled.of(departures.over(feed.view()));
       if (!compiled) return;
       feedGently(before, compiled);
+      limit(compiled.limits);
       ring.note('in force', { stamp: Stamp.text(compiled.stamp) });
       pool.retain(compiled);
       ejector.retain(compiled);
@@ -157,7 +159,7 @@
           : compiled.isEvacuated(startup.zone)
             ? 'zone evacuated'
             : undefined;
-    const { server } = ProxyServer.of(
+    const { server, limit } = ProxyServer.of(
       {
         compiled: () => compiled,
         active: () => active,
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -1,10 +1,13 @@
-// The callers' port: every call goes through the chain of filters, each of which may answer.
+// The callers' port: every call goes through the chain of filters, each of which may answer. What a caller may send,
+// how long its head may take and how long its connection may rest follows the newest manifest; a connection that
+// was opened under another bound of its head ends behind its next answer, since its parser keeps the old one.
 
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
+import type { Document } from '../manifest/document.js';
 import type { Call } from './call.js';
 import type { Dialect } from './dialect.js';
 import type { Filter } from './filter.js';
@@ -16,7 +19,16 @@
 import { Quota } from './filters/quota.js';
 import { Responses } from './responses.js';
 
-export type ProxyServer = { readonly server: Server };
+export type ProxyServer = {
+  readonly server: Server;
+  /** Takes the machine's limits as the newest manifest has them. */
+  readonly limit: (limits: Document.Limits) => void;
+};
+
+type Held = { readonly header_bytes: number; readonly header_time: number; readonly idle: number };
+
+const usual: Held = { header_bytes: 16 * 1024, header_time: 10_000, idle: 15_000 };
+const requestTime = 30_000;
 
 const listModels: (needs: Filter.Needs) => Filter = () => async (context, next) => {
   const { call } = context.var;
@@ -38,17 +50,18 @@
   (
     active: { readonly change: (by: number) => void; readonly isDraining: () => boolean },
     dialect: Dialect,
+    isOutdated: (socket: object) => boolean,
   ): Filter =>
   async (context, next) => {
-    const { outgoing } = context.env;
+    const { incoming, outgoing } = context.env;
     const left = new AbortController();
     outgoing.once('close', () => {
       active.change(-1);
       if (!outgoing.writableFinished) left.abort(Failure.of('left', 'the client left'));
     });
     active.change(1);
-    if (active.isDraining()) outgoing.shouldKeepAlive = false;
-    const asked = dialect.read(context.env.incoming.headers);
+    if (active.isDraining() || isOutdated(incoming.socket)) outgoing.shouldKeepAlive = false;
+    const asked = dialect.read(incoming.headers);
     const arrived = Moment.now();
     context.set('call', { id: asked.id, arrived, left: left.signal, dialect, asked });
     return next();
@@ -63,6 +76,9 @@
       readonly change: (by: number) => void;
     },
   ): ProxyServer {
+    let limits = usual;
+    const openedUnder = new WeakMap<object, number>();
+    const isOutdated = (socket: object) => openedUnder.get(socket) !== limits.header_bytes;
     const app = new Hono<Call.Env>();
     const isOwn = needs.dialect.isOpenAi;
     if (isOwn) app.get('/health', (context) => context.json({ status: 'up' }));
@@ -73,7 +89,7 @@
           ? context.json({ ready: true })
           : context.json({ ready: false, reason }, 503);
       });
-    app.use('*', begin(probes, needs.dialect));
+    app.use('*', begin(probes, needs.dialect, isOutdated));
     app.use('*', Admit.filter(needs));
     app.use('*', listModels(needs));
     app.use('*', MatchRule.filter(needs));
@@ -96,13 +112,27 @@
       fetch: app.fetch,
       overrideGlobalObjects: false,
       serverOptions: {
-        headersTimeout: 10_000,
-        requestTimeout: 30_000,
-        keepAliveTimeout: 15_000,
-        maxHeaderSize: 16 * 1024,
-        connectionsCheckingInterval: 2000,
+        headersTimeout: usual.header_time,
+        requestTimeout: requestTime,
+        keepAliveTimeout: usual.idle,
+        maxHeaderSize: usual.header_bytes,
+        connectionsCheckingInterval: 1000,
+      },
+    }) as Server & { maxHeaderSize: number };
+    server.prependListener('connection', (socket) => openedUnder.set(socket, limits.header_bytes));
+    return {
+      server,
+      limit({ header_bytes, header_time, idle }) {
+        limits = {
+          header_bytes: header_bytes ?? usual.header_bytes,
+          header_time: header_time ?? usual.header_time,
+          idle: idle ?? usual.idle,
+        };
+        server.maxHeaderSize = limits.header_bytes;
+        server.headersTimeout = limits.header_time;
+        server.requestTimeout = Math.max(requestTime, limits.header_time);
+        server.keepAliveTimeout = limits.idle;
       },
-    }) as Server;
-    return { server };
+    };
   },
 };
--- a/src/upstream/pick.ts
+++ b/src/upstream/pick.ts
@@ -20,6 +20,7 @@
     readonly inFlight: InFlight;
     readonly ejector: Ejector;
     readonly allowance: (instance: string) => number;
+    readonly connections: (group: Compiled.Group) => number;
     readonly isDark: (instance: string) => boolean;
     readonly mayWarm: (server: Compiled.Server, group: Compiled.Group) => boolean;
     readonly mayGo: (group: Compiled.Group) => boolean;
@@ -75,7 +76,8 @@
     const { inFlight } = needs;
     const free = among.filter(
       ({ server, group }) =>
-        inFlight.of(server.instance).jobs < Math.min(group.concurrent, needs.allowance(server.instance)),
+        inFlight.of(server.instance).jobs <
+        Math.min(group.concurrent, needs.allowance(server.instance), needs.connections(group)),
     );
     if (free.length <= 1) return free[0];
     if (want) return needs.placement.choose(free, want);
--- a/src/upstream/pool.ts
+++ b/src/upstream/pool.ts
@@ -1,5 +1,7 @@
 // Proved connections by instance. One is taken for one exchange and given back; those of an instance
-// that the newest manifest or platform list no longer holds at that address are dropped.
+// that the newest manifest or platform list no longer holds at that address are dropped. A server takes so many
+// connections from all proxies together: each holds its even part, ends an idle one before it opens beyond that,
+// and opens none for a request that would be beyond.
 import { Address } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
@@ -14,10 +16,14 @@
   readonly close: () => Promise<void>;
   readonly count: () => number;
   readonly hasIdle: (instance: string) => boolean;
+  /** Most connections that this proxy may hold to one server of the group. */
+  readonly part: (group: Compiled.Group) => number;
 };
 
 const mostIdle = 32;
 const justUsed = 3000;
+const portion = 0.95;
+const leastPart = 3;
 
 const isHeld = (compiled: Compiled | undefined, server: Compiled.Server): boolean => {
   const held = compiled?.servers.get(server.instance);
@@ -33,6 +39,7 @@
     readonly onWrong: (server: Compiled.Server, cause: Error) => void;
     readonly newest: () => Compiled | undefined;
     readonly onEnded: (server: Compiled.Server) => void;
+    readonly proxies: () => number;
   }): Pool {
     const idle = new Map<string, Connection[]>();
     const all = new Set<Connection>();
@@ -47,25 +54,54 @@
       );
       if (Moment.since(usedAt.get(connection) ?? Moment.past) < justUsed) terms.onEnded(connection.server);
     };
+    const held = new Map<string, number>();
+    let mostProxies = 1;
+    const part: Pool['part'] = ({ connections }) => {
+      mostProxies = Math.max(mostProxies, terms.proxies());
+      if (connections === undefined) return Number.POSITIVE_INFINITY;
+      return Math.max(leastPart, Math.floor((connections * portion) / mostProxies));
+    };
+    const countOne = (instance: string, by: number) => {
+      const count = (held.get(instance) ?? 0) + by;
+      if (count > 0) held.set(instance, count);
+      else held.delete(instance);
+    };
+    const isFull = (instance: string, group: Compiled.Group) => (held.get(instance) ?? 0) >= part(group);
+    const endIdle = (instance: string) => {
+      const [oldest] = idle.get(instance) ?? [];
+      if (oldest) void oldest.destroy();
+    };
     const open: Pool['open'] = async (server, group, signal) => {
+      const { instance } = server;
+      if (isFull(instance, group)) endIdle(instance);
+      countOne(instance, 1);
       try {
         const connection = await Connection.open(server, group, signal);
         all.add(connection);
-        connection.onClose(() => forget(connection));
+        connection.onClose(() => {
+          countOne(instance, -1);
+          forget(connection);
+        });
         return connection;
       } catch (error) {
+        countOne(instance, -1);
         if (Failure.is(error, 'identity')) terms.onWrong(server, error);
         throw error;
       }
     };
     return {
       count: () => all.size,
+      part,
       hasIdle: (instance) => (idle.get(instance)?.length ?? 0) > 0,
       async take(server, group, signal) {
         const list = idle.get(server.instance) ?? [];
-        for (let held = list.pop(); held; held = list.pop())
-          if (held.state() === 'idle' && Address.text(held.server.address) === Address.text(server.address))
-            return held;
+        for (let kept = list.pop(); kept; kept = list.pop()) {
+          if (kept.state() === 'idle' && Address.text(kept.server.address) === Address.text(server.address))
+            return kept;
+          void kept.destroy();
+        }
+        if (isFull(server.instance, group))
+          throw Failure.of('connect', 'as many connections as this proxy may hold', { why: 'full' });
         return open(server, group, signal);
       },
       open,
@@ -73,7 +109,10 @@
         connection.release();
         if (connection.state() !== 'idle') return;
         const list = idle.get(connection.server.instance) ?? [];
-        if (list.length >= mostIdle || !isHeld(terms.newest(), connection.server)) void connection.destroy();
+        const group = terms.newest()?.groups.get(connection.server.group);
+        const isBeyond = group !== undefined && (held.get(connection.server.instance) ?? 0) > part(group);
+        if (isBeyond || list.length >= mostIdle || !isHeld(terms.newest(), connection.server))
+          void connection.destroy();
         else {
           usedAt.set(connection, Moment.now());
           idle.set(connection.server.instance, [...list, connection]);
@@ -86,6 +125,10 @@
           else idle.set(instance, kept);
           for (const one of list) if (!kept.includes(one)) void one.destroy();
         }
+        for (const { instance, group } of compiled.servers.values()) {
+          const most = part(compiled.groups.get(group)!);
+          while ((held.get(instance) ?? 0) > most && idle.get(instance)?.length) endIdle(instance);
+        }
       },
       async close() {
         idle.clear();
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -32,7 +32,7 @@
     };
 
 export declare namespace Trial {
-  type Why = 'connect' | 'identity' | 'first_byte' | 'per_try' | 'total' | 'reset' | 'left' | 'late';
+  type Why = 'connect' | 'full' | 'identity' | 'first_byte' | 'per_try' | 'total' | 'reset' | 'left' | 'late';
   type Needs = {
     readonly pool: Pool;
     readonly inFlight: InFlight;
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,171 @@
+// The machine's limits of the manifest at the callers' port, and how many connections one server gets from all
+// proxies together.
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { after, before, beforeEach, describe, it } from 'node:test';
+import { Client } from 'undici';
+import type { Document } from '../src/manifest/document.js';
+import { InForce } from '../tools/in-force.js';
+import { Bench } from './bench.js';
+
+const regions = ['a'];
+const rule = (name: string, more: object = {}) => ({
+  name,
+  match: { path: `/${name}/*` },
+  groups: ['lookup'],
+  runs: 'repeatable',
+  home: { regions },
+  affinity: false,
+  ...more,
+});
+const of = (limits: object, connections: number): Document =>
+  ({
+    zones: Bench.manifest.zones,
+    groups: {
+      lookup: {
+        kind: 'plain',
+        regions,
+        connections,
+        proof: { header: 'x-wanted-instance', misdirected: 421 },
+        not_run: [{ status: 421 }],
+      },
+    },
+    homes: { all: { regions } },
+    teams: { everybody: { keys: [], home: 'all', open: true } },
+    rules: [rule('plain'), rule('long', { body: 50_000 })],
+    limits,
+  }) as unknown as Document;
+const limits = { header_bytes: 2048, body_bytes: 1000, header_time: 700, idle: 1200 };
+
+describe('limits', () => {
+  let bench: Bench;
+  let server: Bench.BackEnd;
+  const serve: Bench.Handle = (_incoming, response) => void response.end('served');
+
+  const put = async (manifest: Document) => {
+    await InForce.putWhenReady(bench.kit, manifest);
+    await InForce.everywhere(bench.kit);
+  };
+  const listen = (front = 0) => bench.kit.fronts[front]!.listen;
+  const call = (path: string, body?: string, headers: Record<string, string> = {}, front = 0) =>
+    Bench.call(listen(front), path, body, { authorization: '', 'content-type': 'text/plain', ...headers });
+  const raw = async (text: string): Promise<Socket> => {
+    const [host, port] = listen().split(':');
+    const socket = connect(Number(port), host!);
+    await once(socket, 'connect');
+    socket.write(text);
+    return socket;
+  };
+  const readToEnd = async (socket: Socket): Promise<string> => {
+    let text = '';
+    for await (const chunk of socket) text += String(chunk);
+    return text;
+  };
+  const connections = () =>
+    new Promise<number>((resolve) => server.server.getConnections((_error, count) => resolve(count)));
+
+  before(async () => {
+    bench = await Bench.start({ manifest: of(limits, 8), fronts: 2 });
+    server = await bench.backEnd({ instance: 'r1', group: 'lookup', region: 'a', handle: serve });
+    await bench.list([server]);
+  });
+  after(() => bench.stop());
+  beforeEach(() => {
+    server.handle = serve;
+  });
+
+  it('turn a head that is too long away with 431, by the newest manifest', async () => {
+    const headers = { 'x-filler': 'a'.repeat(3000) };
+    const anew = async () => {
+      const client = new Client(`http://${listen()}`);
+      const answer = await client.request({ path: '/plain/x', method: 'GET', headers });
+      await answer.body.dump();
+      await client.destroy();
+      return answer.statusCode;
+    };
+    await put(of({ ...limits, idle: 10_000 }, 8));
+    const kept = new Client(`http://${listen()}`);
+    const asked = { path: '/plain/x', method: 'GET', headers: { 'x-short': 'a' } } as const;
+    const first = await kept.request(asked);
+    assert.deepEqual([await first.body.text(), first.headers.connection], ['served', 'keep-alive']);
+    assert.equal(await anew(), 431);
+    await put(of({ ...limits, idle: 10_000, header_bytes: 8192 }, 8));
+    assert.equal(await anew(), 200);
+    const second = await kept.request(asked);
+    assert.deepEqual([await second.body.text(), second.headers.connection], ['served', 'close']);
+    await kept.destroy();
+    await put(of(limits, 8));
+    assert.equal(await anew(), 431);
+  });
+
+  it('turn a body that is too long away with 413, also where a rule allows more', async () => {
+    assert.equal((await call('/plain/x', 'a'.repeat(1000))).status, 200);
+    assert.equal((await call('/plain/x', 'a'.repeat(1001))).status, 413);
+    assert.equal((await call('/long/x', 'a'.repeat(1001))).status, 413);
+  });
+
+  it('end a head that comes too slowly with 408', async () => {
+    const began = performance.now();
+    const socket = await raw('GET /plain/x HTTP/1.1\r\nhost: a.example\r\n');
+    assert.match(await readToEnd(socket), /^HTTP\/1\.1 408 /);
+    const took = performance.now() - began;
+    assert.ok(took >= 650 && took < 6000, `${Math.round(took)} ms`);
+  });
+
+  it('end a connection that rests too long, having said so', async () => {
+    const began = performance.now();
+    const socket = await raw('GET /plain/x HTTP/1.1\r\nhost: a.example\r\n\r\n');
+    const text = await readToEnd(socket);
+    assert.match(text, /^HTTP\/1\.1 200 /);
+    assert.match(text, /\r\nkeep-alive: timeout=1\r\n/i);
+    const took = performance.now() - began;
+    assert.ok(took >= 1150 && took < 6000, `${Math.round(took)} ms`);
+  });
+
+  it('let no more connections to one server be open from all proxies together than it takes', async () => {
+    const held: (() => void)[] = [];
+    let most = 0;
+    server.handle = (_incoming, response) => {
+      held.push(() => void response.end('served'));
+      void connections().then((count) => {
+        most = Math.max(most, count);
+      });
+    };
+    let refused = 0;
+    const calls = [0, 1].flatMap((front) =>
+      Array.from({ length: 10 }, async () => {
+        const answer = await call('/plain/x', undefined, {}, front);
+        if (answer.status !== 200) refused += 1;
+        return answer;
+      }),
+    );
+    while (held.length + refused < calls.length) await new Promise<void>((resolve) => setImmediate(resolve));
+    const open = await connections();
+    assert.ok(open <= 8 && held.length >= 4, `${open} connections, ${held.length} requests`);
+    for (const end of held) end();
+    const answers = await Promise.all(calls);
+    const turnedAway = answers.filter((one) => one.status !== 200);
+    assert.equal(turnedAway.length, refused);
+    for (const one of turnedAway) {
+      assert.deepEqual([one.status, one.headers['bramblebend-ran']], [503, 'no']);
+      assert.ok(one.headers['retry-after']);
+    }
+    assert.ok(most <= 8, `${most} connections at once`);
+  });
+
+  it('end connections at rest when the server takes fewer', async () => {
+    await put(of(limits, 100));
+    const held: (() => void)[] = [];
+    server.handle = (_incoming, response) => void held.push(() => void response.end('served'));
+    const calls = Array.from({ length: 20 }, () => call('/plain/x'));
+    while (held.length < 20) await new Promise<void>((resolve) => setImmediate(resolve));
+    for (const end of held) end();
+    await Promise.all(calls);
+    assert.ok((await connections()) >= 20);
+    server.handle = serve;
+    await put(of(limits, 8));
+    while ((await connections()) > 8) await call('/plain/x');
+    assert.equal((await call('/plain/x')).status, 200);
+  });
+});
