--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -50,7 +50,15 @@
     const extra = startup.extra_tries;
     const budget = Budget.of(
       (batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }),
-      extra && { tries: extra.count, window: extra.window, proxies: () => roster.length },
+      extra && {
+        get tries() {
+          return extra.count;
+        },
+        get window() {
+          return extra.window;
+        },
+        proxies: () => roster.length,
+      },
     );
     const tending = Timer.every(500, () => {
       budget.tend();
