Show the fleet on the command line, and order evacuations by themselves

Cause: the command line showed no directory, servers' state and loads, tokens or tree, and an evacuation was a put of the whole manifest, lost to any other change at the same time. New calls: /v1/evacuations (read, begin, finish), /v1/loads, /v1/budget; a proxy's health names its parent, tokens and whom it feeds gently. zone evacuate and zone restore are other names of the new orders now. Operators bound to teams may not evacuate, as before.

--- a/src/bin/bramblebend.ts
+++ b/src/bin/bramblebend.ts
@@ -3,6 +3,7 @@
 import sade from 'sade';
 import { Client } from '../cli/client.js';
 import { Commands } from '../cli/commands.js';
+import { Fleet } from '../cli/fleet.js';
 import { ReadLog } from '../cli/read-log.js';
 import { Failure } from '../kinds/failure.js';
 import { Version } from '../startup/version.js';
@@ -19,6 +20,7 @@
   keys?: string;
   through?: string;
   rounds?: string;
+  json?: boolean;
 };
 
 const clientOf = (flags: Flags): Client => {
@@ -51,10 +53,13 @@
 
 const tellLocal = (work: () => Commands): void => tell(Promise.resolve().then(work));
 
+const termsOf = (flags: Flags): Fleet => ({ isJson: flags.json === true });
+
 const cli = sade('bramblebend')
   .version(Version)
   .option('--control', 'HTTP addresses of the control nodes, comma-separated')
-  .option('--token', 'operator’s token');
+  .option('--token', 'operator’s token')
+  .option('--json', 'JSON instead of a table, where a command prints one', false);
 
 cli
   .command('manifest get [revision]', 'Print the manifest in force, or a kept one')
@@ -80,18 +85,50 @@
   .command('manifest rollback <revision>', 'Take back a kept manifest as a new revision')
   .action((revision: string, flags: Flags) => tell(Commands.rollback(clientOf(flags), revision)));
 cli
-  .command('zone evacuate <zone>', 'Give a zone nothing new')
-  .action((zone: string, flags: Flags) => tell(Commands.evacuate(clientOf(flags), zone)));
+  .command('evacuation list', 'Show which zones get nothing new')
+  .action((flags: Flags) => tell(Fleet.evacuations(clientOf(flags), termsOf(flags))));
+cli
+  .command('evacuation begin <zone>', 'Give a zone nothing new, and change nothing else', {
+    alias: 'zone evacuate',
+  })
+  .action((zone: string, flags: Flags) =>
+    tell(Fleet.evacuate(clientOf(flags), zone, 'begin', termsOf(flags))),
+  );
+cli
+  .command('evacuation finish <zone>', 'Take an evacuated zone back, and change nothing else', {
+    alias: 'zone restore',
+  })
+  .action((zone: string, flags: Flags) =>
+    tell(Fleet.evacuate(clientOf(flags), zone, 'finish', termsOf(flags))),
+  );
 cli
-  .command('zone restore <zone>', 'Take an evacuated zone back')
-  .action((zone: string, flags: Flags) => tell(Commands.restore(clientOf(flags), zone)));
-cli.command('nodes', 'List the members').action((flags: Flags) => tell(Commands.nodes(clientOf(flags))));
+  .command('nodes', 'List the members')
+  .action((flags: Flags) => tell(Commands.nodes(clientOf(flags), flags.json === true)));
 cli
   .command('status', 'Show which revision is in force where, and who leads')
   .action((flags: Flags) => tell(Commands.status(clientOf(flags))));
 cli
   .command('usage', 'Show what each team with a quota used of it')
-  .action((flags: Flags) => tell(Commands.usage(clientOf(flags))));
+  .action((flags: Flags) => tell(Commands.usage(clientOf(flags), flags.json === true)));
+cli
+  .command('directory [zone]', 'Show where callers of a zone go, or of each')
+  .action((zone: string | undefined, flags: Flags) =>
+    tell(Fleet.directory(clientOf(flags), zone, termsOf(flags))),
+  );
+cli
+  .command(
+    'servers [group]',
+    'Show the servers: state, load, and at how many proxies they are cold, out or dark',
+  )
+  .action((group: string | undefined, flags: Flags) =>
+    tell(Fleet.servers(clientOf(flags), group, termsOf(flags))),
+  );
+cli
+  .command('budget', 'Show the tokens for extra tries: in the pool and at each proxy')
+  .action((flags: Flags) => tell(Fleet.budget(clientOf(flags), termsOf(flags))));
+cli
+  .command('tree', 'Show the tree that news goes down')
+  .action((flags: Flags) => tell(Fleet.tree(clientOf(flags), termsOf(flags))));
 cli.command('audit', 'List the changes').action((flags: Flags) => tell(Commands.audit(clientOf(flags))));
 cli
   .command('trace [file]', 'Put a file and follow the change through all nodes; without one, the newest')
@@ -128,4 +165,12 @@
 cli
   .command('log <address>', 'Read the log ring of a program, by its operations address')
   .action((address: string) => tell(ReadLog.run(address).then((text) => ({ text, code: 0 }))));
-cli.parse(process.argv.map((word) => (word === '-' ? '/dev/stdin' : word)));
+cli.parse(
+  process.argv.map((word) => (word === '-' ? '/dev/stdin' : word)),
+  {
+    unknown(flag) {
+      process.stderr.write(`${flag} is not known here; bramblebend COMMAND --help lists the flags\n`);
+      process.exit(2);
+    },
+  },
+);
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -6,12 +6,13 @@
 import type { Client } from './client.js';
 import { Diff } from './diff.js';
 import { Import } from './import.js';
+import { Table } from './table.js';
 import { Trace } from './trace.js';
 import { Walls } from './walls.js';
 
 export type Commands = { readonly text: string; readonly notes?: string; readonly code: number };
 
-type Manifest = { evacuations?: string[]; zones: Record<string, unknown> } & Record<string, unknown>;
+type Manifest = Record<string, unknown>;
 type Work = { readonly requests: number; readonly prompt: number };
 type Usage = { readonly used: Work; readonly quota: Partial<Work> & { readonly span: number } };
 type Entry = Trace.Node & { readonly ready: boolean; readonly age: number; readonly http: string };
@@ -54,19 +55,6 @@
   return { document: response.status === 200 ? (response.body as Manifest) : undefined, tag, response };
 };
 
-const table = (rows: readonly (readonly string[])[]): string => {
-  const widths =
-    rows[0]?.map((_cell, column) => Math.max(...rows.map((row) => row[column]?.length ?? 0))) ?? [];
-  return rows
-    .map((row) =>
-      row
-        .map((cell, column) => cell.padEnd(widths[column]!))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
-};
-
 const stampText = ({ epoch, revision }: Trace.Stamp): string => `${epoch}.${revision}`;
 
 const listNodes = async (client: Client): Promise<readonly Entry[]> => {
@@ -82,18 +70,6 @@
   return [...new Map(proxies.map((one) => [one.zone, one.http])).values()].sort();
 };
 
-const changeZone = async (client: Client, zone: string, isEvacuated: boolean): Promise<Commands> => {
-  const { document, tag, response } = await getManifest(client);
-  if (!document) return judge(response);
-  if (!Object.hasOwn(document.zones, zone)) return { text: `the manifest has no zone ${zone}`, code: 1 };
-  const others = (document.evacuations ?? []).filter((one) => one !== zone);
-  const evacuations = isEvacuated ? [...others, zone] : others;
-  const note = `${isEvacuated ? 'evacuate' : 'restore'} ${zone}`;
-  return judge(
-    await client.call('PUT', '/v1/manifest', { ...document, evacuations, note }, { 'if-match': tag }),
-  );
-};
-
 export const Commands = {
   async get(client: Client, revision?: string): Promise<Commands> {
     const response = await client.call(
@@ -139,10 +115,9 @@
     const body = { revision: Number(revision) };
     return judge(await client.call('POST', '/v1/manifest/rollback', body, { 'if-match': tag }));
   },
-  evacuate: (client: Client, zone: string) => changeZone(client, zone, true),
-  restore: (client: Client, zone: string) => changeZone(client, zone, false),
-  async nodes(client: Client): Promise<Commands> {
+  async nodes(client: Client, isJson: boolean): Promise<Commands> {
     const nodes = await listNodes(client);
+    if (isJson) return { text: show({ nodes }), code: 0 };
     const rows = [...nodes]
       .sort((a, b) => a.zone.localeCompare(b.zone) || a.node.localeCompare(b.node))
       .map((one) => [
@@ -153,7 +128,7 @@
         one.ready ? 'ready' : 'unready',
         one.via,
       ]);
-    return { text: table([['ZONE', 'NODE', 'PROGRAM', 'STAMP', 'STATE', 'VIA'], ...rows]), code: 0 };
+    return { text: Table.text([['ZONE', 'NODE', 'PROGRAM', 'STAMP', 'STATE', 'VIA'], ...rows]), code: 0 };
   },
   async status(client: Client): Promise<Commands> {
     return judge(await client.call('GET', '/v1/status'));
@@ -161,9 +136,9 @@
   async force(client: Client, lose: string | undefined): Promise<Commands> {
     return judge(await client.call('POST', '/v1/cores/form', { lose }));
   },
-  async usage(client: Client): Promise<Commands> {
+  async usage(client: Client, isJson: boolean): Promise<Commands> {
     const response = await client.call('GET', '/v1/usage');
-    if (response.status !== 200) return judge(response);
+    if (response.status !== 200 || isJson) return judge(response);
     const { teams } = response.body as { teams: Readonly<Record<string, Usage>> };
     const of = (used: number, quota: number | undefined) => `${used} of ${quota ?? 'any'}`;
     const rows = Object.entries(teams).map(([team, { used, quota }]) => [
@@ -172,7 +147,7 @@
       of(used.prompt, quota.prompt),
       `${quota.span / 1000} s`,
     ]);
-    return { text: table([['TEAM', 'REQUESTS', 'PROMPT BYTES', 'SPAN'], ...rows]), code: 0 };
+    return { text: Table.text([['TEAM', 'REQUESTS', 'PROMPT BYTES', 'SPAN'], ...rows]), code: 0 };
   },
   async walls(
     client: () => Client,
@@ -189,7 +164,7 @@
     const head = ['FIRST THROUGH', 'SECOND THROUGH', 'ROUNDS', 'FAILED', 'MET', 'OWN SEEN', 'ACROSS'];
     const isSome = (verdict: Walls['verdict']) => checked.some((one) => one.verdict === verdict);
     return {
-      text: table([[...head, 'OWN AGAIN', 'SECOND', 'VERDICT'], ...rows]),
+      text: Table.text([[...head, 'OWN AGAIN', 'SECOND', 'VERDICT'], ...rows]),
       code: isSome('MATCH') ? 1 : isSome('unsure') || checked.length === 0 ? 3 : 0,
     };
   },
@@ -225,7 +200,7 @@
       ]);
     const isEverywhere = traces.every((one) => one.after !== undefined);
     return {
-      text: table([['HELD AFTER', 'NODE', 'PROGRAM', 'ZONE', 'VIA'], ...rows]),
+      text: Table.text([['HELD AFTER', 'NODE', 'PROGRAM', 'ZONE', 'VIA'], ...rows]),
       code: isEverywhere ? 0 : 1,
     };
   },
--- a/src/control/commands/evacuate.ts
+++ b/src/control/commands/evacuate.ts
@@ -4,13 +4,21 @@
 import { State } from '../../store/state.js';
 import type { Office } from '../office.js';
 import { Responses } from '../responses.js';
+import { Rights } from '../rights.js';
 
-export type Evacuate = { readonly zone: string; readonly isEvacuated: boolean };
+export type Evacuate = {
+  readonly zone: string;
+  readonly isEvacuated: boolean;
+  readonly by?: Rights.Person;
+};
 
-const by = 'operator';
+const anOperator: Rights.Person = { name: 'operator', teams: undefined };
 
 export const Evacuate = {
-  async run(office: Office, { zone, isEvacuated }: Evacuate): Promise<Responses> {
+  async run(office: Office, { zone, isEvacuated, by: person = anOperator }: Evacuate): Promise<Responses> {
+    const by = person.name;
+    const denied = Rights.denied(person, { teams: [], others: ['evacuations'] });
+    if (denied) return Responses.fail(403, 'not_yours', denied);
     const at = new Date().toISOString();
     const done = (zones: readonly string[]): Responses => ({ status: 200, body: { evacuations: zones } });
     return office.change(
@@ -19,7 +27,11 @@
         if (!office.isSettled() || !document)
           return Responses.unconfirmed('unconfirmed', 'no manifest is known to be in place yet', 'no');
         if (!Object.hasOwn(document.zones, zone))
-          return Responses.fail(404, 'unknown_zone', `the manifest names no zone ${zone}`);
+          return Responses.fail(
+            404,
+            'unknown_zone',
+            `the manifest names no zone ${zone}; it names ${Object.keys(document.zones).join(', ')}`,
+          );
         const others = (document.evacuations ?? []).filter((one) => one !== zone);
         const zones = isEvacuated ? [...others, zone as Ident.Zone] : others;
         if (zones.length === (document.evacuations?.length ?? 0)) return done(zones);
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -12,6 +12,7 @@
 import type { Startup } from '../startup/startup.js';
 import type { Adapter } from './adapter.js';
 import { AtPrimary } from './at-primary.js';
+import { Evacuate } from './commands/evacuate.js';
 import { Leave } from './commands/leave.js';
 import { PutManifest } from './commands/put-manifest.js';
 import { PutServers } from './commands/put-servers.js';
@@ -19,6 +20,7 @@
 import type { Core } from './core.js';
 import type { Office } from './office.js';
 import { ReadDirectory } from './queries/read-directory.js';
+import { ReadEvacuations } from './queries/read-evacuations.js';
 import { ReadManifest } from './queries/read-manifest.js';
 import { ReadServers } from './queries/read-servers.js';
 import { ReadStatus } from './queries/read-status.js';
@@ -34,6 +36,8 @@
     readonly core: Core;
     readonly roll: Roll;
     readonly usage: () => object;
+    readonly loads: () => object;
+    readonly budget: () => object;
     readonly ownHttp: () => string;
     readonly operations: Hono;
     readonly directory: ReadDirectory.Needs;
@@ -176,6 +180,32 @@
       '/v1/usage',
       serve(operators, () => ({ status: 200, body: needs.usage() })),
     );
+    app.get(
+      '/v1/loads',
+      serve(either, () => ({ status: 200, body: needs.loads() })),
+    );
+    app.get(
+      '/v1/budget',
+      serve(operators, () => ({ status: 200, body: needs.budget() })),
+    );
+    app.get(
+      '/v1/evacuations',
+      serve(operators, () => ReadEvacuations.run(office)),
+    );
+    for (const [verb, isEvacuated] of [
+      ['begin', true],
+      ['finish', false],
+    ] as const)
+      app.post(
+        `/v1/evacuations/:zone/${verb}`,
+        serve(operators, (context) =>
+          Evacuate.run(office, {
+            zone: context.req.param('zone') ?? '',
+            isEvacuated,
+            by: context.var.person,
+          }),
+        ),
+      );
     app.get(
       '/v1/servers',
       serve(either, () => ReadServers.run(office, { kind: 'servers' })),
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -250,6 +250,8 @@
       roll,
       directory,
       adapter,
+      loads: () => ({ loads: reports?.loads() ?? [] }),
+      budget: () => ({ holder: budget.holder(), pooled: budget.pooled() / 1000 }),
       usage: () => ({ holder: budget.holder(), teams: quotas.usage() }),
       ownHttp: () => http,
       operations: ops.app,
--- a/src/duty/report-duty.ts
+++ b/src/duty/report-duty.ts
@@ -5,7 +5,10 @@
 import type { Document } from '../manifest/document.js';
 import type { ReportSource } from './report-source.js';
 
-export type ReportDuty = { readonly stop: () => Promise<void> };
+export type ReportDuty = {
+  readonly loads: () => readonly ReportSource.Load[];
+  readonly stop: () => Promise<void>;
+};
 
 export declare namespace ReportDuty {
   type Needs = {
@@ -51,6 +54,7 @@
     };
     const done = run();
     return {
+      loads: () => [...told.values()].map(({ load }) => load),
       async stop() {
         stop.abort();
         await done;
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -209,6 +209,9 @@
         out: ejector.out(),
         dark: prover.dark(),
         leaving: departures.instances(),
+        cold: [...new Set([...warmup.cold(), ...ramp.gentle()])],
+        tokens: budget.held(),
+        parent: uplink.parent(),
         version: Version,
       }),
     }).server();
--- a/src/upstream/ramp.ts
+++ b/src/upstream/ramp.ts
@@ -12,6 +12,7 @@
   readonly isFresh: (instance: string) => boolean;
   readonly doubt: (instance: string) => void;
   readonly allowance: (instance: string) => number;
+  readonly gentle: () => readonly string[];
   readonly retain: (isHeld: (instance: string) => boolean) => void;
 };
 
@@ -60,6 +61,7 @@
         const count = Math.max(1, proxies.includes(own) ? proxies.length : proxies.length + 1);
         return Math.floor(limit / count) + (rank(instance, proxies) < limit % count ? 1 : 0);
       },
+      gentle: () => [...began].filter(([, from]) => Moment.since(from) < over).map(([instance]) => instance),
       retain(isHeld) {
         for (const kept of [began, lastGood])
           for (const instance of kept.keys()) if (!isHeld(instance)) kept.delete(instance);
--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,202 @@
+// What the command line shows of a running fleet, as tables and as JSON, and evacuations as orders of their own.
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { FleetKit } from '../tools/fleet-kit.js';
+import { InForce } from '../tools/in-force.js';
+import { Bench } from './bench.js';
+
+type Ended = { readonly status: number; readonly stdout: string; readonly stderr: string };
+
+const program = fileURLToPath(new URL('../src/bin/bramblebend.js', import.meta.url));
+const run = (...args: string[]): Promise<Ended> =>
+  new Promise((resolve) => {
+    const child = execFile(
+      process.execPath,
+      [program, ...args],
+      { timeout: 20_000 },
+      (_error, stdout, stderr) => resolve({ status: child.exitCode ?? -1, stdout, stderr }),
+    );
+  });
+const columns = (line: string): string[] => line.split(/ {2,}/);
+
+describe('the command line and a running fleet', { timeout: 90_000 }, () => {
+  let bench: Bench;
+  let where: string[];
+
+  const ask = (...args: string[]) => run(...args, ...where);
+  const askJson = async (...args: string[]) => {
+    const ended = await ask(...args, '--json');
+    assert.equal(ended.status, 0, ended.stderr);
+    return JSON.parse(ended.stdout);
+  };
+  const tableOf = async (...args: string[]): Promise<string[][]> => {
+    const ended = await ask(...args);
+    assert.equal(ended.status, 0, ended.stderr);
+    return ended.stdout.trimEnd().split('\n').map(columns);
+  };
+  /** Asks again until it holds: members are heard of within a second or two. */
+  const until = async <T>(look: () => Promise<T>, holds: (seen: T) => boolean): Promise<T> => {
+    for (;;) {
+      const seen = await look();
+      if (holds(seen)) return seen;
+    }
+  };
+
+  before(async () => {
+    bench = await Bench.start({ fronts: 2, inFirst: 2 });
+    const handle: Bench.Handle = (_incoming, response) => Bench.sse(response, ['one']);
+    const servers = await Promise.all(
+      ['a', 'b', 'c'].map((region) =>
+        bench.backEnd({ instance: `${region}1`, group: 'llm', region, handle }),
+      ),
+    );
+    await bench.list(servers);
+    const { http } = bench.kit.cores[0]!;
+    where = ['--control', http, '--token', FleetKit.operatorToken];
+  });
+  after(() => bench.stop());
+
+  it('shows where callers go, from every zone or from one', async () => {
+    const of = (zone: string) =>
+      bench.kit.fronts.filter((front) => front.zone === zone).map((front) => front.listen);
+    const rows = await until(
+      () => tableOf('directory'),
+      (seen) => seen.filter(([from]) => from === 'a-1').length === 2,
+    );
+    assert.deepEqual(rows[0], ['FROM', 'PROXY', 'ZONE', 'ADDRESS']);
+    assert.deepEqual(
+      rows
+        .filter(([from]) => from === 'a-1')
+        .map((row) => row[3])
+        .sort(),
+      of('a-1').sort(),
+    );
+    const { zones } = await askJson('directory', 'b-1');
+    assert.deepEqual(
+      zones.map((one: { zone: string; proxies: { address: string }[] }) => [
+        one.zone,
+        one.proxies[0]?.address,
+      ]),
+      [['b-1', of('b-1')[0]]],
+    );
+    const wrong = await ask('directory', 'nowhere');
+    assert.deepEqual(
+      [wrong.status, wrong.stdout],
+      [1, 'the manifest names no zone nowhere; it names a-1, b-1, c-1\n'],
+    );
+  });
+
+  it('begins and finishes an evacuation, which changes nothing else and may be repeated', async () => {
+    const before = JSON.parse((await ask('manifest', 'get')).stdout);
+    for (const round of [1, 2]) {
+      const begun = await ask('evacuation', 'begin', 'c-1');
+      assert.deepEqual([begun.status, begun.stdout], [0, 'evacuated now: c-1\n'], `round ${round}`);
+    }
+    assert.deepEqual(await tableOf('evacuation', 'list'), [
+      ['ZONE', 'REGION', 'STATE'],
+      ['a-1', 'a', 'open'],
+      ['b-1', 'b', 'open'],
+      ['c-1', 'c', 'evacuated'],
+    ]);
+    const during = JSON.parse((await ask('manifest', 'get')).stdout);
+    assert.deepEqual(
+      { ...during, evacuations: before.evacuations },
+      { ...before, evacuations: before.evacuations },
+    );
+    assert.deepEqual(during.evacuations, ['c-1']);
+    const { servers } = await askJson('servers');
+    assert.equal(servers.find((one: { instance: string }) => one.instance === 'c1').state, 'evacuated');
+    assert.match((await ask('audit')).stdout, /evacuate c-1/);
+    assert.deepEqual(await askJson('evacuation', 'finish', 'c-1'), { evacuations: [] });
+    const unknown = await ask('evacuation', 'begin', 'nowhere');
+    assert.equal(unknown.status, 1);
+    assert.match(unknown.stderr, /names no zone nowhere; it names a-1, b-1, c-1/);
+  });
+
+  it('shows servers with their state, and at how many proxies they are fed gently', async () => {
+    const rows = await tableOf('servers', 'llm');
+    assert.deepEqual(rows[0], [
+      ...['GROUP', 'INSTANCE', 'ZONE', 'ADDRESS', 'STATE', 'QUEUED', 'ACTIVE', 'SLOTS', 'MEMORY'],
+      ...['COLD AT', 'OUT AT', 'DARK AT'],
+    ]);
+    assert.deepEqual(
+      rows.slice(1).map((row) => [row[0], row[1], row[2], row[4]]),
+      ['a', 'b', 'c'].map((region) => ['llm', `${region}1`, `${region}-1`, 'open']),
+    );
+    const late = await bench.backEnd({
+      instance: 'a2',
+      group: 'llm',
+      region: 'a',
+      handle: (_incoming, response) => Bench.sse(response, ['one']),
+    });
+    const listed = await bench.kit.operate('GET', '/v1/servers');
+    const { serial, servers: kept } = listed.body as { serial: number; servers: object[] };
+    const added = { instance: 'a2', group: 'llm', address: late.address, region: 'a', zone: 'a-1' };
+    const put = await bench.kit.operate(
+      'PUT',
+      '/v1/servers',
+      { serial: serial + 1, servers: [...kept, added] },
+      { authorization: `Bearer ${FleetKit.platformToken}` },
+    );
+    assert.equal(put.status, 200);
+    await InForce.everywhere(bench.kit);
+    const { proxies, servers } = await askJson('servers', 'llm');
+    assert.equal(proxies, 3);
+    assert.equal(servers.find((one: { instance: string }) => one.instance === 'a2').cold.length, 3);
+    const wrong = await ask('servers', 'nothing');
+    assert.deepEqual([wrong.status, wrong.stdout], [1, 'the list has no server of nothing; it has llm\n']);
+  });
+
+  it('shows the tokens for extra tries, in the pool and at each proxy', async () => {
+    await Promise.all(Array.from({ length: 40 }, () => bench.chat('again')));
+    const { holder, pooled, proxies } = await until(
+      () => askJson('budget'),
+      (seen) => seen.pooled > 0,
+    );
+    assert.ok(bench.kit.cores.some((core) => core.node === holder));
+    assert.ok(pooled <= 8);
+    assert.equal(proxies.length, 3);
+    assert.ok(proxies.every((one: { tokens: number | null }) => typeof one.tokens === 'number'));
+    assert.deepEqual((await tableOf('budget'))[0], ['ZONE', 'HELD BY', 'TOKENS']);
+  });
+
+  it('shows the tree that news goes down, each node once, a proxy under its agent', async () => {
+    const ended = await ask('tree');
+    const lines = ended.stdout.trimEnd().split('\n').slice(1);
+    const names = lines.map((line) => columns(line.trim())[0]);
+    const { cores, fronts } = bench.kit;
+    const wanted = [
+      ...cores.map((core) => core.node),
+      ...fronts.flatMap(({ node }) => [node, `${node}-agent`]),
+    ];
+    assert.deepEqual([...names].sort(), wanted.sort());
+    for (const { node } of fronts) {
+      const at = names.indexOf(node);
+      assert.equal(names[at - 1], `${node}-agent`);
+      assert.ok(lines[at]!.search(/\S/) > lines[at - 1]!.search(/\S/));
+    }
+    const { below } = await askJson('tree');
+    assert.equal(below.length, 2 * fronts.length);
+  });
+
+  it('says so when a program does not answer, and what may be done', async () => {
+    const front = bench.kit.fronts[0]!;
+    front.proxy?.signal('SIGSTOP');
+    const ended = await ask('budget');
+    front.proxy?.signal('SIGCONT');
+    assert.equal(ended.status, 0);
+    assert.match(ended.stdout, new RegExp(`${front.node} +no answer`));
+    assert.match(ended.stderr, /no answer at the operations port of .*: ask from where it can be reached/);
+  });
+
+  it('turns unknown flags and tokens away', async () => {
+    const unknown = await ask('servers', '--jsn');
+    assert.equal(unknown.status, 2);
+    assert.match(unknown.stderr, /--jsn is not known here/);
+    const stranger = await run('evacuation', 'begin', 'c-1', ...where.slice(0, 3), 'whatever');
+    assert.equal(stranger.status, 1);
+    assert.match(stranger.stderr, /token is missing or unknown/);
+  });
+});
--- a/test/rights.test.ts
+++ b/test/rights.test.ts
@@ -1,6 +1,7 @@
 // Operators bound to teams: what they may change and what not.
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { Evacuate } from '../src/control/commands/evacuate.js';
 import { Rights } from '../src/control/rights.js';
 import type { Document } from '../src/manifest/document.js';
 import { Bench } from './bench.js';
@@ -13,6 +14,8 @@
 const denied = (after: Document, before: Document = manifest) =>
   Rights.denied(person, Rights.touched(before, after));
 
+const unused = () => Promise.reject(new Error('the state was asked for'));
+
 describe('rights', () => {
   it('let a team’s operator change the team’s entry and its own rules', () => {
     assert.equal(denied({ ...manifest, rules: [...manifest.rules, own] }), undefined);
@@ -29,6 +32,12 @@
     const shared = { ...rule, name: 'shared', teams: ['testers', 'others'] } as unknown as Document.Rule;
     assert.match(denied({ ...manifest, rules: [...manifest.rules, shared] })!, /others/);
   });
+  it('keep the operator from evacuations', async () => {
+    const office = { isSettled: () => true, confirm: unused, change: unused };
+    const denied = await Evacuate.run(office, { zone: 'a-1', isEvacuated: true, by: person });
+    assert.equal(denied.status, 403);
+    assert.match(JSON.stringify(denied.body), /nurse may not change evacuations/);
+  });
   it('let an operator without teams change everything', () => {
     assert.equal(
       Rights.denied(
