--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -95,6 +95,7 @@
       },
       onRoster: roster.set,
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
+      onLeaving: (instances) => children.broadcast({ kind: 'leaving', instances }),
       onCold: ({ stamp: _stamp, ...body }) => children.broadcast(body),
       onParent(parent) {
         depth = parent.depth + 1;
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -52,6 +52,7 @@
       newest?.isOpen === true &&
       group !== undefined &&
       mayGo(group) &&
+      !needs.ejector.isMisdirected(newest) &&
       newest.group === server.group &&
       newest.address.host === server.address.host &&
       newest.address.port === server.address.port &&
@@ -69,12 +70,14 @@
   if (trial.kind === 'unsent' && (trial.why === 'connect' || trial.why === 'identity'))
     needs.prover.lost(server);
   if (trial.kind === 'lost' && trial.why !== 'left') needs.prover.suspect(server);
+  const isMisdirected = trial.kind === 'response' && trial.status === group.proof?.misdirected;
+  if (isMisdirected) return needs.ejector.misdirected(server);
   if (trial.kind === 'stream' || trial.kind === 'response') needs.ramp.good(server.instance);
   if (trial.kind === 'stream' || (trial.kind === 'response' && trial.status < 500))
     needs.ejector.good(server);
   else if (trial.kind === 'response') {
     if (!group.isNotRun(trial.status, trial.headers)) needs.ejector.bad(server, group);
-  } else if (!['left', 'late', 'total'].includes(trial.why)) needs.ejector.bad(server, group);
+  } else if (!['left', 'late', 'total', 'full'].includes(trial.why)) needs.ejector.bad(server, group);
 };
 
 export const Attempt = {
@@ -139,6 +142,7 @@
             inFlight: needs.inFlight,
             ejector: needs.ejector,
             allowance: needs.ramp.allowance,
+            connections: needs.pool.part,
             isDark: needs.prover.isDark,
             mayWarm: needs.warmup.allows,
             mayGo,
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -26,6 +26,7 @@
 import { Warmup } from '../upstream/warmup.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
+import { Departures } from './departures.js';
 import { Dialect } from './dialect.js';
 import { FirstManifest } from './first-manifest.js';
 import { Meters } from './meters.js';
@@ -57,7 +58,15 @@
     const extra = startup.extra_tries;
     const budget = Budget.of(
       (batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }),
-      extra && { tries: extra.count, window: extra.window, proxies: () => roster.length },
+      extra && {
+        get tries() {
+          return extra.count;
+        },
+        get window() {
+          return extra.window;
+        },
+        proxies: () => roster.length,
+      },
     );
     const tending = Timer.every(500, () => {
       budget.tend();
@@ -76,9 +85,9 @@
       active: () => active,
       age: feed.age,
     });
-    const ejector = Ejector.of((server, span) => {
+    const ejector = Ejector.of((server, span, why) => {
       meters.ejections.inc({ group: server.group });
-      ring.note('ejected', { instance: server.instance, span });
+      ring.note('ejected', { instance: server.instance, span, why });
     });
     const pool = Pool.of({
       newest: () => compiled,
@@ -89,6 +98,7 @@
         else ring.alert('wrong identity', facts);
       },
       onEnded: (server) => prover.suspect(server),
+      proxies: () => roster.length,
     });
     let roster: readonly string[] = [];
     const ramp = Ramp.of(startup.node, () => roster);
@@ -143,15 +153,20 @@
     const enforce = () => {
       if (!voucher.isVouched()) return;
       const before = compiled;
-      compiled = Compiled.of(feed.view());
+      compiled = Compiled.of(departures.over(feed.view()));
       if (!compiled) return;
       feedGently(before, compiled);
       if (!before) firstManifest.came();
+      limit(compiled.limits);
       ring.note('in force', { stamp: Stamp.text(compiled.stamp) });
       pool.retain(compiled);
       ejector.retain(compiled);
       prover.retain(compiled);
     };
+    const departures = Departures.of({
+      serial: () => feed.view().platform.serial,
+      onChange: () => enforce(),
+    });
     const voucher = Voucher.of(feed, enforce);
     feed.watch(enforce);
     const isReady = () =>
@@ -162,7 +177,7 @@
           : compiled.isEvacuated(startup.zone)
             ? 'zone evacuated'
             : undefined;
-    const { server } = ProxyServer.of(
+    const { server, limit } = ProxyServer.of(
       {
         compiled: () => compiled,
         firstManifest,
@@ -204,6 +219,10 @@
         stamp: inForce(),
         out: ejector.out(),
         dark: prover.dark(),
+        leaving: departures.instances(),
+        cold: [...new Set([...warmup.cold(), ...ramp.gentle()])],
+        tokens: budget.held(),
+        parent: uplink.parent(),
         version: Version,
       }),
     }).server();
@@ -237,6 +256,7 @@
         roster = proxies;
       },
       onLoads: placement.hear,
+      onLeaving: departures.hear,
       onCold({ instance, age, dark }) {
         if (dark) {
           prover.hear(instance);
@@ -269,6 +289,7 @@
         await uplink.done;
         prover.stop();
         await pool.close();
+        departures.stop();
         stall.stop();
         tending.stop();
         ops.close();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -81,6 +81,7 @@
         readonly whole: boolean;
       }
     | { readonly kind: 'loads'; readonly loads: readonly Load[] }
+    | { readonly kind: 'leaving'; readonly instances: readonly string[] }
     | { readonly kind: 'cold'; readonly instance: string; readonly age: number; readonly dark: boolean }
     | {
         readonly kind: 'tokens';
--- a/test/losses.ts
+++ b/test/losses.ts
@@ -150,15 +150,19 @@
           empty(bench.kit.cores);
           const began = performance.now();
           await start(shuffled(bench.kit.cores), true);
+          const note = `first ${round}`;
           const { took } = await anywhere(async (core) => {
-            const status = await tryPut(core, `first ${round}`, '"0"');
-            return status === 200 || status === 412 ? status : undefined;
+            const status = await tryPut(core, note, '"0"');
+            if (status !== 412) return status === 200 ? true : undefined;
+            const now = await read(core);
+            if (now.status !== 200) return undefined;
+            return now.body.note === note || (await tryPut(core, note, now.etag!)) === 200 ? true : undefined;
           });
           test.diagnostic(
             `taken ${Math.round(performance.now() - began)} ms after the first start (${Math.round(took)} ms after all were ready)`,
           );
           assert.ok(took < 3000);
-          acknowledged = `first ${round}`;
+          acknowledged = note;
           stale.clear();
         }
         await isKept(test.diagnostic.bind(test), 'first start');
