--- a/src/membership/downlink.ts
+++ b/src/membership/downlink.ts
@@ -1,19 +1,22 @@
 // The upper end of a session: one task per child. The child says who it is, gets the peers and the
 // newest view, and from then on every newer one, and the peers again when they are others; what the child
-// tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it. A
-// child that came with the view that is held here is sent only what changes of it. A core that is not the source of
-// the news tells other cores only that it has them: they hear them there, and ask for what they lack.
+// tells of the nodes below it goes on the roll. When the child holds a newer view than we do, we ask for it, if no
+// other child was just asked. A child that came with the view that is held here is sent only what changes of it. A core
+// that is not the source of the news tells other cores only that it has them: they hear them there, and ask for the rest.
 import { match } from 'ts-pattern';
 import { Failure } from '../kinds/failure.js';
 import { Stamp } from '../kinds/stamp.js';
 import { Timer } from '../kinds/timer.js';
 import type { Feed } from '../news/feed.js';
 import { Copies } from '../repair/copies.js';
-import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
+import { Protocol } from '../wire/protocol.js';
 import type { Children } from './children.js';
+import { Dispatch } from './dispatch.js';
 import type { Roll } from './roll.js';
+import { Roster } from './roster.js';
+import type { Turns } from './turns.js';
 
 export type Downlink = { readonly node: string };
 
@@ -23,12 +26,14 @@
     readonly roll: Roll;
     readonly peers: (child: Frame.Entry) => readonly string[];
     readonly relays: (child: Frame.Entry) => readonly string[];
+    readonly isRelay: (child: Frame.Entry) => boolean;
+    readonly turns: Turns;
     readonly version: string;
     readonly age: () => number;
     readonly children: Children;
     readonly onTokens: (frame: Extract<Frame, { kind: 'tokens' }>) => void;
     readonly onCold: (frame: Extract<Frame, { kind: 'cold' }>) => void;
-    readonly roster: () => readonly string[];
+    readonly roster: Roster;
     readonly isFirstHand?: () => boolean;
   };
 }
@@ -46,25 +51,25 @@
     const node = hello.self.node;
     const isPeer = hello.self.program === 'control';
     const isSame = Stamp.isSame(hello.self.stamp, feed.stamp());
-    let held = new Set<string>(isSame ? Ranges.digests(Copies.of(feed.view())) : []);
+    const protocol = Protocol.ofBoth(hello.protocol);
+    const dispatch = Dispatch.of({
+      link,
+      feed,
+      turns: needs.turns,
+      protocol,
+      isFirst: () => needs.isRelay(hello.self),
+      isSame,
+      age: needs.age,
+    });
     const sendWord = () => link.send({ kind: 'ping', age: needs.age() });
-    let heldAt = isSame ? hello.self.stamp : Stamp.none;
-    const sendNews = () => {
-      const unpacks = hello.unpacks ?? false;
-      link.send(Copies.patch(feed.view(), held, unpacks) ?? Copies.news(feed.view(), unpacks));
-      held = new Set(Ranges.digests(Copies.of(feed.view())));
-      heldAt = feed.stamp();
-      sendWord();
-    };
     const passOn = () => {
-      if (!isPeer || !needs.isFirstHand || needs.isFirstHand()) sendNews();
+      if (!isPeer || !needs.isFirstHand || needs.isFirstHand()) dispatch.send();
       else sendWord();
     };
     const compare = (theirs: Stamp) => {
-      if (Stamp.isNewer(theirs, feed.stamp())) link.send({ kind: 'ask', digests: [] });
-      if (!Stamp.isSame(theirs, feed.stamp()) || Stamp.isSame(theirs, heldAt)) return;
-      held = new Set(Ranges.digests(Copies.of(feed.view())));
-      heldAt = theirs;
+      if (Stamp.isNewer(theirs, feed.stamp()) && needs.turns.mayAsk(theirs))
+        link.send({ kind: 'ask', digests: [] });
+      dispatch.holds(theirs);
     };
     let told = '';
     const peersNow = () => {
@@ -77,7 +82,21 @@
       const { peers, isNew } = peersNow();
       if (isNew) link.send({ kind: 'peers', peers });
     };
-    const unwatch = [feed.watch(passOn), feed.watchWord(sendWord)];
+    const knowsChanges = protocol >= Protocol.heartbeats;
+    const rosterWhole = () => {
+      const proxies = [...needs.roster.names()];
+      const digest = Roster.digestOf(proxies);
+      link.send({ kind: 'roster', proxies, added: [], departed: [], digest, whole: true });
+    };
+    const rosterChanged = (change: Roster.Change) => {
+      if (knowsChanges) link.send({ kind: 'roster', proxies: [], whole: false, ...change });
+      else rosterWhole();
+    };
+    const unwatch = [
+      feed.watch(passOn),
+      feed.watchWord(sendWord),
+      isPeer ? () => {} : needs.roster.watch(rosterChanged),
+    ];
     needs.children.add(node, link);
     const looks = Timer.every(lookEvery, () => {
       const relays = needs.relays(hello.self);
@@ -93,21 +112,29 @@
         relays: [...needs.relays(hello.self)],
         version: needs.version,
         age: needs.age(),
+        protocol,
       });
-      link.send({ kind: 'roster', proxies: [...needs.roster()] });
+      rosterChanged({ added: [], departed: [], digest: Roster.digestOf(needs.roster.names()) });
       if (isSame) sendWord();
       compare(hello.self.stamp);
       for await (const frame of frames)
         match(frame)
-          .with({ kind: 'roll' }, ({ entries }) => {
-            roll.note(entries, node, !isPeer);
+          .with({ kind: 'roll' }, ({ entries, whole, departed, stamp }) => {
+            compare(stamp);
+            if (whole) roll.replace(entries, node, !isPeer);
+            else roll.note(entries, node, !isPeer);
+            roll.strike(departed, node);
+          })
+          .with({ kind: 'heartbeat' }, (heartbeat) => {
+            compare(heartbeat.stamp);
+            if (!roll.confirm(heartbeat, node)) link.send({ kind: 'inquire', what: 'roll' });
           })
-          .with({ kind: 'ask' }, ({ digests }) => {
-            held = new Set(digests);
-            sendNews();
+          .with({ kind: 'inquire' }, ({ what }) => {
+            if (what === 'roster') rosterWhole();
           })
+          .with({ kind: 'ask' }, ({ digests }) => dispatch.answer(digests))
           .with({ kind: 'news' }, (news) => {
-            feed.offer(Copies.viewOf(news));
+            feed.offer(Copies.read(news));
           })
           .with({ kind: 'ping' }, ({ stamp }) => compare(stamp))
           .with({ kind: 'tokens' }, needs.onTokens)
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -1,7 +1,7 @@
 // The lower end of a session: one task that keeps this node a member. It seeks a parent among the
 // seeds and the peers learned since, joins, takes news, and passes up what it and the nodes below
-// hold: all of them twice a second, and those that changed at once. It leaves a parent that is silent, or
-// whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
+// hold: those that changed at once, and once a second a heartbeat for all of them, which it tells whole only when
+// the parent asks, for it holds others. It leaves a parent that is silent, or whose word from the primary has grown old while others may have a newer one, and seeks the next at once:
 // a few places are dialled one after another in quick succession, and the first that takes the call is asked.
 import { match } from 'ts-pattern';
 import { Address } from '../kinds/address.js';
@@ -15,8 +15,10 @@
 import { Ranges } from '../repair/ranges.js';
 import type { Frame } from '../wire/frame.js';
 import { Link } from '../wire/link.js';
+import { Protocol } from '../wire/protocol.js';
 import { Places } from './places.js';
 import type { Roll } from './roll.js';
+import { Roster } from './roster.js';
 
 export type Uplink = {
   readonly state: () => string;
@@ -35,6 +37,8 @@
     readonly seeds: readonly string[];
     readonly version: string;
     readonly isFixed?: boolean;
+    /** Opens a link to a place in another way than by a socket. */
+    readonly open?: (place: string, terms: Link.Terms) => Link;
     readonly isUpward: boolean;
     readonly onParent?: (parent: Frame.Entry, stamp: Stamp) => void;
     readonly onPeers?: (peers: readonly string[]) => void;
@@ -50,10 +54,11 @@
 const oldAfter = 1500;
 const rollEvery = 1000;
 const changesWithin = 20;
-const pingEvery = 200;
+const pingEvery = 350;
 const silence = 1200;
 const nextAfter = 25;
 const stayFar = 15_000;
+const answerWithin = 10_000;
 const nearerAfter = { least: 4000, most: 60_000 } as const;
 
 export const Uplink = {
@@ -74,11 +79,18 @@
     let isFar = false;
     let currentPlace = '';
     let farFor: number = nearerAfter.least;
+    let protocol: Protocol = Protocol.none;
+    let askedAt: Moment | undefined;
+    let roster: readonly string[] = [];
+    let isAskingRoster = false;
+    let lastTold = '';
+    let beat: () => void = () => {};
+    const own = roll.self().node;
 
     const isNear = (zone: string) => {
       const zones = feed.view().manifest?.document.zones;
-      const own = roll.self().zone;
-      return zone === own || (zones?.[own] !== undefined && zones[own]?.region === zones[zone]?.region);
+      const here = roll.self().zone;
+      return zone === here || (zones?.[here] !== undefined && zones[here]?.region === zones[zone]?.region);
     };
     const mayGoNearer = () => {
       if (needs.isFixed || isBelowAgent || Moment.since(joinedAt) < farFor) return false;
@@ -87,18 +99,24 @@
       return true;
     };
     const isFree = () => places.all().length > 1;
-    const tell = (link: Link) => {
-      if (!needs.isUpward) return;
-      link.send({ kind: 'roll', entries: [roll.self(), ...roll.below()] });
+    const knowsChanges = () => protocol >= Protocol.heartbeats;
+    const tellWhole = (link: Link) => {
+      const self = roll.self();
+      lastTold = roll.digestOf(self);
+      link.send({ kind: 'roll', entries: [self, ...roll.below()], whole: true, departed: [] });
     };
     const changes = (link: Link) => {
       const changed = new Set<string>();
       let soon: Timer | undefined;
       const flush = () => {
+        soon?.stop();
         soon = undefined;
+        if (changed.size === 0) return;
         const entries = [...changed].flatMap((node) => roll.get(node) ?? []);
+        const departed = [...changed].filter((node) => entries.every((entry) => entry.node !== node));
+        if (changed.has(own)) lastTold = roll.digestOf(roll.self());
         changed.clear();
-        link.send({ kind: 'roll', entries });
+        link.send({ kind: 'roll', entries, whole: false, departed });
       };
       return {
         see(nodes: readonly string[]) {
@@ -106,10 +124,53 @@
           for (const node of nodes) changed.add(node);
           soon ??= Timer.after(changesWithin, flush);
         },
+        beat() {
+          if (!needs.isUpward || !phase.is('joined')) return;
+          if (!knowsChanges()) return tellWhole(link);
+          if (roll.digestOf(roll.self()) !== lastTold) changed.add(own);
+          const heartbeat = roll.heartbeat();
+          flush();
+          link.send({ kind: 'heartbeat', ...heartbeat });
+        },
         stop: () => soon?.stop(),
       };
     };
-    const ask = (link: Link) => link.send({ kind: 'ask', digests: Ranges.digests(Copies.of(feed.view())) });
+    const hearRoster = (frame: Extract<Frame, { kind: 'roster' }>, link: Link) => {
+      if (frame.whole || frame.digest === '') {
+        roster = frame.proxies;
+        isAskingRoster = false;
+        needs.onRoster?.(roster);
+        return;
+      }
+      if (isAskingRoster) return;
+      const next = Roster.after(roster, frame);
+      isAskingRoster = next === undefined;
+      if (!next) link.send({ kind: 'inquire', what: 'roster' });
+      else if (next.join() !== roster.join()) {
+        roster = next;
+        needs.onRoster?.(roster);
+      }
+    };
+    const cut = () => (protocol >= Protocol.rangesByName ? 'name' : 'position');
+    const ask = (link: Link, digests = Ranges.digests(Copies.of(feed.view(), cut()))) => {
+      if (askedAt !== undefined) return;
+      askedAt = Moment.now();
+      link.send({ kind: 'ask', digests });
+    };
+    const handUp = async (link: Link) => {
+      const isCompressed = protocol >= Protocol.rangesByName;
+      const compressed = isCompressed ? await Copies.compressed(feed.view()) : new Uint8Array();
+      const view = isCompressed ? new Uint8Array() : Copies.bytes(feed.view());
+      link.send({ kind: 'news', view, compressed });
+    };
+    // While the view that was asked for is on its way, only the parent's own word says whether it is cut off.
+    const lookAtAge = (age: number) => {
+      const isAsking = askedAt !== undefined && Moment.since(askedAt) < answerWithin;
+      if (!isAsking) askedAt = undefined;
+      const isOld =
+        (isAsking ? age : feed.age()) > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
+      if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
+    };
     const goLower = (relays: readonly string[], link: Link): boolean => {
       if (needs.isFixed || !places.lower(relays, roll.self().wire)) return false;
       needs.note('going lower', { relays });
@@ -122,7 +183,8 @@
     };
     const take = (frame: Frame, link: Link) =>
       match(frame)
-        .with({ kind: 'welcome' }, ({ self, peers, relays, stamp, age }) => {
+        .with({ kind: 'welcome' }, ({ self, peers, relays, stamp, age, protocol: theirs }) => {
+          protocol = Protocol.ofBoth(theirs);
           learnPeers(peers);
           if (goLower(relays, link)) return;
           isBelowAgent = self.program === 'agent';
@@ -134,36 +196,40 @@
           parent = self.node;
           isFar = isBelowAgent && self.zone !== roll.self().zone;
           needs.onParent?.(self, stamp);
-          tell(link);
+          if (needs.isUpward) tellWhole(link);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
         })
         .with({ kind: 'peers' }, ({ peers }) => learnPeers(peers))
         .with({ kind: 'lower' }, ({ relays }) => void goLower(relays, link))
         .with({ kind: 'news' }, (news) => {
-          feed.offer(Copies.viewOf(news));
+          askedAt = undefined;
+          feed.offer(Copies.read(news));
         })
         .with({ kind: 'patch' }, (patch) => {
+          askedAt = undefined;
           try {
-            feed.offer(Ranges.mend(Copies.of(feed.view()), Copies.patchOf(patch)));
+            feed.offer(Ranges.mend(Copies.of(feed.view(), cut()), Copies.readPatch(patch), cut()));
           } catch (error) {
             needs.note('asking for the whole view', { why: Failure.text(error) });
-            link.send({ kind: 'ask', digests: [] });
+            ask(link, []);
           }
         })
-        .with({ kind: 'ask' }, () => {
-          link.send({ kind: 'news', view: Copies.bytes(feed.view()) });
-        })
+        .with({ kind: 'ask' }, () => void handUp(link))
         .with({ kind: 'ping' }, ({ age, stamp }) => {
           feed.hear(age, stamp);
           needs.onWord?.();
+          lookAtAge(age);
           if (Stamp.isNewer(stamp, feed.stamp())) ask(link);
-          const isOld = feed.age() > oldAfter && (isBelowAgent || Moment.since(joinedAt) > oldAfter);
-          if (isOld && isFree()) throw Failure.of('silence', 'no fresh word from the primary here');
           if (mayGoNearer() || (isFar && Moment.since(joinedAt) > stayFar))
             throw Failure.of('silence', 'time to look for a nearer parent');
         })
         .with({ kind: 'tokens' }, (frame) => needs.onTokens?.(frame))
-        .with({ kind: 'roster' }, ({ proxies }) => needs.onRoster?.(proxies))
+        .with({ kind: 'roster' }, (frame) => {
+          if (needs.onRoster) hearRoster(frame, link);
+        })
+        .with({ kind: 'inquire' }, ({ what }) => {
+          if (what === 'roll') tellWhole(link);
+        })
         .with({ kind: 'loads' }, ({ loads }) => needs.onLoads?.(loads))
         .with({ kind: 'cold' }, (frame) => needs.onCold?.(frame))
         .with({ kind: 'refuse' }, ({ reason }) => {
@@ -181,7 +247,10 @@
         await Timer.pause(index * nextAfter, hasOne.signal);
         if (hasOne.signal.aborted) throw Failure.of('link', 'another place took the call');
         const either = AbortSignal.any([stop.signal, hasOne.signal]);
-        const link = await Link.open(Address.checked(place), terms, either).catch((error: unknown) => {
+        const opened = needs.open
+          ? Promise.resolve(needs.open(place, terms))
+          : Link.open(Address.checked(place), terms, either);
+        const link = await opened.catch((error: unknown) => {
           if (!hasOne.signal.aborted) places.failed(place);
           throw error;
         });
@@ -197,16 +266,20 @@
       stop.signal.addEventListener('abort', onStop, { once: true });
       const soon = changes(link);
       const unwatch = [feed.watch(() => soon.see([roll.self().node])), roll.watch(soon.see), soon.stop];
-      const rolls = Timer.every(rollEvery, () => tell(link));
+      const rolls = Timer.every(rollEvery, soon.beat);
+      beat = soon.beat;
       try {
         current = link;
         currentPlace = place;
+        askedAt = undefined;
+        isAskingRoster = false;
+        protocol = Protocol.none;
         link.send({
           kind: 'hello',
           self: roll.self(),
           version: needs.version,
           aim: 'session',
-          unpacks: true,
+          protocol: Protocol.newest,
         });
         for await (const frame of link.frames()) take(frame, link);
       } catch (error) {
@@ -238,7 +311,7 @@
       parent: () => parent,
       places: places.all,
       announce() {
-        if (phase.is('joined') && current) tell(current);
+        if (phase.is('joined') && current) beat();
       },
       send: (body) => (phase.is('joined') && current?.send(body)) || false,
       stop: () => stop.abort(),
--- a/src/repair/copies.ts
+++ b/src/repair/copies.ts
@@ -1,45 +1,50 @@
-// The ranges and the bytes of the view that a feed holds, and what changes of it for a child that holds given
-// ranges: made and packed once for each view however many children ask. Only children that said so get packed frames.
-import { deflateRawSync, inflateRawSync } from 'node:zlib';
+// The ranges and the bytes of the view that a feed holds, and both compressed, which views and patches travel as when
+// both ends know it: made once for each view however many children ask. What is small is compressed at once.
+import { promisify } from 'node:util';
+import { deflate, deflateSync, inflateSync } from 'node:zlib';
 import { Failure } from '../kinds/failure.js';
 import { View } from '../manifest/view.js';
-import { Frame } from '../wire/frame.js';
+import type { Chunks } from './chunks.js';
 import { Ranges } from './ranges.js';
 
 export type Copies = { readonly ranges: () => Ranges };
 
-type News = Extract<Frame.Body, { kind: 'news' }>;
-type Patch = Extract<Frame.Body, { kind: 'patch' }>;
-
-const packedFrom = 512;
+const longest = 32 * 1024 * 1024;
+const compressedFrom = 512;
 const nothing = new Uint8Array();
-const kept = new WeakMap<View, Ranges>();
+const compress = promisify(deflate);
+
+const kept: Readonly<Record<Chunks.Cut, WeakMap<View, Ranges>>> = {
+  position: new WeakMap(),
+  name: new WeakMap(),
+};
 const encoded = new WeakMap<View, Uint8Array>();
-const changes = new WeakMap<View, Map<string, Patch>>();
-const packed = new WeakMap<object, Uint8Array>();
+const compressed = new WeakMap<View, Promise<Uint8Array>>();
+const small = new WeakMap<object, Uint8Array>();
+const patches = new WeakMap<View, Map<string, Ranges.Patch>>();
 
-const pack = (owner: object, write: () => Uint8Array): Uint8Array => {
-  const known = packed.get(owner);
+const compressSmall = (owner: object, write: () => Uint8Array): Uint8Array => {
+  const known = small.get(owner);
   if (known) return known;
   const bytes = write();
-  const made = bytes.length < packedFrom ? nothing : deflateRawSync(bytes, { level: 3 });
-  packed.set(owner, made);
+  const made = bytes.length < compressedFrom ? nothing : deflateSync(bytes, { level: 3 });
+  small.set(owner, made);
   return made;
 };
-const unpack = (bytes: Uint8Array): Buffer => {
+const expand = (bytes: Uint8Array): Buffer => {
   try {
-    return inflateRawSync(bytes, { maxOutputLength: Frame.longest });
+    return inflateSync(bytes, { maxOutputLength: longest });
   } catch (cause) {
-    throw Failure.of('frame', 'what was packed cannot be read', { length: bytes.length }, cause);
+    throw Failure.of('frame', 'what was compressed cannot be read', { length: bytes.length }, cause);
   }
 };
 
 export const Copies = {
-  of(view: View): Ranges {
-    const known = kept.get(view);
+  of(view: View, cut: Chunks.Cut = 'name'): Ranges {
+    const known = kept[cut].get(view);
     if (known) return known;
-    const ranges = Ranges.cut(view);
-    kept.set(view, ranges);
+    const ranges = Ranges.cut(view, cut);
+    kept[cut].set(view, ranges);
     return ranges;
   },
   bytes(view: View): Uint8Array {
@@ -49,28 +54,35 @@
     encoded.set(view, bytes);
     return bytes;
   },
-  news(view: View, unpacks: boolean): News {
-    const short = unpacks ? pack(view, () => Copies.bytes(view)) : nothing;
-    return short.length > 0
-      ? { kind: 'news', view: nothing, packed: short }
-      : { kind: 'news', view: Copies.bytes(view) };
+  compressed(view: View): Promise<Uint8Array> {
+    const known = compressed.get(view);
+    if (known) return known;
+    const bytes = compress(Copies.bytes(view), { level: 1 });
+    compressed.set(view, bytes);
+    return bytes;
   },
-  /** What changes of the view for one that holds these ranges, or nothing where the whole is no more. */
-  patch(view: View, held: ReadonlySet<string>, unpacks: boolean): Patch | undefined {
-    const made = changes.get(view) ?? new Map<string, Patch>();
-    changes.set(view, made);
-    const key = [...held].sort().join();
-    const patch = made.get(key) ?? { kind: 'patch', ...Ranges.patch(Copies.of(view), held) };
+  /** A small view compressed, or nothing where that is not worth it. */
+  compressedSmall: (view: View): Uint8Array => compressSmall(view, () => Copies.bytes(view)),
+  /** What changes of the view for one that holds these ranges in this order. */
+  patch(view: View, held: readonly string[], cut: Chunks.Cut): Ranges.Patch {
+    const made = patches.get(view) ?? new Map<string, Ranges.Patch>();
+    patches.set(view, made);
+    const key = `${cut} ${held.join()}`;
+    const patch = made.get(key) ?? Ranges.patch(Copies.of(view, cut), held, cut === 'name');
     made.set(key, patch);
-    if (!patch.ranges.some(({ body }) => body === '')) return undefined;
-    const short = unpacks ? pack(patch, () => Buffer.from(JSON.stringify(patch.ranges))) : nothing;
-    return short.length > 0 ? { kind: 'patch', seal: patch.seal, ranges: [], packed: short } : patch;
+    return patch;
   },
-  viewOf: ({ view, packed: bytes }: News): View =>
-    View.decode(bytes && bytes.length > 0 ? unpack(bytes) : view),
-  patchOf({ seal, ranges, packed: bytes }: Patch): Ranges.Patch {
-    if (!bytes || bytes.length === 0) return { seal, ranges };
-    const text = unpack(bytes).toString('utf8');
+  compressedPatch: (patch: Ranges.Patch): Uint8Array =>
+    compressSmall(patch, () => Buffer.from(JSON.stringify(patch.ranges))),
+  read: ({ view, compressed: bytes }: { readonly view: Uint8Array; readonly compressed: Uint8Array }): View =>
+    View.decode(bytes.length === 0 ? view : expand(bytes)),
+  readPatch({
+    seal,
+    ranges,
+    compressed: bytes,
+  }: Ranges.Patch & { readonly compressed: Uint8Array }): Ranges.Patch {
+    if (bytes.length === 0) return { seal, ranges };
+    const text = expand(bytes).toString('utf8');
     try {
       return { seal, ranges: JSON.parse(text) as Ranges.Patch['ranges'] };
     } catch (cause) {
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -1,6 +1,6 @@
-// A link is one TCP connection that carries frames both ways. Each end pings; an end that hears
-// nothing for a while gives the link up, so a frozen or cut peer shows within two seconds. Reading is
-// written straight down: one task per link loops over its frames.
+// A link is one TCP connection that carries frames both ways. Each end pings when it has sent nothing else for a while,
+// or steadily where asked; an end that hears nothing for a while gives the link up, so a frozen or cut peer shows
+// within two seconds. Reading is written straight down: one task per link loops over its frames.
 import { connect, type Socket } from 'node:net';
 import { type Address, Address as Addresses } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
@@ -12,18 +12,26 @@
 export type Link = {
   readonly send: (body: Frame.Body) => boolean;
   readonly frames: () => AsyncGenerator<Frame, void, void>;
+  /** Resolves once all that was sent is handed to the system, or the link has ended. */
+  readonly flushed: () => Promise<void>;
   readonly close: (cause?: Error) => void;
   readonly closed: Promise<void>;
   readonly isOpen: () => boolean;
   readonly peer: string;
+  /** Whether both ends are in this process, so that a frame costs nothing to send. */
+  readonly isLocal: boolean;
 };
 
-type Terms = {
-  readonly stamp: () => Stamp;
-  readonly age: () => number;
-  readonly pingEvery?: number;
-  readonly silence?: number;
-};
+export declare namespace Link {
+  type Terms = {
+    readonly stamp: () => Stamp;
+    readonly age: () => number;
+    readonly pingEvery?: number;
+    readonly silence?: number;
+    /** Pings come however much else is sent, for they carry how old the last word from the primary is. */
+    readonly isSteady?: boolean;
+  };
+}
 
 const openWithin = 1000;
 const dialAgainAfter = 300;
@@ -45,7 +53,7 @@
 }
 
 export const Link = {
-  over(socket: Socket, terms: Terms): Link {
+  over(socket: Socket, terms: Link.Terms): Link {
     const silence = terms.silence ?? 2000;
     const phase = Phase.of('open', { open: ['closed'], closed: [] });
     let end: () => void = () => {};
@@ -67,23 +75,37 @@
         return false;
       }
       socket.write(Frame.encode(terms.stamp(), body));
+      if (!terms.isSteady) pings.again();
       return true;
     };
     socket.setNoDelay(true);
     const pings = Timer.every(terms.pingEvery ?? 400, () => void send({ kind: 'ping', age: terms.age() }));
-    const quiet = Timer.after(silence, () => close(Failure.of('silence', 'nothing heard from peer')));
+    let heard = 0;
+    const quiet = Timer.after(silence, () => {
+      const before = heard;
+      setImmediate(() => {
+        if (heard === before) close(Failure.of('silence', 'nothing heard from peer'));
+      });
+    });
     socket.on('data', () => {
-      if (phase.is('open')) quiet.move(silence);
+      heard += 1;
+      if (phase.is('open')) quiet.again();
     });
     socket.pause();
     socket.on('close', () => close());
     socket.on('error', () => close());
     return {
       send,
+      flushed: () =>
+        new Promise((resolve) => {
+          void closed.then(resolve);
+          if (phase.is('open')) socket.write(new Uint8Array(), () => resolve());
+        }),
       close,
       closed,
       isOpen: () => phase.is('open'),
       peer: `${socket.remoteAddress}:${socket.remotePort}`,
+      isLocal: false,
       async *frames() {
         try {
           yield* read(socket);
@@ -94,7 +116,7 @@
     };
   },
   /** Dials anew while an attempt is not answered: a peer that was without power answers only later calls soon. */
-  async open(address: Address, terms: Terms, signal?: AbortSignal, dial = connect): Promise<Link> {
+  async open(address: Address, terms: Link.Terms, signal?: AbortSignal, dial = connect): Promise<Link> {
     const sockets: Socket[] = [];
     const made = await new Promise<Socket>((resolve, reject) => {
       const settle = () => {
--- a/test/nearer.test.ts
+++ b/test/nearer.test.ts
@@ -7,6 +7,8 @@
 import { Downlink } from '../src/membership/downlink.js';
 import { Places } from '../src/membership/places.js';
 import { Roll } from '../src/membership/roll.js';
+import { Roster } from '../src/membership/roster.js';
+import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
@@ -45,7 +47,9 @@
             children: Children.of(roll),
             peers: () => [],
             relays: () => [],
-            roster: () => [],
+            roster: Roster.of(),
+            turns: Turns.of(),
+            isRelay: () => false,
             version: '',
             age,
             onTokens: () => {},
--- /dev/null
+++ b/test/word-age.test.ts
@@ -0,0 +1,59 @@
+// Word from the primary grows old on its way. The time that a word takes between two nodes is not in the age that it
+// names, so a node passes it on to others by its own beat alone: two agents that came to stand below each other and
+// passed it on at once would keep it young for as long as they did.
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { Agent } from '../src/agent/program.js';
+import { Address } from '../src/kinds/address.js';
+import { Stamp } from '../src/kinds/stamp.js';
+import { Ring } from '../src/log/ring.js';
+import { Link } from '../src/wire/link.js';
+
+const terms = { stamp: () => Stamp.none, age: () => 0 };
+const burst = 200;
+
+describe('word from the primary', () => {
+  it('is not passed on over a socket as often as it comes', async () => {
+    const core = createServer();
+    core.listen(0, '127.0.0.1');
+    await once(core, 'listening');
+    const seeds = [`127.0.0.1:${(core.address() as AddressInfo).port}`];
+    const agent = await Agent.start(
+      { node: 'agent', zone: 'a-1', wire: '127.0.0.1:0', ops: '127.0.0.1:0', seeds },
+      Ring.of('agent'),
+    );
+    const [socket] = (await once(core, 'connection')) as [Socket];
+    const above = Link.over(socket, { ...terms, pingEvery: 60_000, silence: 60_000 });
+    const frames = above.frames();
+    const { value: hello } = await frames.next();
+    assert.ok(hello?.kind === 'hello');
+    const self = { ...hello.self, node: 'core', program: 'control' };
+    above.send({ kind: 'welcome', self, peers: [], relays: [], version: '', age: 0 });
+    const child = await Link.open(Address.checked(agent.ready.wire!), terms);
+    const below = child.frames();
+    const next = async (kind: string): Promise<string[]> => {
+      const kinds: string[] = [];
+      while (kinds.at(-1) !== kind) {
+        const { value } = await below.next();
+        assert.ok(value);
+        kinds.push(value.kind);
+      }
+      return kinds;
+    };
+    try {
+      child.send({ kind: 'hello', self: { ...hello.self, node: 'child' }, version: '', aim: 'session' });
+      await next('roster');
+      for (let count = 0; count < burst; count += 1) above.send({ kind: 'ping', age: 0 });
+      above.send({ kind: 'roster', proxies: ['one'], added: [], departed: [], digest: '', whole: true });
+      const pings = (await next('roster')).filter((kind) => kind === 'ping').length;
+      assert.ok(pings < burst / 2, `${pings} pings for ${burst}`);
+    } finally {
+      above.close();
+      child.close();
+      core.close();
+      await agent.drain();
+    }
+  });
+});
