--- a/src/proxy/first-manifest.ts
+++ b/src/proxy/first-manifest.ts
@@ -2,7 +2,7 @@
 // they wait for it a moment: never longer than a quarter of the time their client has, and only in the first
 // moments of this process. Who waited in vain is refused then, and whoever comes after those moments at once.
 import { Moment } from '../kinds/moment.js';
-import { Signal } from '../kinds/signal.js';
+import { Timer } from '../kinds/timer.js';
 
 export type FirstManifest = {
   readonly came: () => void;
@@ -15,13 +15,25 @@
 export const FirstManifest = {
   of(): FirstManifest {
     const began = Moment.now();
-    const signal = Signal.of();
+    const waiting = new Set<() => void>();
+    let hasCome = false;
     return {
-      came: signal.ring,
-      async wait(left = Number.POSITIVE_INFINITY) {
-        const span = Math.min(longest, left / 4, hopefulFor - Moment.since(began));
-        if (span > 0) await signal.within(span);
+      came() {
+        hasCome = true;
+        for (const goOn of waiting) goOn();
       },
+      wait: (left = Number.POSITIVE_INFINITY) =>
+        new Promise((resolve) => {
+          const span = Math.min(longest, left / 4, hopefulFor - Moment.since(began));
+          if (hasCome || span <= 0) return resolve();
+          const goOn = () => {
+            waiting.delete(goOn);
+            late.stop();
+            resolve();
+          };
+          const late = Timer.after(span, goOn);
+          waiting.add(goOn);
+        }),
     };
   },
 };
--- a/test/first-manifest.test.ts
+++ b/test/first-manifest.test.ts
@@ -19,6 +19,19 @@
     await first.wait(10_000);
   });
 
+  it('is waited for by a crowd without a warning', async () => {
+    const warnings: Error[] = [];
+    const see = (warning: Error) => warnings.push(warning);
+    process.on('warning', see);
+    const first = FirstManifest.of();
+    const crowd = Array.from({ length: 100 }, () => first.wait(10_000));
+    await turns();
+    first.came();
+    await Promise.all(crowd);
+    process.off('warning', see);
+    assert.deepEqual(warnings, []);
+  });
+
   it('is waited for a quarter of the time left at most', async () => {
     mock.timers.enable({ apis: ['setTimeout'] });
     try {
