Tell the quota duty only what changed; a proxy's word speaks for all its teams

Now: a proxy tells all teams once, then twice a second those of which the holder believes something else; its word is a sign of life for the others. A holder that knows it not (new, or a proxy's new run) asks for all, which come at once, since a new one listens for 1.2 s only. Teams of a proxy's last run age by themselves. Sums are kept by team; only silent proxies are looked at. Earlier holders and proxies tell and are told as before. One request long ago no longer gets a grant ahead.

--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -43,7 +43,7 @@
         const who = holder();
         if (!term || who === undefined) return;
         if (who !== needs.own) return needs.passUp(who, frame);
-        if (frame.uses.length > 0) {
+        if (frame.uses.length > 0 || frame.serial > 0) {
           const response = needs.quotas.take(frame, term.epoch);
           if (response) needs.sendDown(response);
           return;
--- a/src/duty/quota-duty.ts
+++ b/src/duty/quota-duty.ts
@@ -1,6 +1,8 @@
 // The quota duty at a core: says how much of each team's quota a proxy may let in next. It keeps nothing on
-// disk. Each proxy tells with every question what it let in within the span and what it still holds; a
-// grant ends after two seconds, and one whose end was not told counts as used. A new holder listens first.
+// disk. Each proxy tells what it let in within the span and what it still holds; a grant ends after two seconds, and
+// one whose end was not told counts as used. A proxy that told all of its teams once tells only what changed, and any
+// word of it is a sign of life for all of them; from any other each team must be told again and again. A new holder
+// listens first, and asks each proxy for all.
 import { Moment } from '../kinds/moment.js';
 import type { Frame } from '../wire/frame.js';
 import { Ledger } from './ledger.js';
@@ -17,16 +19,24 @@
   type Usage = { readonly used: Ledger.Work; readonly quota: QuotaDuty.Quota; readonly proxies: number };
 }
 
-type Told = { readonly used: Ledger.Work; readonly out: Ledger.Work; readonly at: Moment };
+type Told = { readonly mine: Ledger.Work; readonly at: Moment; readonly isLive: boolean };
+type Team = { readonly told: Map<string, Told>; readonly aging: Set<string>; sum: Ledger.Work };
+type Proxy = { readonly teams: Set<string>; heard: Moment; isKnown: boolean };
 
 const grantFor = 2000;
 const listenFor = 1200;
 const silentAfter = 3000;
+const forgetAfter = 60_000;
+const lookEvery = 50;
 
 const least = (a: Ledger.Work, b: Ledger.Work): Ledger.Work => ({
   requests: Math.max(0, Math.floor(Math.min(a.requests, b.requests))),
   prompt: Math.max(0, Math.floor(Math.min(a.prompt, b.prompt))),
 });
+const less = (a: Ledger.Work, b: Ledger.Work): Ledger.Work => ({
+  requests: a.requests - b.requests,
+  prompt: a.prompt - b.prompt,
+});
 
 export const QuotaDuty = {
   grantFor,
@@ -34,29 +44,65 @@
     readonly quotaOf: (team: string) => QuotaDuty.Quota | undefined;
     readonly proxies: () => number;
   }): QuotaDuty {
-    let teams = new Map<string, Map<string, Told>>();
+    let teams = new Map<string, Team>();
+    let proxies = new Map<string, Proxy>();
+    let silent: readonly string[] = [];
+    let lookedAt = Moment.past;
     let epoch = 0;
     let began = Moment.now();
-    const count = (team: string, quota: QuotaDuty.Quota): Ledger.Work => {
-      const told = teams.get(team) ?? new Map<string, Told>();
+    const proxyOf = (node: string): Proxy => {
+      const proxy = proxies.get(node) ?? { teams: new Set(), heard: Moment.now(), isKnown: false };
+      proxies.set(node, proxy);
+      return proxy;
+    };
+    const set = (name: string, node: string, told: Told | undefined) => {
+      const team = teams.get(name) ?? { told: new Map(), aging: new Set(), sum: Ledger.none };
+      teams.set(name, team);
+      team.sum = Ledger.sum(
+        less(team.sum, team.told.get(node)?.mine ?? Ledger.none),
+        told?.mine ?? Ledger.none,
+      );
+      if (told) team.told.set(node, told);
+      else team.told.delete(node);
+      if (team.told.size === 0) teams.delete(name);
+      if (told && !told.isLive) team.aging.add(node);
+      else team.aging.delete(node);
+      if (told) proxyOf(node).teams.add(name);
+      else proxies.get(node)?.teams.delete(name);
+    };
+    const silentNow = (): readonly string[] => {
+      if (Moment.since(lookedAt) < lookEvery) return silent;
+      lookedAt = Moment.now();
+      for (const [node, { heard, teams: told }] of proxies)
+        if (told.size === 0 && Moment.since(heard) > forgetAfter) proxies.delete(node);
+      silent = [...proxies].flatMap(([node, { heard }]) => (Moment.since(heard) > silentAfter ? [node] : []));
+      return silent;
+    };
+    // What all proxies used and hold; one that is silent may have let in its even part by now.
+    const count = (name: string, quota: QuotaDuty.Quota): Ledger.Work => {
+      const team = teams.get(name);
+      if (!team) return Ledger.none;
       const part = 1 / Math.max(1, needs.proxies());
-      let all = Ledger.none;
-      for (const [node, one] of told) {
-        const silent = Moment.since(one.at);
-        if (silent > quota.span + grantFor) told.delete(node);
-        const mine = Ledger.sum(one.used, one.out);
-        const even = {
-          requests: Math.max(mine.requests, (quota.requests ?? 0) * part),
-          prompt: Math.max(mine.prompt, (quota.prompt ?? 0) * part),
-        };
-        all = Ledger.sum(all, silent > silentAfter ? even : mine);
+      let extra = Ledger.none;
+      for (const node of new Set([...silentNow(), ...team.aging])) {
+        const one = team.told.get(node);
+        if (!one) continue;
+        const since = Moment.since(one.isLive ? proxyOf(node).heard : one.at);
+        if (since > quota.span + grantFor) set(name, node, undefined);
+        if (since <= silentAfter || since > quota.span + grantFor) continue;
+        const { mine } = one;
+        extra = Ledger.sum(extra, {
+          requests: Math.max(0, (quota.requests ?? 0) * part - mine.requests),
+          prompt: Math.max(0, (quota.prompt ?? 0) * part - mine.prompt),
+        });
       }
-      return all;
+      return Ledger.sum(team.sum, extra);
     };
     const note = (node: string, use: Frame.Use, given: Ledger.Work) => {
-      const told = teams.get(use.team) ?? new Map<string, Told>();
-      teams.set(use.team, told);
-      told.set(node, { used: use.used, out: Ledger.sum(use.holds, given), at: Moment.now() });
+      const mine = Ledger.sum(use.used, Ledger.sum(use.holds, given));
+      const isLive = proxyOf(node).isKnown;
+      const isNothing = isLive && mine.requests === 0 && mine.prompt === 0;
+      set(use.team, node, isNothing ? undefined : { mine, at: Moment.now(), isLive });
     };
     const grant = (node: string, use: Frame.Use): Frame.Grant | undefined => {
       const quota = needs.quotaOf(use.team);
@@ -75,16 +121,35 @@
       note(node, use, given);
       return { team: use.team, ...given };
     };
+    // What a proxy told before and does not speak for now, of its last run or as an earlier program, ages by itself.
+    const leave = (node: string, proxy: Proxy, isSpoken: (team: string) => boolean) => {
+      for (const name of [...proxy.teams]) {
+        const told = teams.get(name)?.told.get(node);
+        if (told?.isLive && !isSpoken(name)) set(name, node, { ...told, at: proxy.heard, isLive: false });
+      }
+    };
+    const hear = ({ node, uses, life = false, whole = false }: QuotaDuty.Tokens): boolean => {
+      const proxy = proxyOf(node);
+      if (whole || !life) {
+        const spoken = new Set(life ? uses.map(({ team }) => team) : []);
+        leave(node, proxy, (team) => spoken.has(team));
+      }
+      proxy.isKnown = life && (whole || proxy.isKnown);
+      proxy.heard = Moment.now();
+      return proxy.isKnown;
+    };
     const look = (under: number) => {
       if (under === epoch) return;
       epoch = under;
       teams = new Map();
+      proxies = new Map();
+      lookedAt = Moment.past;
       began = Moment.now();
     };
     return {
       look,
       usage() {
-        const list = [...teams].flatMap(([team, told]) => {
+        const list = [...teams].flatMap(([team, { told }]) => {
           const quota = needs.quotaOf(team);
           return quota ? [[team, { used: count(team, quota), quota, proxies: told.size }] as const] : [];
         });
@@ -92,12 +157,15 @@
       },
       take(frame, under) {
         look(under);
+        const life = hear(frame);
+        const whole = frame.life === true && !life;
+        const response = { ...frame, epoch: under, batches: [], wanted: 0, uses: [], life, whole };
         if (Moment.since(began) < listenFor) {
           for (const use of frame.uses) note(frame.node, use, use.must);
-          return undefined;
+          return frame.life ? { ...response, grants: [], listening: true } : undefined;
         }
         const grants = frame.uses.flatMap((use) => grant(frame.node, use) ?? []);
-        return { ...frame, epoch: under, batches: [], wanted: 0, uses: [], grants };
+        return { ...response, grants, listening: false };
       },
     };
   },
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -39,12 +39,15 @@
 export const ProxyProgram: ProxyProgram = {
   async start(startup, ring, dialect = Dialect) {
     const feed = Feed.of();
-    type Told = Pick<Extract<Frame.Body, { kind: 'tokens' }>, 'batches' | 'wanted' | 'serial' | 'uses'>;
+    type Told = Pick<
+      Extract<Frame.Body, { kind: 'tokens' }>,
+      'batches' | 'wanted' | 'serial' | 'uses' | 'life' | 'whole'
+    >;
     const sendUp = (told: Told) =>
       uplink.send({ kind: 'tokens', node: startup.node, epoch: 0, grants: [], ...told });
     const quotas = Quotas.of({
       proxies: () => roster.length,
-      send: (serial, uses) => sendUp({ batches: [], wanted: 0, serial, uses }),
+      send: (serial, uses, told) => sendUp({ batches: [], wanted: 0, serial, uses, ...told }),
     });
     const extra = startup.extra_tries;
     const budget = Budget.of(
@@ -231,8 +234,8 @@
           ramp.doubt(instance);
         } else onCold(instance, age);
       },
-      onTokens({ epoch, batches, serial, grants }) {
-        if (serial > 0) quotas.grant(epoch, serial, grants);
+      onTokens({ epoch, batches, serial, grants, ...told }) {
+        if (serial > 0) quotas.grant(epoch, serial, grants, told);
         else budget.grant(epoch, batches);
       },
       note: ring.note,
--- a/src/proxy/quotas.ts
+++ b/src/proxy/quotas.ts
@@ -1,8 +1,10 @@
 // How much of a team's quota this proxy may still let in. It asks the quota duty, one question at a time, and
 // holds each grant for two seconds. Without an answer it is cut off: then it lets in its even part of the
 // quota among the most proxies it ever knew, and no more; in its first seconds, when it may not know the
-// others, it rather waits. What it let in is remembered here and told: twice a second of every team, and for
-// requests that wait, at once and together, only of their teams.
+// others, it rather waits. What it let in is remembered here and told: all of it once, and then twice a second of the
+// teams of which the duty's holder believes something else, and of those with steady work; the word speaks for the
+// others too. For requests that wait it asks at once and together, only of their teams. A holder that asks for all, or
+// did not answer, is told all again at once, for a new one listens but a short while; one that knows no such words, always.
 import { Ledger } from '../duty/ledger.js';
 import { Moment } from '../kinds/moment.js';
 import { Timer } from '../kinds/timer.js';
@@ -12,7 +14,12 @@
 
 export type Quotas = {
   readonly admit: (team: Compiled.Team, prompt: number) => Promise<Quotas.Verdict>;
-  readonly grant: (epoch: number, serial: number, grants: readonly Frame.Grant[]) => void;
+  readonly grant: (
+    epoch: number,
+    serial: number,
+    grants: readonly Frame.Grant[],
+    told?: { readonly life?: boolean; readonly whole?: boolean; readonly listening?: boolean },
+  ) => void;
   readonly tend: () => void;
 };
 
@@ -22,7 +29,11 @@
     | { readonly kind: 'over'; readonly retryAfter: number };
   type Needs = {
     readonly proxies: () => number;
-    readonly send: (serial: number, uses: readonly Frame.Use[]) => boolean;
+    readonly send: (
+      serial: number,
+      uses: readonly Frame.Use[],
+      told: { readonly life: boolean; readonly whole: boolean },
+    ) => boolean;
   };
 }
 
@@ -34,9 +45,14 @@
   readonly waiting: Set<Ledger.Work>;
   lately: Ledger.Work;
   touched: Moment;
+  chargedAt: Moment;
+  isSteady: boolean;
+  believed: Ledger.Work | undefined;
 };
 type Question = {
   readonly serial: number;
+  readonly told: ReadonlyMap<string, { readonly spoken: Ledger.Work; readonly isWaiting: boolean }>;
+  isNoted: boolean;
   readonly at: Moment;
   readonly answered: Promise<boolean>;
   readonly settle: (isAnswered: boolean) => void;
@@ -47,12 +63,15 @@
 const waitWhileYoung = 2500;
 const youngFor = 5000;
 
-const ask = (serial: number): Question => {
+const isEqual = (a: Ledger.Work, b: Ledger.Work | undefined): boolean =>
+  a.requests === b?.requests && a.prompt === b.prompt;
+
+const ask = (serial: number, told: Question['told']): Question => {
   let settle: (isAnswered: boolean) => void = () => {};
   const answered = new Promise<boolean>((resolve) => {
     settle = resolve;
   });
-  return { serial, at: Moment.now(), answered, settle };
+  return { serial, told, isNoted: false, at: Moment.now(), answered, settle };
 };
 
 export const Quotas = {
@@ -65,6 +84,7 @@
     const isYoung = () => Moment.since(started) < youngFor;
     let open: Question | undefined;
     let isDue = false;
+    let isKnown = false;
     const accountOf = (team: string, { span }: Document.Quota): Account => {
       const known = accounts.get(team);
       if (known?.span === span) {
@@ -79,38 +99,68 @@
         waiting: new Set<Ledger.Work>(),
         lately: Ledger.none,
         touched: Moment.now(),
+        chargedAt: Moment.past,
+        isSteady: false,
+        believed: undefined,
       };
       accounts.set(team, made);
       return made;
     };
     const holdsOf = (account: Account): Ledger.Work =>
       Moment.isPast(account.until) ? Ledger.none : account.holds;
+    const spokenOf = (account: Account) => Ledger.sum(account.ledger.total(), holdsOf(account));
+    const isToTell = (account: Account): boolean =>
+      !isKnown ||
+      !isEqual(spokenOf(account), account.believed) ||
+      (account.isSteady && account.lately.requests > 0);
     const question = (): Question => {
       if (open) return open;
       serial += 1;
-      const made = ask(serial);
-      open = made;
-      const told = [...accounts].filter(([, account]) => isDue || account.waiting.size > 0);
+      const whole = isDue && !isKnown;
+      const told = [...accounts].filter(
+        ([, account]) => account.waiting.size > 0 || (isDue && isToTell(account)),
+      );
       isDue = false;
+      const made = ask(
+        serial,
+        new Map(
+          told.map(([team, account]) => [
+            team,
+            { spoken: spokenOf(account), isWaiting: account.waiting.size > 0 },
+          ]),
+        ),
+      );
+      open = made;
       const uses = told.map(([team, account]) => ({
         team,
         used: account.ledger.total(),
         holds: holdsOf(account),
-        wanted: account.lately,
+        wanted: Moment.since(account.chargedAt) < grantFor ? account.lately : Ledger.none,
         must: [...account.waiting].reduce(Ledger.sum, Ledger.none),
       }));
       for (const [, account] of told) account.lately = Ledger.none;
-      const late = Timer.after(responseWithin, () => made.settle(false));
+      const late = Timer.after(responseWithin, () => {
+        if (!made.isNoted) {
+          isDue ||= isKnown;
+          isKnown = false;
+        }
+        made.settle(false);
+      });
       void made.answered.then(() => {
         late.stop();
         if (open === made) open = undefined;
         if (isDue) question();
       });
-      if (!needs.send(serial, uses)) made.settle(false);
+      if (!needs.send(serial, uses, { life: isKnown || whole, whole })) {
+        isKnown = false;
+        made.settle(false);
+      }
       return made;
     };
     const charge = (account: Account, work: Ledger.Work): Quotas.Verdict => {
       account.lately = Ledger.sum(account.lately, work);
+      account.isSteady = Moment.since(account.chargedAt) < grantFor;
+      account.chargedAt = Moment.now();
       return { kind: 'in', undo: account.ledger.add(work) };
     };
     const spend = (account: Account, work: Ledger.Work): Quotas.Verdict | undefined => {
@@ -153,21 +203,39 @@
           last ?? { kind: 'over', retryAfter: Math.min(quota.span, Math.max(1000, account.ledger.freesIn())) }
         );
       },
-      grant(from, answered, grants) {
+      grant(from, answered, grants, { life = false, whole = false, listening = false } = {}) {
         if (from < epoch || open?.serial !== answered) return;
         epoch = from;
+        isKnown = life;
+        open.isNoted = true;
+        for (const [team, { spoken, isWaiting }] of open.told) {
+          const account = accounts.get(team);
+          if (account) account.believed = listening && !isWaiting ? spoken : undefined;
+        }
+        isDue ||= whole;
+        if (listening) {
+          const { settle } = open;
+          if (!whole) return;
+          open = undefined;
+          void question().answered.then(settle);
+          return;
+        }
         for (const { team, requests, prompt } of grants) {
           const account = accounts.get(team);
           if (!account) continue;
           account.holds = Ledger.sum(holdsOf(account), { requests, prompt });
           account.until = Moment.after(grantFor, open.at);
+          const told = open.told.get(team);
+          account.believed = told && Ledger.sum(told.spoken, { requests, prompt });
         }
         open.settle(true);
       },
       tend() {
         most = Math.max(most, needs.proxies());
-        for (const [team, { touched, span }] of accounts)
-          if (Moment.since(touched) > 2 * span) accounts.delete(team);
+        for (const [team, account] of accounts) {
+          const isTold = !isKnown || isEqual(Ledger.none, account.believed);
+          if (Moment.since(account.touched) > 2 * account.span && isTold) accounts.delete(team);
+        }
         if (accounts.size === 0) return;
         isDue = true;
         question();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -90,6 +90,9 @@
         readonly serial: number;
         readonly uses: readonly Use[];
         readonly grants: readonly Grant[];
+        readonly life?: boolean;
+        readonly whole?: boolean;
+        readonly listening?: boolean;
       }
     | Request
     | Reply;
--- a/tools/scale/hollow.ts
+++ b/tools/scale/hollow.ts
@@ -65,12 +65,15 @@
     const boot = Ident.boot();
     let inForce = Stamp.none;
     let roster: readonly string[] = [];
-    type Told = Pick<Extract<Frame.Body, { kind: 'tokens' }>, 'batches' | 'wanted' | 'serial' | 'uses'>;
+    type Told = Pick<
+      Extract<Frame.Body, { kind: 'tokens' }>,
+      'batches' | 'wanted' | 'serial' | 'uses' | 'life' | 'whole'
+    >;
     const sendUp = (told: Told) => uplink.send({ kind: 'tokens', node, epoch: 0, grants: [], ...told });
     const budget = Budget.of((batches, wanted) => sendUp({ batches, wanted, serial: 0, uses: [] }));
     const quotas = Quotas.of({
       proxies: () => roster.length,
-      send: (serial, uses) => sendUp({ batches: [], wanted: 0, serial, uses }),
+      send: (serial, uses, told) => sendUp({ batches: [], wanted: 0, serial, uses, ...told }),
     });
     const voucher = Voucher.of(feed, () => enforce());
     const enforce = () => {
@@ -129,8 +132,8 @@
         roster = proxies;
         terms.see();
       },
-      onTokens({ epoch, batches, serial, grants }) {
-        if (serial > 0) quotas.grant(epoch, serial, grants);
+      onTokens({ epoch, batches, serial, grants, ...told }) {
+        if (serial > 0) quotas.grant(epoch, serial, grants, told);
         else budget.grant(epoch, batches);
       },
       note: () => {},
