Wait in the command line's test until its core knows the proxies

A core tells of no directory in its first 1.5 s; the test asked then and took exit 3 for a failure, once the start had become quicker. What is checked of the answers stays.

--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -55,6 +55,11 @@
     await bench.list(servers);
     const { http } = bench.kit.cores[0]!;
     where = ['--control', http, '--token', FleetKit.operatorToken];
+    // A core that has just started says that it knows no proxy yet, and exits with 3.
+    await until(
+      () => ask('directory'),
+      ({ status }) => status !== 3,
+    );
   });
   after(() => bench.stop());
 
