--- a/tools/scale/parts.ts
+++ b/tools/scale/parts.ts
@@ -5,11 +5,13 @@
 import { Check } from '../../src/manifest/check.js';
 import { Compiled } from '../../src/manifest/compiled.js';
 import { View } from '../../src/manifest/view.js';
+import { Copies } from '../../src/repair/copies.js';
 import { Ranges } from '../../src/repair/ranges.js';
 import { State } from '../../src/store/state.js';
 import { World } from './world.js';
 
 const rounds = 9;
+const teamSamples = 25;
 const sizes = [
   [8, 20, 8],
   [2000, 20, 8],
@@ -37,8 +39,20 @@
   };
   const [before, after] = [viewOf(1), viewOf(2)];
   const held = Ranges.cut(before);
-  const patch = Ranges.patch(Ranges.cut(after), Ranges.digests(held));
+  const patchTo = (view: View) => Ranges.patch(Ranges.cut(view), Ranges.digests(held));
+  const patch = patchTo(after);
   const { document } = after.manifest!;
+  const withTeams = (teams: object): View => {
+    const changed = { ...before.manifest!.document, teams } as unknown as typeof document;
+    return { ...after, manifest: { ...after.manifest!, document: changed } };
+  };
+  const { teams } = before.manifest!.document;
+  const teamPatches = Object.keys(teams).map((name) => () => {
+    const changed = withTeams({ ...teams, [name]: { ...teams[name], keys: ['0'.repeat(64)] } });
+    return JSON.stringify(patchTo(changed)).length;
+  });
+  const step = Math.ceil(teamPatches.length / teamSamples);
+  const teamBytes = teamPatches.filter((_none, index) => index % step === 0).map((measure) => measure());
   const change = { kind: 'manifest', document, by: '', at: '', what: '', teams: [] } as const;
   const state = State.apply(State.empty, { ...change, stamp: Stamp.of(1, 1) });
   const row = {
@@ -46,7 +60,9 @@
     servers,
     tenants,
     wholeBytes: View.encode(after).length,
+    compressedBytes: (await Copies.compressed(after)).length,
     patchBytes: JSON.stringify(patch).length,
+    oneTeamBytes: teamBytes.sort((a, b) => a - b)[Math.floor(teamBytes.length / 2)],
     ranges: held.size,
     check: median(() => Check.manifest(document)),
     rights: median(() => Rights.touched(before.manifest!.document, document)),
