--- a/src/repair/ranges.ts
+++ b/src/repair/ranges.ts
@@ -96,16 +96,16 @@
   },
   mend(held: Ranges, patch: Ranges.Patch, cut: Chunks.Cut = 'name'): View {
     const parts = restore(held, patch, cut);
-    const valueOf = (wanted: string) => parts.find(({ name }) => name === wanted)?.value();
+    const partOf = (wanted: string) => parts.find(({ name }) => name === wanted)?.value();
     const join = (list: string): unknown[] =>
       parts.filter(({ name }) => name.startsWith(`${list}/`)).flatMap(({ value }) => value() as unknown[]);
-    const meta = (valueOf('meta') ?? {}) as {
+    const meta = (partOf('meta') ?? {}) as {
       stamp: View['stamp'];
       platform: Omit<View.Platform, 'servers'>;
       manifest: (Omit<NonNullable<View['manifest']>, 'document'> & { document: string[] }) | null;
     };
     const readPart = (key: string): unknown => {
-      const value = valueOf(`part:${key}`);
+      const value = partOf(`part:${key}`);
       if (key === 'teams' && value === undefined)
         return Object.fromEntries(join('teams') as [string, unknown][]);
       return value ?? null;
