--- a/test/joining.test.ts
+++ b/test/joining.test.ts
@@ -7,7 +7,6 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
-import { Roster } from '../src/membership/roster.js';
 import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
@@ -18,6 +17,7 @@
 import type { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
 import { Protocol } from '../src/wire/protocol.js';
+import { ParentKit } from './parent-kit.js';
 
 const entry = (node: string, part: Partial<Frame.Entry> = {}) => ({
   node,
@@ -63,20 +63,17 @@
     note: () => {},
     serve(link, hello, frames) {
       hellos.push(hello.self.node);
-      return Downlink.serve(link, hello, frames, {
-        feed,
-        roll,
-        children,
-        peers: () => [],
-        relays: () => [],
-        isRelay: (child) => child.node.startsWith('relay'),
-        turns,
-        roster: Roster.of(),
-        version: '',
-        age: () => 0,
-        onTokens: () => void link.send(echo),
-        onCold: () => {},
-      });
+      return Downlink.serve(
+        link,
+        hello,
+        frames,
+        ParentKit.needs(feed, roll, {
+          children,
+          isRelay: (child) => child.node.startsWith('relay'),
+          turns,
+          onTokens: () => void link.send(echo),
+        }),
+      );
     },
   });
   return { doorway, hellos };
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -6,13 +6,12 @@
 import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
-import { Roster } from '../src/membership/roster.js';
-import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
 import type { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
+import { ParentKit } from './parent-kit.js';
 
 const below = 40;
 const nameOf = (index: number) => `below-${index}`;
@@ -128,20 +127,7 @@
       age: () => 0,
       note: () => {},
       serve: (link, hello, frames) =>
-        Downlink.serve(link, hello, frames, {
-          feed,
-          roll,
-          children,
-          peers: () => [],
-          relays: () => [],
-          isRelay: () => false,
-          turns: Turns.of(),
-          roster: Roster.of(),
-          version: '',
-          age: () => 0,
-          onTokens: () => {},
-          onCold: () => {},
-        }),
+        Downlink.serve(link, hello, frames, ParentKit.needs(feed, roll, { children })),
     });
     const firstNews = async (held: Stamp) => {
       const link = await Link.open(doorway.address, { stamp: () => held, age: () => 0 });
--- a/test/nearer.test.ts
+++ b/test/nearer.test.ts
@@ -3,15 +3,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { Stamp } from '../src/kinds/stamp.js';
-import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Places } from '../src/membership/places.js';
 import { Roll } from '../src/membership/roll.js';
-import { Roster } from '../src/membership/roster.js';
-import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
+import { ParentKit } from './parent-kit.js';
 
 const rollOf = (node: string, program: string, zone: string) =>
   Roll.of(() => ({
@@ -41,20 +39,7 @@
         age,
         note: () => {},
         serve: (link, hello, frames) =>
-          Downlink.serve(link, hello, frames, {
-            feed,
-            roll,
-            children: Children.of(roll),
-            peers: () => [],
-            relays: () => [],
-            roster: Roster.of(),
-            turns: Turns.of(),
-            isRelay: () => false,
-            version: '',
-            age,
-            onTokens: () => {},
-            onCold: () => {},
-          }),
+          Downlink.serve(link, hello, frames, ParentKit.needs(feed, roll, { age })),
       });
     };
     const near = await open('near', 'a-1');
--- a/test/rolls.test.ts
+++ b/test/rolls.test.ts
@@ -3,17 +3,16 @@
 import assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
 import { Stamp } from '../src/kinds/stamp.js';
-import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
 import { Roster } from '../src/membership/roster.js';
-import { Turns } from '../src/membership/turns.js';
 import { Uplink } from '../src/membership/uplink.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
 import type { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
 import { Protocol } from '../src/wire/protocol.js';
+import { ParentKit } from './parent-kit.js';
 
 const said = (node: string, part: Partial<Frame.Entry> = {}) => ({
   node,
@@ -136,20 +135,7 @@
       age: () => 0,
       note: () => {},
       serve: (link, hello, frames) =>
-        Downlink.serve(link, hello, counted(frames), {
-          feed,
-          roll: parent,
-          children: Children.of(parent),
-          peers: () => [],
-          relays: () => [],
-          isRelay: () => false,
-          turns: Turns.of(),
-          roster,
-          version: '',
-          age: () => 0,
-          onTokens: () => {},
-          onCold: () => {},
-        }),
+        Downlink.serve(link, hello, counted(frames), ParentKit.needs(feed, parent, { roster })),
     });
   });
   after(() => doorway.close());
--- a/test/word.test.ts
+++ b/test/word.test.ts
@@ -4,15 +4,13 @@
 import { describe, it } from 'node:test';
 import { Stamp } from '../src/kinds/stamp.js';
 import { View } from '../src/manifest/view.js';
-import { Children } from '../src/membership/children.js';
 import { Downlink } from '../src/membership/downlink.js';
 import { Roll } from '../src/membership/roll.js';
-import { Roster } from '../src/membership/roster.js';
-import { Turns } from '../src/membership/turns.js';
 import { Feed } from '../src/news/feed.js';
 import { Doorway } from '../src/wire/doorway.js';
 import type { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
+import { ParentKit } from './parent-kit.js';
 
 const viewOf = (revision: number) => {
   const stamp = Stamp.of(1, revision);
@@ -68,20 +66,7 @@
       age: () => age,
       note: () => {},
       serve: (link, hello, frames) =>
-        Downlink.serve(link, hello, frames, {
-          feed,
-          roll,
-          children: Children.of(roll),
-          peers: () => [],
-          relays: () => [],
-          roster: Roster.of(),
-          turns: Turns.of(),
-          isRelay: () => false,
-          version: '',
-          age: () => age,
-          onTokens: () => {},
-          onCold: () => {},
-        }),
+        Downlink.serve(link, hello, frames, ParentKit.needs(feed, roll, { age: () => age })),
     });
     const link = await Link.open(doorway.address, { stamp: () => Stamp.of(1, 1), age: () => 0 });
     try {
@@ -119,21 +104,7 @@
       age: () => 0,
       note: () => {},
       serve: (link, hello, frames) =>
-        Downlink.serve(link, hello, frames, {
-          feed,
-          roll,
-          children: Children.of(roll),
-          peers: () => [],
-          relays: () => [],
-          roster: Roster.of(),
-          turns: Turns.of(),
-          isRelay: () => false,
-          isFirstHand: () => isFirstHand,
-          version: '',
-          age: () => 0,
-          onTokens: () => {},
-          onCold: () => {},
-        }),
+        Downlink.serve(link, hello, frames, ParentKit.needs(feed, roll, { isFirstHand: () => isFirstHand })),
     });
     const open = async (program: 'control' | 'agent') => {
       const link = await Link.open(doorway.address, { stamp: () => Stamp.of(1, 1), age: () => 0 });
