Run both list duties by one loop of rounds

The same loop stood in list-duty and lookout-duty: step, rest, tell of a failure, stop after the step under way.

--- a/src/duty/list-duty.ts
+++ b/src/duty/list-duty.ts
@@ -4,9 +4,9 @@
 
 import { Failure } from '../kinds/failure.js';
 import { Moment } from '../kinds/moment.js';
-import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
 import { ListSource } from './list-source.js';
+import { Rounds } from './rounds.js';
 
 export type ListDuty = { readonly stop: () => Promise<void> };
 
@@ -60,7 +60,6 @@
 
 export const ListDuty = {
   run(needs: ListDuty.Needs): ListDuty {
-    const stop = new AbortController();
     let told: Told | undefined;
     let missed: ReadonlySet<string> = new Set();
     let rest: number = pollEvery;
@@ -88,23 +87,8 @@
       if (isChanged(before, servers) && (await needs.renew(servers))) told = { servers, at };
       return rest;
     };
-    const run = async () => {
-      while (!stop.signal.aborted) {
-        let pause = pollEvery;
-        try {
-          pause = await step();
-        } catch (error) {
-          needs.note('the list was not renewed', { why: Failure.text(error) });
-        }
-        await Timer.pause(pause, stop.signal);
-      }
-    };
-    const done = run();
-    return {
-      async stop() {
-        stop.abort();
-        await done;
-      },
-    };
+    return Rounds.run(step, pollEvery, (error) =>
+      needs.note('the list was not renewed', { why: Failure.text(error) }),
+    );
   },
 };
--- a/src/duty/lookout-duty.ts
+++ b/src/duty/lookout-duty.ts
@@ -3,9 +3,9 @@
 // leaves, is gone, or whose address is another's. It commits nothing, so nobody has to agree, and the worst that
 // a wrong word does is that a server rests. What is new waits for a primary.
 import { Failure } from '../kinds/failure.js';
-import { Timer } from '../kinds/timer.js';
 import type { Document } from '../manifest/document.js';
 import { ListSource } from './list-source.js';
+import { Rounds } from './rounds.js';
 
 export type LookoutDuty = { readonly stop: () => Promise<void> };
 
@@ -41,7 +41,6 @@
 
 export const LookoutDuty = {
   run(needs: LookoutDuty.Needs): LookoutDuty {
-    const stop = new AbortController();
     let missing: ReadonlySet<string> = new Set();
     let rest: number = ListSource.pollEvery;
     let isOut = false;
@@ -70,23 +69,8 @@
       if (found.leaving.length > 0) needs.tell(found.leaving);
       return rest;
     };
-    const run = async () => {
-      while (!stop.signal.aborted) {
-        let pause = lookEvery;
-        try {
-          pause = await step();
-        } catch (error) {
-          needs.note('the lookout failed', { why: Failure.text(error) });
-        }
-        await Timer.pause(pause, stop.signal);
-      }
-    };
-    const done = run();
-    return {
-      async stop() {
-        stop.abort();
-        await done;
-      },
-    };
+    return Rounds.run(step, lookEvery, (error) =>
+      needs.note('the lookout failed', { why: Failure.text(error) }),
+    );
   },
 };
--- /dev/null
+++ b/src/duty/rounds.ts
@@ -0,0 +1,29 @@
+// A duty's rounds: one step after another, each of which says how long to rest before the next. A step that fails
+// is told of and followed by the usual rest; stopping waits for the step under way.
+import { Timer } from '../kinds/timer.js';
+
+export type Rounds = { readonly stop: () => Promise<void> };
+
+export const Rounds = {
+  run(step: () => Promise<number>, usualRest: number, onFailure: (error: unknown) => void): Rounds {
+    const stop = new AbortController();
+    const run = async () => {
+      while (!stop.signal.aborted) {
+        let rest = usualRest;
+        try {
+          rest = await step();
+        } catch (error) {
+          onFailure(error);
+        }
+        await Timer.pause(rest, stop.signal);
+      }
+    };
+    const done = run();
+    return {
+      async stop() {
+        stop.abort();
+        await done;
+      },
+    };
+  },
+};
