--- a/src/control/life/joining.ts
+++ b/src/control/life/joining.ts
@@ -1,6 +1,7 @@
 // A blank core asks the primary for a place; one whose place was given to another disk is told, marks its
 // data folder as retired, and takes no part until it is started again.
 import { Term } from '../../epoch/term.js';
+import { Moment } from '../../kinds/moment.js';
 import type { Life } from './life.js';
 
 export type Joining = {
@@ -11,11 +12,21 @@
 
 /** How long the primary may take to answer a core that asks for a place, in milliseconds. */
 const answerWithin = 3000;
+/** How long a core waits after its first declined request for a place; doubled by each further one, in milliseconds. */
+const firstPause = 200;
+const longestPause = 1600;
 
 export const Joining = {
   of(life: Life): Joining {
     const { register, proposer, courierTo, self, note, alert, ...needs } = life.needs;
     let isTold = false;
+    let declined = { epoch: -1, count: 0 };
+    let mayAskAt: Moment = Moment.past;
+    /** The next request waits longer each time, and no longer than the first pause after the term has changed. */
+    const putOff = (epoch: number) => {
+      declined = { epoch, count: declined.epoch === epoch ? declined.count + 1 : 0 };
+      mayAskAt = Moment.after(Math.min(longestPause, firstPause * 2 ** declined.count));
+    };
     const isRetired = () => {
       const term = life.known.term();
       return term !== undefined && !register.isBlank() && !Term.has(term, register.disk);
@@ -26,8 +37,11 @@
         const term = life.known.term();
         const core = term && Term.core(term, term.primary);
         if (!term || !core || Term.has(term, register.disk) || life.isLeaving) return;
+        if (declined.epoch === term.epoch && !Moment.isPast(mayAskAt)) return;
         const reply = await courierTo(core)?.ask({ kind: 'join', core: self() }, answerWithin);
-        if (reply?.kind === 'done') note('asked to join', { why: reply.why });
+        if (reply?.kind !== 'done') return;
+        putOff(term.epoch);
+        note('asked to join', { why: reply.why });
       },
       async retire() {
         if (isTold || !isRetired()) return;
--- /dev/null
+++ b/test/asking-to-join.test.ts
@@ -0,0 +1,55 @@
+// A core without a place asks the primary for one, and asks less and less often while it is declined.
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import { Joining } from '../src/control/life/joining.js';
+import type { Life } from '../src/control/life/life.js';
+
+const lifeOf = (onAsk: () => void) => {
+  let epoch = 1;
+  const core = { disk: 'disk-1', node: 'core-1', wire: '10.0.0.1:7000' };
+  const term = () => ({ epoch, primary: 'disk-1', inSync: ['disk-1'], cores: [core] });
+  const courier = {
+    async ask() {
+      onAsk();
+      return { kind: 'done', serial: 1, why: 'all cores are alive' };
+    },
+  };
+  const life = {
+    needs: {
+      register: { disk: 'disk-9', isBlank: () => true },
+      courierTo: () => courier,
+      self: () => ({ ...core, disk: 'disk-9' }),
+      note() {},
+      alert() {},
+    },
+    known: { term },
+    isLeaving: false,
+  } as unknown as Life;
+  return {
+    life,
+    nextEpoch() {
+      epoch += 1;
+    },
+  };
+};
+
+describe('asking to join', () => {
+  it('is put off longer with each request that is declined, and not once the term has changed', async () => {
+    let asked = 0;
+    const { life, nextEpoch } = lifeOf(() => {
+      asked += 1;
+    });
+    const joining = Joining.of(life);
+    const until = performance.now() + 1200;
+    while (performance.now() < until) {
+      await joining.ask();
+      await pause(20);
+    }
+    assert.ok(asked >= 2 && asked <= 3, `asked ${asked} times in 1.2 s`);
+    const before = asked;
+    nextEpoch();
+    await joining.ask();
+    assert.equal(asked, before + 1);
+  });
+});
--- a/tools/simulation/judges.ts
+++ b/tools/simulation/judges.ts
@@ -22,7 +22,9 @@
     | 'memberCaughtUp'
     | 'acknowledgedInTime'
     | 'servedAgain'
-    | 'noCrash';
+    | 'noCrash'
+    /** Judges the simulated world itself: whether what runs is what it counts with. */
+    | 'worldWhole';
 }
 
 const names: readonly Judges.Name[] = [
@@ -35,6 +37,7 @@
   'acknowledgedInTime',
   'servedAgain',
   'noCrash',
+  'worldWhole',
 ];
 
 const finished = (order: Order): string =>
--- a/tools/simulation/sockets.ts
+++ b/tools/simulation/sockets.ts
@@ -120,6 +120,7 @@
   const end = new End(network, own, to);
   const host = network.host(to.host);
   network.carry(own.ip, to.host, 40, () => {
+    if (end.destroyed || !own.isAlive()) return;
     const listener = host.listeners.get(to.port);
     if (listener) listener(end);
     else network.carry(to.host, own.ip, 40, () => end.fail('ECONNREFUSED', false));
