--- a/tools/simulation/world-check.ts
+++ b/tools/simulation/world-check.ts
@@ -1,9 +1,12 @@
-// A check of the simulated world itself: its judges ask only the machines that it counts, so a program that runs on none
-// of them, or a machine that is never started again, hides faults or invents them.
+/**
+ * A check of the simulated world itself: its judges ask only the machines that it counts, so a program that runs on
+ * none of them, or a machine that is never started again, hides faults or invents them.
+ */
 import type { Machine } from './machine.js';
 
 type Shown = Pick<Machine, 'name' | 'isRunning' | 'isToRun'>;
 
+/** What the check looks at. */
 export type WorldCheck = {
   /** Every machine that was ever built. */
   readonly built: readonly Shown[];
@@ -15,6 +18,7 @@
 
 const namesOf = (machines: readonly Shown[]): string => machines.map(({ name }) => name).join(', ');
 
+/** The check of the simulated world. */
 export const WorldCheck = {
   /** What is wrong with the world, in words; undefined when it is whole. */
   flawOf({ built, present, isSettled }: WorldCheck): string | undefined {
