--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -4,7 +4,9 @@
 import { Wall } from '../../manifest/wall.js';
 import type { Connection } from '../../upstream/connection.js';
 import type { Exchange } from '../../upstream/exchange.js';
+import { Outcome } from '../../upstream/outcome.js';
 import type { Pick } from '../../upstream/pick.js';
+import { Suspicion } from '../../upstream/suspicion.js';
 import { Trial } from '../../upstream/trial.js';
 import { Tries } from '../../upstream/tries.js';
 import { Call } from '../call.js';
@@ -66,34 +68,6 @@
     .map((name) => compiled.groups.get(name))
     .reduce((sum, group) => sum + (group ? group.servers.length * group.concurrent : 0), 0);
 
-const weighs = { failed: 1, declined: 0.5, silent: 0.5 } as const;
-
-const failureOf = (trial: Trial): number => {
-  if (trial.kind === 'stream' || trial.kind === 'unsent') return 0;
-  if (trial.kind !== 'response') return ['left', 'late', 'total'].includes(trial.why) ? 0 : weighs.failed;
-  if (trial.pick.group.isNotRun(trial.status, trial.headers))
-    return trial.status >= 500 ? weighs.declined : 0;
-  return trial.status >= 500 ? weighs.failed : 0;
-};
-
-const judge = (needs: Filter.Needs, trial: Trial) => {
-  const { server, group } = trial.pick;
-  const failure = failureOf(trial);
-  if (failure > 0) needs.failures.see(server.instance, failure);
-  else if (trial.kind === 'stream') needs.failures.good(server.instance);
-  if (trial.kind === 'unsent' && (trial.why === 'connect' || trial.why === 'identity'))
-    needs.prover.lost(server);
-  if (trial.kind === 'lost' && trial.why !== 'left') needs.prover.suspect(server);
-  const isMisdirected = trial.kind === 'response' && trial.status === group.proof?.misdirected;
-  if (isMisdirected) return needs.ejector.misdirected(server);
-  if (trial.kind === 'stream' || trial.kind === 'response') needs.ramp.good(server.instance);
-  if (trial.kind === 'stream' || (trial.kind === 'response' && trial.status < 500))
-    needs.ejector.good(server);
-  else if (trial.kind === 'response') {
-    if (!group.isNotRun(trial.status, trial.headers)) needs.ejector.bad(server, group);
-  } else if (!['left', 'late', 'total', 'full'].includes(trial.why)) needs.ejector.bad(server, group);
-};
-
 export const Attempt = {
   filter:
     (needs: Filter.Needs): Filter =>
@@ -174,6 +148,7 @@
               inFlight: needs.inFlight,
               request: (left) =>
                 buildRequest(call, context.env.incoming, { pick, step: tier.step, left, hops, after }),
+              suspectAfter: Suspicion.firstAfter(rule.aim),
               weight: rule.aim === undefined ? (call.body?.length ?? 0) : placed.uncached,
               timeouts,
               deadline,
@@ -186,16 +161,24 @@
                 place.sent();
               },
               settle: needs.stall.settle,
+              ...(rule.isOnce
+                ? {}
+                : {
+                    onLost: (end: () => void) =>
+                      needs.prover.watch(pick.server.instance, () => {
+                        if (needs.budget.held() >= 1) end();
+                      }),
+                  }),
               onWait() {
                 needs.prover.suspect(pick.server);
-                needs.failures.see(pick.server.instance, weighs.silent);
+                needs.failures.see(pick.server.instance, Outcome.weights.silent);
               },
             }).finally(place.leave);
             if (trial.kind === 'stream') placed.answered(Moment.since(sentAt));
             return trial;
           },
           note: (trial, isExtra) => {
-            judge(needs, trial);
+            Outcome.tell(needs, trial);
             const outcome = 'why' in trial ? `${trial.kind}_${trial.why}` : `${trial.kind}_${trial.status}`;
             needs.meters.tries.inc({ group: trial.pick.group.name, outcome, extra: isExtra ? 'yes' : 'no' });
             if (trial.kind !== 'stream')
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -10,9 +10,11 @@
 import { Moment } from '../../kinds/moment.js';
 import { Stamp } from '../../kinds/stamp.js';
 import { Timer } from '../../kinds/timer.js';
+import { Suspicion } from '../../upstream/suspicion.js';
 import type { Trial } from '../../upstream/trial.js';
 import type { Tries } from '../../upstream/tries.js';
 import { Call } from '../call.js';
+import { Chunks } from '../chunks.js';
 import { Events } from '../events.js';
 import type { Filter } from '../filter.js';
 import { Hygiene } from '../hygiene.js';
@@ -21,7 +23,19 @@
 
 export type Commit = 'done' | 'server' | 'client' | 'late';
 
-type Spans = { readonly idle: number; readonly until: Moment | undefined };
+type Spans = {
+  readonly idle: number;
+  readonly until: Moment | undefined;
+  /** How long a pause makes the server suspect; undefined where none does. */
+  readonly suspectAfter: number | undefined;
+};
+
+type Watch = {
+  readonly onEvent: (span: number) => void;
+  readonly onSilence: () => void;
+  /** Calls back when the server is found dark and the stream may go on elsewhere. */
+  readonly onLost: (end: () => void) => () => void;
+};
 
 /** Servers stop by themselves when the time that they were told is over; this long after it they are cut. */
 const lateness = 200;
@@ -40,9 +54,10 @@
 const stream = (
   trial: Streamed,
   outgoing: ServerResponse,
-  { idle, until }: Spans,
+  chunks: Chunks,
+  { idle, until, suspectAfter }: Spans,
   events: Events | undefined,
-  onEvent: (span: number) => void,
+  watch: Watch,
 ): Promise<Commit> =>
   new Promise((resolve) => {
     let flow: { resume: () => void } | undefined;
@@ -52,10 +67,18 @@
     const finish = (how: Commit) => {
       if (isEnded) return;
       isEnded = true;
+      rest();
+      resolve(how);
+    };
+    const rest = () => {
       quiet.stop();
       late?.stop();
-      resolve(how);
+      suspicion?.stop();
+      forget();
     };
+    const lost = () => trial.body.abort(Failure.of('reset', 'the server does not answer any more'));
+    const forget = watch.onLost(lost);
+    const suspicion = suspectAfter === undefined ? undefined : Timer.after(suspectAfter, watch.onSilence);
     const quiet = Timer.after(idle, () => trial.body.abort(Failure.of('timeout', 'the stream fell silent')));
     const onLate = () => {
       isLate = true;
@@ -75,17 +98,17 @@
     flow = trial.body.pump({
       write(chunk) {
         quiet.again();
+        suspicion?.again();
         const now = Moment.now();
-        if (last !== undefined) onEvent(now - last);
+        if (last !== undefined) watch.onEvent(now - last);
         last = now;
         const whole = events ? events.take(chunk) : chunk;
-        return whole === undefined || outgoing.write(whole);
+        return whole === undefined || chunks.write(whole);
       },
       end() {
         isEnded = true;
-        quiet.stop();
-        late?.stop();
-        outgoing.end(events?.rest(), () => resolve('done'));
+        rest();
+        chunks.end(events?.rest(), () => resolve('done'));
         outgoing.once('close', () => resolve(outgoing.writableFinished ? 'done' : 'client'));
       },
       fail() {
@@ -101,12 +124,20 @@
   (headers['content-encoding'] ?? 'identity') === 'identity';
 
 /** Ends an answer so that it never looks whole: one that nothing but its connection delimits needs a reset. */
-const cut = (outgoing: ServerResponse): void => {
-  const isDelimited = outgoing.chunkedEncoding || outgoing.hasHeader('content-length');
+const cut = (outgoing: ServerResponse, { isDelimited }: Chunks): void => {
   if (isDelimited || !outgoing.socket) outgoing.destroy();
   else Reset.now(outgoing.socket);
 };
 
+const watchOf = (needs: Filter.Needs, { pick }: Streamed, events: Events | undefined): Watch => ({
+  onEvent: (span) => needs.placement.reading.event(pick.server.instance, span),
+  onSilence: () => needs.prover.suspect(pick.server),
+  onLost: (end) =>
+    needs.prover.watch(pick.server.instance, () => {
+      if (events?.canResume() && needs.budget.held() >= 1) end();
+    }),
+});
+
 const serve = async (
   needs: Filter.Needs,
   call: Call,
@@ -118,13 +149,20 @@
   const { idle } = Call.need(call, 'timeouts');
   const deadline = Call.need(call, 'deadline');
   const until = call.dialect.endsAnswers ? Moment.after(lateness, deadline) : undefined;
+  const { gap } = Call.need(call, 'rule');
+  const suspectAfter = isEventStream(first) ? Suspicion.pauseAfter(gap) : undefined;
+  const chunks = Chunks.of(outgoing);
   let trial = first;
   let sent = sentBefore;
   let how: Commit;
   for (;;) {
-    const { instance } = trial.pick.server;
-    how = await stream(trial, outgoing, { idle, until }, events, (span) =>
-      needs.placement.reading.event(instance, span),
+    how = await stream(
+      trial,
+      outgoing,
+      chunks,
+      { idle, until, suspectAfter },
+      events,
+      watchOf(needs, trial, events),
     );
     trial.job.end();
     if (how === 'done') {
@@ -150,7 +188,7 @@
     }
     trial = verdict.trial;
   }
-  cut(outgoing);
+  cut(outgoing, chunks);
   return outgoing.writableFinished ? 'done' : how;
 };
 
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -113,6 +113,7 @@
     const placement = Placement.of({
       failing: failures.costs,
       region: () => compiled?.regionOf(startup.zone),
+      zone: startup.zone,
       inFlight,
       hasIdle: pool.hasIdle,
       random: Math.random,
@@ -272,7 +273,10 @@
         if (dark) {
           prover.hear(instance);
           ramp.doubt(instance);
-        } else onCold(instance, age);
+        } else {
+          prover.hearBack(instance);
+          onCold(instance, age);
+        }
       },
       onTokens({ epoch, batches, serial, grants, ...told }) {
         if (serial > 0) quotas.grant(epoch, serial, grants, told);
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -29,6 +29,8 @@
   type State = 'proving' | 'idle' | 'busy' | 'closed';
 }
 
+type Listener = (this: unknown, ...values: unknown[]) => void;
+
 const longestIdentity = 1024 * 1024;
 
 const openSocket = (server: Compiled.Server, signal: AbortSignal): Promise<Socket> =>
@@ -82,16 +84,21 @@
  * back, and the failure would end the whole process. The answer is then cut visibly, as after a reset.
  */
 const guardEnd = (socket: Socket): void => {
-  const emit = socket.emit.bind(socket) as Socket['emit'];
-  socket.emit = (event: string, ...values: unknown[]): boolean => {
-    if (event !== 'end') return emit(event, ...values);
-    try {
-      return emit(event);
-    } catch (error) {
-      socket.destroy(error as Error);
-      return true;
-    }
+  const on = socket.on.bind(socket);
+  const guard = (listener: Listener): Listener => {
+    const guarded: Listener & { listener?: Listener } = function guarded(this: unknown, ...values) {
+      try {
+        listener.apply(this, values);
+      } catch (error) {
+        socket.destroy(error as Error);
+      }
+    };
+    // By this name the listener is found when it is taken off again.
+    guarded.listener = listener;
+    return guarded;
   };
+  socket.on = ((event: string, listener: Listener) =>
+    on(event, event === 'end' ? guard(listener) : listener)) as Socket['on'];
 };
 
 /**
--- a/src/upstream/placement.ts
+++ b/src/upstream/placement.ts
@@ -1,6 +1,6 @@
 // Where a prompt goes when its rule says how soon an answer is wanted: to the server with the least cost. A cost
 // counts in milliseconds of a server's reading: the tokens that the server is not thought to keep, the way to
-// another region, a new connection, what of this proxy's runs there, and a charge that grows steeply once the
+// another zone or region, a new connection, what of this proxy's runs there, and a charge that grows steeply once the
 // first token is likely to come late. What a server keeps is learned from where this proxy sent the same parts,
 // within the server's memory; where it knows nothing, rendezvous hashing on the shared parts names one holder, the
 // same for all proxies and regions. A server that came lately is not taken to keep anything by hashing alone.
@@ -41,6 +41,7 @@
   };
   type Needs = {
     readonly region: () => string | undefined;
+    readonly zone: string;
     readonly inFlight: InFlight;
     /** What servers of a group that fail cost; nothing is known of the others. */
     readonly failing?: (group: Compiled.Group) => ReadonlyMap<string, number>;
@@ -56,7 +57,9 @@
 type Chain = { readonly key: string; readonly tokens: number };
 
 const farTrip = 110;
-const leaving = { base: 8, perKilobyte: 1 } as const;
+/** What it costs to send a prompt to another region, and to another zone of the same one. */
+const leavingRegion = { base: 8, perKilobyte: 1 } as const;
+const leavingZone = { base: 4, perKilobyte: 3 } as const;
 const connecting = 12;
 const perJob = 2;
 const whenFull = 400;
@@ -75,6 +78,14 @@
 
 const none: Holders = { first: undefined, near: undefined };
 
+/** Another region is never nearer than another zone. */
+const wayCost = (isFar: boolean, bytes: number): number => {
+  const costOf = ({ base, perKilobyte }: { readonly base: number; readonly perKilobyte: number }) =>
+    base + (perKilobyte * bytes) / 1024;
+  const toZone = costOf(leavingZone);
+  return isFar ? Math.max(toZone, costOf(leavingRegion)) : toZone;
+};
+
 const chainsOf = (parts: readonly Placement.Part[]): Chain[] => {
   const chains: Chain[] = [];
   let key = '';
@@ -150,7 +161,7 @@
       const isFull = (slots !== undefined && running >= slots) || (told?.load.bound ?? 0) > fullPart;
       return (
         reads +
-        (isFar ? leaving.base + (leaving.perKilobyte * want.bytes) / 1024 : 0) +
+        (server.zone === needs.zone ? 0 : wayCost(isFar, want.bytes)) +
         (needs.hasIdle(instance) ? 0 : connecting) +
         jobs * perJob +
         (failing?.(group).get(instance) ?? 0) +
--- a/src/upstream/prover.ts
+++ b/src/upstream/prover.ts
@@ -1,7 +1,10 @@
 // Which servers are dark to this proxy: a connect or a proof of identity failed, or another proxy said so.
 // A dark server gets no request. One task for each dark server proves it again in the background, with
 // back-off, and what it proved is kept as a connection; only then may requests go there. A server that makes
-// a request wait, or that ended a connection just used, is asked beside the requests before one fails there.
+// a request wait, or that ended a connection just used, is asked beside the requests before one fails there. Who still
+// waits for an answer of a server is told when it is found dark. What was only heard from another proxy is proved once at
+// once, so that nobody is believed who merely is cut off himself, then seldom, and given up when a proxy says that the
+// server is back: else each loss costs many times as many connections as there are proxies times servers.
 
 import { Moment } from '../kinds/moment.js';
 import { Timer } from '../kinds/timer.js';
@@ -14,6 +17,10 @@
   readonly lost: (server: Compiled.Server) => void;
   readonly suspect: (server: Compiled.Server) => void;
   readonly hear: (instance: string) => void;
+  /** Another proxy has proved again a server that this one only heard to be dark. */
+  readonly hearBack: (instance: string) => void;
+  /** Calls back once this proxy has found the server dark; the function returned ends the watch. */
+  readonly watch: (instance: string, see: () => void) => () => void;
   readonly dark: () => readonly string[];
   readonly retain: (compiled: Compiled) => void;
   readonly stop: () => void;
@@ -29,15 +36,24 @@
   };
 }
 
-const proveWithin = 1000;
+type Darkness = { readonly stop: AbortController; readonly isHearsay: boolean };
+
+const proveWithin = 500;
 const first = 150;
 const longest = 1500;
+/** Rests between proofs of a server that another proxy found dark, once the first proof, made at once, has failed. */
+const afterHearsay = { first: 1500, longest: 4000 } as const;
 const askAgainAfter = 1000;
 
 export const Prover = {
   of(needs: Prover.Needs): Prover {
-    const dark = new Map<string, AbortController>();
+    const dark = new Map<string, Darkness>();
     const askedAt = new Map<string, Moment>();
+    const watchers = new Map<string, Set<() => void>>();
+    const tellDark = (server: Compiled.Server) => {
+      needs.onDark(server);
+      for (const see of [...(watchers.get(server.instance) ?? [])]) see();
+    };
     const find = (instance: string): Compiled.Server | undefined => needs.newest()?.servers.get(instance);
     const prove = async (server: Compiled.Server, stop: AbortSignal): Promise<Connection | undefined> => {
       const group = needs.newest()?.groups.get(server.group);
@@ -46,6 +62,7 @@
       return needs.pool.open(server, group, limit).catch(() => undefined);
     };
     const attend = async (instance: string, isHearsay: boolean, stop: AbortController) => {
+      const rests = isHearsay ? afterHearsay : { first, longest };
       let span = isHearsay ? 0 : first;
       for (let count = 0; !stop.signal.aborted; count += 1) {
         await Timer.pause(span * (0.75 + Math.random() / 2), stop.signal);
@@ -58,19 +75,19 @@
           if (!isHearsay || count > 0) needs.onBack(server);
           return;
         }
-        if (isHearsay && count === 0) needs.onDark(server);
-        span = Math.min(longest, Math.max(first, span * 2));
+        if (isHearsay && count === 0) tellDark(server);
+        span = Math.min(rests.longest, Math.max(rests.first, span * 2));
       }
-      if (dark.get(instance) === stop) dark.delete(instance);
+      if (dark.get(instance)?.stop === stop) dark.delete(instance);
     };
     const begin = (instance: string, isHearsay: boolean) => {
       const stop = new AbortController();
-      dark.set(instance, stop);
+      dark.set(instance, { stop, isHearsay });
       void attend(instance, isHearsay, stop);
     };
     const lost = (server: Compiled.Server) => {
       if (dark.has(server.instance)) return;
-      needs.onDark(server);
+      tellDark(server);
       begin(server.instance, false);
     };
     return {
@@ -89,12 +106,27 @@
       hear(instance) {
         if (!dark.has(instance) && find(instance) && !needs.isFresh(instance)) begin(instance, true);
       },
+      hearBack(instance) {
+        const held = dark.get(instance);
+        if (!held?.isHearsay) return;
+        dark.delete(instance);
+        held.stop.abort();
+      },
+      watch(instance, see) {
+        const watching = watchers.get(instance) ?? new Set();
+        watchers.set(instance, watching);
+        watching.add(see);
+        return () => {
+          watching.delete(see);
+          if (watching.size === 0 && watchers.get(instance) === watching) watchers.delete(instance);
+        };
+      },
       retain(compiled) {
-        for (const [instance, stop] of dark) if (!compiled.servers.has(instance)) stop.abort();
+        for (const [instance, { stop }] of dark) if (!compiled.servers.has(instance)) stop.abort();
         for (const instance of askedAt.keys()) if (!compiled.servers.has(instance)) askedAt.delete(instance);
       },
       stop() {
-        for (const stop of dark.values()) stop.abort();
+        for (const { stop } of dark.values()) stop.abort();
       },
     };
   },
--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -33,7 +33,17 @@
     };
 
 export declare namespace Trial {
-  type Why = 'connect' | 'full' | 'identity' | 'first_byte' | 'per_try' | 'total' | 'reset' | 'left' | 'late';
+  type Why =
+    | 'connect'
+    | 'slow'
+    | 'full'
+    | 'identity'
+    | 'first_byte'
+    | 'per_try'
+    | 'total'
+    | 'reset'
+    | 'left'
+    | 'late';
   type Needs = {
     readonly pool: Pool;
     readonly inFlight: InFlight;
@@ -48,12 +58,17 @@
     readonly used: Set<Connection>;
     readonly onSend: () => void;
     readonly weight: number;
+    /** How long the server may be silent after the request was sent before it is suspected, in milliseconds. */
+    readonly suspectAfter: number;
     readonly onWait: () => void;
+    /** Calls back when the server is found dark, for a request that another server may run as well. */
+    readonly onLost?: (end: () => void) => () => void;
   };
 }
 
 const longestResponse = 256 * 1024;
-const suspectAfter = 1000;
+/** A connection that takes longer is left to the prover, and the request, which was not sent, goes elsewhere. */
+const slowConnect = 400;
 
 const limit = (spans: readonly (readonly [Trial.Why, number])[]): readonly [Trial.Why, number] =>
   spans.reduce((least, one) => (one[1] < least[1] ? one : least));
@@ -75,8 +90,11 @@
       ['per_try', Moment.left(perTry)],
       ['total', Moment.left(deadline)],
     ];
-    let [why, span] = limit([['connect', timeouts.connect], ...bounds()]);
-    const timer = Timer.after(span, () => end(why));
+    const isOpenedAtOnce = pick.group.proof !== undefined;
+    const patience: readonly [Trial.Why, number][] = isOpenedAtOnce ? [['slow', slowConnect]] : [];
+    let [why, span] = limit([['connect', timeouts.connect], ...patience, ...bounds()]);
+    // A process that was held up hears of its connection in the same turn as of the time that is over.
+    const timer = Timer.after(span, () => (why === 'slow' ? setImmediate(() => end('slow')) : end(why)));
     if (needs.signal.aborted) onLeave();
     needs.signal.addEventListener('abort', onLeave, { once: true });
     const job = inFlight.begin(pick.server.instance, needs.weight);
@@ -97,7 +115,8 @@
     await needs.settle();
     [why, span] = limit([['first_byte', timeouts.first_byte], ...bounds()]);
     timer.move(span);
-    const wait = Timer.after(suspectAfter, needs.onWait);
+    const wait = Timer.after(needs.suspectAfter, needs.onWait);
+    const forget = needs.onLost?.(() => end('reset'));
     const begin = () => {
       needs.onSend();
       return true;
@@ -113,6 +132,7 @@
         begin(),
     });
     wait.stop();
+    forget?.();
     if (result.kind === 'failure') {
       finish();
       await connection.destroy();
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -158,7 +158,9 @@
     plan.note(trial, isExtra);
     tries += 1;
     last = trial;
-    const isFree = trial.kind === 'unsent' && (trial.pick.group.proof !== undefined || trial.why === 'full');
+    const isFree =
+      trial.kind === 'unsent' &&
+      (trial.pick.group.proof !== undefined || ['full', 'slow'].includes(trial.why));
     if (!isFree) sent += 1;
     if (trial.kind === 'stream') return { kind: 'stream', trial, tries, sent };
     if (!isSurelyNotRun(trial)) mayHaveRun = true;
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -81,6 +81,7 @@
     failures.hear([{ instance: 's4', count: 12 }]);
     const placement = Placement.of({
       region: () => 'a',
+      zone: 'a-1',
       inFlight: InFlight.of(),
       hasIdle: () => true,
       failing: failures.costs,
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -222,6 +222,7 @@
     const inFlight = InFlight.of();
     const placement = Placement.of({
       region: () => 'a',
+      zone: 'a-1',
       inFlight,
       hasIdle: () => true,
       random: chance(seed),
@@ -254,6 +255,27 @@
     assert.equal(new Set(chosen).size, servers.length);
   });
 
+  it('keeps a prompt whose parts nobody holds in its own zone, and sends it off where waiting costs more', () => {
+    const inZone = (instance: string, zone: string) => {
+      const { server, group } = pickOf(instance);
+      return { server: { ...server, zone } as Compiled.Server, group };
+    };
+    const among = [inZone('s1', 'a-1'), ...['s2', 's3', 's4'].map((name) => inZone(name, 'a-2'))];
+    const inFlight = InFlight.of();
+    const placement = Placement.of({
+      region: () => 'a',
+      zone: 'a-1',
+      inFlight,
+      hasIdle: () => true,
+      random: chance(3),
+    });
+    const unshared = { ...want('k', 'x'), parts: [], bytes: 4096 };
+    for (let count = 0; count < 20; count += 1)
+      assert.equal(placement.choose(among, unshared)!.server.instance, 's1');
+    for (let count = 0; count < 4; count += 1) inFlight.begin('s1', 4000);
+    assert.notEqual(placement.choose(among, unshared)!.server.instance, 's1');
+  });
+
   it('spreads when the holder is busy', () => {
     const { inFlight, placement } = make(4);
     const holder = placement.choose(servers, want('k', 'x'))!.server.instance;
--- a/test/walls-manifest.test.ts
+++ b/test/walls-manifest.test.ts
@@ -150,6 +150,7 @@
   it('is parted by wall, and no wall pushes out another', () => {
     const placement = Placement.of({
       region: () => 'a',
+      zone: 'a-1',
       inFlight: InFlight.of(),
       hasIdle: () => true,
       random: () => 0,
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -113,6 +113,7 @@
     placement: Placement.of({
       failing: failures.costs,
       region: () => newest()?.regionOf(zone),
+      zone,
       inFlight,
       hasIdle: pool.hasIdle,
       random: Math.random,
--- a/tools/platform/engine-model.ts
+++ b/tools/platform/engine-model.ts
@@ -55,6 +55,8 @@
     readonly total: number;
     readonly read: number;
     readonly putBack: number;
+    /** Tokens that the requests which run or wait have still to be read. */
+    readonly unread?: number;
   };
 }
 
@@ -270,6 +272,9 @@
         total: figures.memory,
         read,
         putBack,
+        unread:
+          running.reduce((sum, job) => sum + Math.max(0, job.toRead), 0) +
+          queue.reduce((sum, { work }) => sum + promptOf(work) - cache.peek(work.model, work.parts), 0),
       }),
       peek: (work) => cache.peek(work.model, work.parts),
     };
--- a/tools/simulation/bundle.ts
+++ b/tools/simulation/bundle.ts
@@ -42,12 +42,15 @@
 
 export const Bundle = {
   schema: 'shared:schema',
-  async build(changes: readonly Bundle.Change[] = []): Promise<Bundle> {
+  async build(
+    changes: readonly Bundle.Change[] = [],
+    entry = 'tools/simulation/program.ts',
+  ): Promise<Bundle> {
     for (const { file, from } of changes)
       if (!readFileSync(`${root}${file}`, 'utf8').includes(from)) throw new Error(`${file} has no ${from}`);
     const { outputFiles } = await build({
       absWorkingDir: root,
-      entryPoints: ['tools/simulation/program.ts'],
+      entryPoints: [entry],
       bundle: true,
       write: false,
       platform: 'node',
--- a/tools/simulation/threads.ts
+++ b/tools/simulation/threads.ts
@@ -1,5 +1,5 @@
 // Threads that play seeds of one bundle, as many at a time as asked for.
-import { Worker } from 'node:worker_threads';
+import { ThreadPool } from '../thread-pool.js';
 import type { Fault } from './faults.js';
 import type { World } from './world.js';
 
@@ -8,51 +8,15 @@
   readonly stop: () => Promise<void>;
 };
 
-type Job = {
-  readonly seed: number;
-  readonly faults: readonly Fault[] | undefined;
-  readonly done: (world: World) => void;
-  readonly fail: (error: Error) => void;
-};
+type Asked = { readonly seed: number; readonly faults?: readonly Fault[] };
 
 export const Threads = {
   start(code: string, count: number): Threads {
-    const waiting: Job[] = [];
-    const free: Worker[] = [];
-    const running = new Map<Worker, Job>();
-    const next = () => {
-      while (free.length > 0 && waiting.length > 0) {
-        const worker = free.pop()!;
-        const job = waiting.shift()!;
-        running.set(worker, job);
-        worker.postMessage({ seed: job.seed, ...(job.faults ? { faults: job.faults } : {}) });
-      }
-    };
-    const all = Array.from({ length: count }, () => {
-      const worker = new Worker(new URL('./worker.js', import.meta.url), {
-        workerData: { code },
-        resourceLimits: { maxYoungGenerationSizeMb: 64 },
-      });
-      worker.on('message', (world: World) => {
-        const job = running.get(worker);
-        running.delete(worker);
-        free.push(worker);
-        job?.done(world);
-        next();
-      });
-      worker.on('error', (error: Error) => running.get(worker)?.fail(error));
-      free.push(worker);
-      return worker;
-    });
+    const script = new URL('./worker.js', import.meta.url);
+    const pool = ThreadPool.start<Asked, World>({ script, data: { code }, count });
     return {
-      play: (seed, faults) =>
-        new Promise((done, fail) => {
-          waiting.push({ seed, faults, done, fail });
-          next();
-        }),
-      async stop() {
-        await Promise.all(all.map((worker) => worker.terminate()));
-      },
+      play: (seed, faults) => pool.run({ seed, ...(faults ? { faults } : {}) }),
+      stop: pool.stop,
     };
   },
 };
