--- a/src/upstream/trial.ts
+++ b/src/upstream/trial.ts
@@ -94,7 +94,10 @@
     const patience: readonly [Trial.Why, number][] = isOpenedAtOnce ? [['slow', slowConnect]] : [];
     let [why, span] = limit([['connect', timeouts.connect], ...patience, ...bounds()]);
     // A process that was held up hears of its connection in the same turn as of the time that is over.
-    const timer = Timer.after(span, () => (why === 'slow' ? setImmediate(() => end('slow')) : end(why)));
+    const endSlow = () => {
+      if (why === 'slow') end('slow');
+    };
+    const timer = Timer.after(span, () => (why === 'slow' ? setImmediate(endSlow) : end(why)));
     if (needs.signal.aborted) onLeave();
     needs.signal.addEventListener('abort', onLeave, { once: true });
     const job = inFlight.begin(pick.server.instance, needs.weight);
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -137,6 +137,35 @@
     assert.deepEqual(seen, ['suspect']);
   });
 
+  it('keeps a connection that comes up in the same turn as its time ends, as after the process was held up', async () => {
+    const connection = {
+      mayCarry: () => true,
+      destroy: async () => {},
+      async run(_request: unknown, terms: { signal: AbortSignal; maySend: () => boolean }) {
+        terms.maySend();
+        await pause(30);
+        const { aborted } = terms.signal;
+        return { kind: 'failure', isSent: true, cause: new Error(aborted ? 'cut' : 'ended by itself') };
+      },
+    } as unknown as Connection;
+    let sawAbort = true;
+    const run = connection.run;
+    Object.assign(connection, {
+      async run(request: never, terms: never) {
+        const told = await run(request, terms);
+        sawAbort = told.kind === 'failure' && told.cause.message === 'cut';
+        return told;
+      },
+    });
+    const held = runTrial({ take: () => pause(398).then(() => connection) });
+    await pause(380);
+    const until = performance.now() + 60;
+    while (performance.now() < until);
+    const trial = await held;
+    assert.equal(sawAbort, false);
+    assert.deepEqual([trial.kind, 'why' in trial && trial.why], ['lost', 'reset']);
+  });
+
   it('ends when its server is found dark, as one that may have run', async () => {
     let isForgotten = false;
     let settle: (exchange: unknown) => void = () => {};
