Take a proof that was broken off for none: a server that is back is not told as dark again

Found by reading: hearing that a server is back breaks off a proof under way, which was then taken for a failed one and told to all. The test fails without the change.

--- a/src/upstream/prover.ts
+++ b/src/upstream/prover.ts
@@ -101,6 +101,8 @@
       needs.pool.give(connection);
       return onProved(server, !isHearsay || count > 0);
     }
+    // A proof that was broken off has proved nothing.
+    if (stop.signal.aborted) return;
     if (isHearsay && count === 0) onConfirmed(server);
     span = Math.min(rests.longest, Math.max(rests.first, span * 2));
   }
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -80,6 +80,29 @@
     prover.stop();
   });
 
+  it('is not confirmed by a proof that was broken off when another proxy had it back', async () => {
+    const dark: string[] = [];
+    const servers = new Map([['s1', serverOf('s1')]]);
+    const prover = Prover.of({
+      pool: {
+        give() {},
+        open: (_server: unknown, _group: unknown, signal: AbortSignal) =>
+          new Promise((_resolve, reject) => {
+            signal.addEventListener('abort', () => reject(signal.reason));
+          }),
+      } as unknown as Pool,
+      newest: () => ({ servers, groups: new Map([['llm', group]]) }) as unknown as Compiled,
+      isFresh: () => false,
+      onDark: ({ instance }) => void dark.push(instance),
+      onBack() {},
+    });
+    prover.hear('s1');
+    await pause(40);
+    prover.hearBack('s1');
+    await pause(40);
+    assert.deepEqual([dark, prover.dark()], [[], []]);
+  });
+
   it('that this proxy found itself is proved here, whatever others say', () => {
     const { prover } = proverOf(() => false);
     prover.lost(serverOf('s1'));
