--- a/src/upstream/suspicion.ts
+++ b/src/upstream/suspicion.ts
@@ -13,8 +13,8 @@
 
 const longest = 1000;
 /** Below this a server that is merely busy would be asked as often as one that is gone. */
-const shortest = 400;
-const partOfAim = 0.6;
+const shortest = 600;
+const partOfAim = 0.9;
 const partOfGap = 0.7;
 
 const within = (span: number): number => Math.min(longest, Math.max(shortest, span));
