--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -1,11 +1,12 @@
-// One connection to one instance: opened, then proved, then used for one exchange at a time. It is
-// made over a socket of our own that undici is handed exactly once, so a connection that has ended can
-// never quietly become a new one to whoever answers at that address now.
+/**
+ * One connection to one instance: opened, then proved, then used for one exchange at a time. Its socket is opened once,
+ * so a connection that has ended can never quietly become a new one to whoever answers at that address now.
+ */
 import { connect, type Socket } from 'node:net';
-import { Client } from 'undici';
 import { Address } from '../kinds/address.js';
 import { Failure } from '../kinds/failure.js';
 import { Phase } from '../kinds/phase.js';
+import { Timer } from '../kinds/timer.js';
 import type { Compiled } from '../manifest/compiled.js';
 import { Exchange } from './exchange.js';
 import { Identity } from './identity.js';
@@ -16,12 +17,12 @@
   /** Sends the request; without a tie between it and its answer the connection carries no other after it. */
   readonly run: (
     request: Exchange.Request,
-    terms: Omit<Exchange.Terms, 'ending'> & { readonly isTied: boolean },
+    terms: Pick<Exchange.Terms, 'maySend' | 'signal'> & { readonly isTied: boolean },
   ) => Promise<Exchange>;
   /** Whether it may carry a request that nothing ties to its answer, or else any. */
   readonly mayCarry: (isTied: boolean) => boolean;
   readonly release: () => void;
-  readonly destroy: (cause?: Error) => Promise<void>;
+  readonly destroy: () => Promise<void>;
   readonly onClose: (see: () => void) => void;
 };
 
@@ -29,9 +30,11 @@
   type State = 'proving' | 'idle' | 'busy' | 'closed';
 }
 
-type Listener = (this: unknown, ...values: unknown[]) => void;
-
 const longestIdentity = 1024 * 1024;
+/** How long a connection rests before it is ended, in milliseconds, where its server doesn't say. */
+const longestRest = 30_000;
+/** A connection is ended this long before its server would end it, in milliseconds. */
+const restMargin = 2000;
 
 const openSocket = (server: Compiled.Server, signal: AbortSignal): Promise<Socket> =>
   new Promise((resolve, reject) => {
@@ -60,82 +63,35 @@
     });
   });
 
-const wrap = (server: Compiled.Server, socket: Socket): Client => {
-  let isSpent = false;
-  return new Client(Address.origin(server.address), {
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: 30_000,
-    maxHeaderSize: 32 * 1024,
-    connect(_options, callback) {
-      const isOver = isSpent || socket.destroyed;
-      isSpent = true;
-      queueMicrotask(() => {
-        if (isOver) callback(Failure.of('connect', 'the connection has ended'), null);
-        else callback(null, socket);
-      });
-    },
-  });
-};
-
-/**
- * Ends the connection where a listener of the server's end fails: undici asserts there that its parser is not held
- * back, and the failure would end the whole process. The answer is then cut visibly, as after a reset.
- */
-const guardEnd = (socket: Socket): void => {
-  const on = socket.on.bind(socket);
-  const guard = (listener: Listener): Listener => {
-    const guarded: Listener & { listener?: Listener } = function guarded(this: unknown, ...values) {
-      try {
-        listener.apply(this, values);
-      } catch (error) {
-        socket.destroy(error as Error);
-      }
-    };
-    // By this name the listener is found when it is taken off again.
-    guarded.listener = listener;
-    return guarded;
-  };
-  socket.on = ((event: string, listener: Listener) =>
-    on(event, event === 'end' ? guard(listener) : listener)) as Socket['on'];
-};
-
 /**
- * How the server ended the connection. A reset that comes with the last bytes looks like an orderly end; writing
- * nothing fails then. The HTTP client takes a reset that it is told by this code for the end of an answer, so it is
- * told another.
+ * Whether the server has ended the connection in order. A reset that comes with the last bytes looks like an orderly
+ * end; writing nothing fails then.
  */
-const watchEnd = (socket: Socket): Exchange.Ending => {
-  let see: () => void = () => {};
-  guardEnd(socket);
-  socket.on('error', (error: NodeJS.ErrnoException) => {
-    if (error.code === 'ECONNRESET') error.code = 'EPIPE';
-  });
+const watchEnd = (socket: Socket): (() => boolean) => {
   socket.once('end', () => {
     socket.write(Buffer.alloc(0));
-    see();
     setImmediate(() => socket.destroy());
   });
-  return {
-    isOrderly: () => socket.readableEnded && socket.errored === null,
-    before(next) {
-      see = next;
-    },
-  };
+  return () => socket.readableEnded && socket.errored === null;
+};
+
+/** How long a connection may rest after an answer with these headers, in milliseconds. */
+const restOf = ({ 'keep-alive': told }: Exchange.Kept['headers']): number => {
+  const seconds = /timeout=\s*(\d+)/i.exec(String(told ?? ''))?.[1];
+  return seconds === undefined ? longestRest : Math.min(longestRest, Number(seconds) * 1000 - restMargin);
 };
 
 const prove = async (
-  client: Client,
-  ending: Exchange.Ending,
+  line: Exchange.Line,
   server: Compiled.Server,
   group: Compiled.Group,
   signal: AbortSignal,
+  onEnd: (kept: Exchange.Kept) => void,
 ) => {
   const response = await Exchange.run(
-    client,
+    line,
     { method: 'GET', path: group.identity.path, headers: { accept: 'application/json' }, body: null },
-    { maySend: () => true, signal, ending },
+    { maySend: () => true, signal, onEnd },
   );
   if (response.kind === 'failure') throw response.cause;
   const text = (await response.body.collect(longestIdentity)).toString('utf8');
@@ -150,69 +106,135 @@
   Identity.prove({ headers: response.headers, body }, server, group);
 };
 
-export const Connection = {
-  async open(server: Compiled.Server, group: Compiled.Group, signal: AbortSignal): Promise<Connection> {
-    const socket = await openSocket(server, signal);
-    const ending = watchEnd(socket);
-    const client = wrap(server, socket);
-    const watchers: (() => void)[] = [];
-    const phase = Phase.of<Connection.State>(
+type State = Connection.State;
+
+/** How a connection is used: one exchange at a time, and a rest between two. */
+class Use {
+  readonly phase: Phase<State>;
+  readonly watchers: (() => void)[] = [];
+  private isWhole: (() => boolean) | undefined;
+  private kept: Exchange.Kept | undefined;
+  private rest: Timer | undefined;
+  private hasCarried = false;
+  private mayCarryMore = true;
+
+  constructor(private readonly socket: Socket) {
+    this.phase = Phase.of<State>(
       'proving',
       { proving: ['idle', 'closed'], idle: ['busy', 'closed'], busy: ['idle', 'closed'], closed: [] },
       (_from, to) => {
-        if (to === 'closed') for (const see of watchers) see();
+        if (to === 'closed') this.end();
       },
     );
-    const close = () => {
-      if (!phase.is('closed')) phase.become('closed');
-    };
+    // Registered before any exchange listens, so that what ends an answer is not taken for more than it.
+    socket.on('data', () => {
+      if (this.isSurplus()) socket.destroy();
+    });
+  }
+
+  private isSurplus(): boolean {
+    if (this.phase.is('idle')) return true;
+    return this.isWhole?.() === true;
+  }
+
+  private end(): void {
+    this.rest?.stop();
+    for (const see of this.watchers) see();
+  }
+
+  close(): void {
+    if (!this.phase.is('closed')) this.phase.become('closed');
+  }
+
+  mayCarry(isTied: boolean): boolean {
+    return this.mayCarryMore && (isTied || !this.hasCarried);
+  }
+
+  begin(isTied: boolean): void {
+    this.phase.become('busy');
+    this.isWhole = undefined;
+    this.kept = undefined;
+    this.hasCarried = true;
+    this.mayCarryMore = isTied;
+  }
+
+  readonly onHead = (isWhole: () => boolean): void => {
+    this.isWhole = isWhole;
+  };
+
+  readonly onEnd = (kept: Exchange.Kept): void => {
+    this.kept = kept;
+  };
+
+  /** Whether another exchange may follow the last one, for the time that the connection rests. */
+  settle(): boolean {
+    const { kept, socket } = this;
+    // After an early answer the server may never read the rest, and whatever came next would wait behind it.
+    if (!kept?.isReusable || socket.destroyed || socket.writableLength > 0) return false;
+    const span = restOf(kept.headers);
+    if (span <= 0) return false;
+    this.isWhole = undefined;
+    this.rest?.stop();
+    this.rest = Timer.after(span, () => {
+      if (this.phase.is('idle')) socket.destroy();
+    });
+    return true;
+  }
+}
+
+const authorityOf = (server: Compiled.Server): string => Address.text(server.address);
+
+export const Connection = {
+  async open(server: Compiled.Server, group: Compiled.Group, signal: AbortSignal): Promise<Connection> {
+    const socket = await openSocket(server, signal);
+    const line = Exchange.line(socket, authorityOf(server), watchEnd(socket));
+    const use = new Use(socket);
+    const { phase } = use;
     const gone = new Promise<void>((resolve) => {
       socket.once('close', () => {
-        close();
+        use.close();
         resolve();
       });
     });
-    client.on('disconnect', close);
-    const destroy = async (cause?: Error) => {
-      close();
-      socket.destroy(cause ?? Failure.of('connect', 'the connection was ended here'));
-      await client.destroy(cause ?? null).catch(() => undefined);
-      await gone;
+    const destroy = () => {
+      use.close();
+      socket.destroy();
+      return gone;
     };
     try {
-      if (!group.proof) await prove(client, ending, server, group, signal);
+      if (!group.proof) await prove(line, server, group, signal, use.onEnd);
     } catch (error) {
       await destroy();
       throw Failure.is(error, 'identity')
         ? error
         : Failure.of('connect', 'identity was not proved', { to: server.instance }, error);
     }
-    if (phase.is('closed')) throw Failure.of('connect', 'the connection has ended');
+    const isOpen = !phase.is('closed') && (group.proof !== undefined || use.settle());
+    if (!isOpen) {
+      await destroy();
+      throw Failure.of('connect', 'the connection has ended');
+    }
     phase.become('idle');
-    let hasCarried = false;
-    let mayCarryMore = true;
     return {
       server,
       state: () => phase.state,
-      mayCarry: (isTied) => mayCarryMore && (isTied || !hasCarried),
+      mayCarry: (isTied) => use.mayCarry(isTied),
       destroy,
-      onClose: (see) => void watchers.push(see),
-      run(request, terms) {
-        if (!phase.is('idle'))
+      onClose: (see) => void use.watchers.push(see),
+      run(request, { isTied, maySend, signal: cut }) {
+        if (!phase.is('idle') || socket.destroyed)
           return Promise.resolve({
             kind: 'failure',
             isSent: false,
             cause: Failure.of('connect', `the connection is ${phase.state}`),
           });
-        phase.become('busy');
-        hasCarried = true;
-        mayCarryMore = terms.isTied;
-        return Exchange.run(client, request, { ...terms, ending });
+        use.begin(isTied);
+        return Exchange.run(line, request, { maySend, signal: cut, onHead: use.onHead, onEnd: use.onEnd });
       },
       release() {
-        // An early answer: the server may never read the rest, and whatever came next would wait behind it.
-        if (socket.writableLength > 0) void destroy();
-        else if (phase.is('busy')) phase.become('idle');
+        if (!phase.is('busy')) return;
+        if (use.settle()) phase.become('idle');
+        else void destroy();
       },
     };
   },
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -1,8 +1,16 @@
-// One exchange over one connection: the request is handed to the socket, and either a head comes back
-// with a body to read, or a failure that says whether any byte of the request may have left. The check
-// given runs at the very moment of sending: when it says no, nothing is written.
-import type { IncomingHttpHeaders } from 'node:http';
-import type { Client, Dispatcher } from 'undici';
+/**
+ * One exchange over one connection: the request is handed to the socket, and either a head comes back with a body to
+ * read, or a failure that says whether any byte of the request may have left. The check given runs at the very moment
+ * of sending: when it says no, nothing is written.
+ */
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request,
+} from 'node:http';
+import type { Socket } from 'node:net';
 import { Failure } from '../kinds/failure.js';
 
 export type Exchange =
@@ -31,132 +39,240 @@
     readonly collect: (longest: number) => Promise<Buffer>;
     readonly abort: (cause: Error) => void;
   };
-  type Ending = {
+  /** The connection as an exchange sees it. */
+  type Line = {
+    readonly socket: Socket;
+    /** Host and port, for a request that names no host. */
+    readonly authority: string;
     /** Whether the server has ended the connection in order, and has not reset it. */
     readonly isOrderly: () => boolean;
-    /** Calls back when the server has ended the connection, before the HTTP client hears of it. */
-    readonly before: (see: () => void) => void;
+    readonly agent: Agent;
+  };
+  /** What the end of an answer says about its connection. */
+  type Kept = {
+    /** Whether another exchange may follow. */
+    readonly isReusable: boolean;
+    readonly headers: IncomingHttpHeaders;
   };
   type Terms = {
     readonly maySend: () => boolean;
     readonly signal: AbortSignal;
-    /** The connection, by whose orderly end an answer without a length is whole. */
-    readonly ending: Ending;
+    /** Called once the answer has begun, with a question that tells whether all of it has arrived. */
+    readonly onHead?: (isWhole: () => boolean) => void;
+    /** Called when the whole answer has been read. */
+    readonly onEnd?: (kept: Kept) => void;
   };
 }
 
-type Told =
-  | { readonly kind: 'data'; readonly chunk: Buffer }
-  | { readonly kind: 'end'; readonly cause?: Error };
+const longestHead = 32 * 1024;
 
 const hasNoBody = (method: string, status: number): boolean =>
   method === 'HEAD' || status === 204 || status === 304;
 
 /** Whether an answer is delimited by nothing but the end of its connection. */
-const lastsToEnd = (method: string, status: number, headers: IncomingHttpHeaders): boolean =>
-  !hasNoBody(method, status) &&
+const lastsToEnd = (method: string, { statusCode = 0, headers }: IncomingMessage): boolean =>
+  !hasNoBody(method, statusCode) &&
   headers['content-length'] === undefined &&
-  !/chunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''));
-
-const makeBody = (controller: Dispatcher.DispatchController) => {
-  let sink: Exchange.Sink | undefined;
-  let last: Told | undefined;
-  let isEnding = false;
-  const early: Buffer[] = [];
-  const tell = (told: Told) => {
-    if (!sink) {
-      if (told.kind === 'data') early.push(told.chunk);
-      else last = told;
-    } else if (told.kind === 'data') {
-      if (!sink.write(told.chunk) && !isEnding) controller.pause();
-    } else if (told.cause) sink.fail(told.cause);
-    else sink.end();
+  !/chunked\s*$/i.test(headers['transfer-encoding'] ?? '');
+
+const mayHaveBody = new Set(['POST', 'PUT', 'PATCH']);
+
+/** Names and values in turn, as they go on the wire. */
+const headersOf = ({ method, headers, body }: Exchange.Request, authority: string): string[] => {
+  const list: string[] = [];
+  if (headers.host === undefined) list.push('host', authority);
+  for (const name in headers) list.push(name, headers[name]!);
+  list.push('connection', 'keep-alive');
+  if (body) list.push('content-length', String(body.length));
+  else if (mayHaveBody.has(method)) list.push('content-length', '0');
+  return list;
+};
+
+/** Gives each request the one connection that it was made for, and keeps none. */
+class LineAgent extends Agent {
+  constructor(private readonly socket: Socket) {
+    super({ keepAlive: true });
+  }
+
+  addRequest(asked: ClientRequest): void {
+    asked.onSocket(this.socket);
+  }
+}
+
+const open = ({ agent, authority }: Exchange.Line, asked: Exchange.Request): ClientRequest =>
+  request({
+    method: asked.method,
+    path: asked.path,
+    headers: headersOf(asked, authority),
+    maxHeaderSize: longestHead,
+    agent,
+  });
+
+type Ways = { readonly onWhole: () => void; readonly abort: (cause: Error) => void };
+
+/** The body of an answer, read by one sink. It waits in its stream until there is one. */
+class AnswerBody implements Exchange.Body {
+  private sink: Exchange.Sink | undefined;
+  private cause: Error | undefined;
+
+  constructor(
+    private readonly answer: IncomingMessage,
+    private readonly ways: Ways,
+  ) {}
+
+  pump(sink: Exchange.Sink): { readonly resume: () => void } {
+    const { answer, ways } = this;
+    this.sink = sink;
+    if (this.cause) sink.fail(this.cause);
+    else {
+      answer.once('end', ways.onWhole);
+      answer.on('data', (chunk: Buffer) => {
+        if (!this.cause && !sink.write(chunk)) answer.pause();
+      });
+    }
+    return { resume: () => void answer.resume() };
+  }
+
+  collect(longest: number): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+      const chunks: Buffer[] = [];
+      let length = 0;
+      this.pump({
+        write: (chunk) => {
+          length += chunk.length;
+          if (length > longest) this.abort(Failure.of('reset', 'body too long'));
+          else chunks.push(chunk);
+          return true;
+        },
+        end: () => resolve(Buffer.concat(chunks)),
+        fail: reject,
+      });
+    });
+  }
+
+  abort(cause: Error): void {
+    this.ways.abort(cause);
+  }
+
+  end(): void {
+    this.sink?.end();
+  }
+
+  fail(cause: Error): void {
+    this.cause = cause;
+    this.sink?.fail(cause);
+  }
+}
+
+class Running {
+  private isSent = false;
+  private isOver = false;
+  private answer: IncomingMessage | undefined;
+  private body: AnswerBody | undefined;
+  private sent: ClientRequest | undefined;
+
+  constructor(
+    private readonly line: Exchange.Line,
+    private readonly asked: Exchange.Request,
+    private readonly terms: Exchange.Terms,
+    private readonly resolve: (exchange: Exchange) => void,
+  ) {}
+
+  start(): void {
+    const { signal, maySend } = this.terms;
+    if (signal.aborted) {
+      this.fail(signal.reason as Error);
+      return;
+    }
+    if (!maySend()) {
+      this.fail(Failure.of('left', 'not sent: its time or its client was gone'));
+      return;
+    }
+    signal.addEventListener('abort', this.onAbort, { once: true });
+    try {
+      this.send();
+    } catch (error) {
+      this.fail(error as Error);
+    }
+  }
+
+  private send(): void {
+    const sent = open(this.line, this.asked);
+    this.isSent = true;
+    this.sent = sent;
+    sent.on('error', this.onError);
+    sent.once('close', this.onClose);
+    sent.once('response', this.onResponse);
+    sent.end(this.asked.body ?? undefined);
+  }
+
+  private readonly onAbort = (): void => this.fail(this.terms.signal.reason as Error);
+
+  /** What happens to the connection does not matter to an answer that is here whole. */
+  private readonly onError = (cause: Error): void => {
+    if (!this.answer?.complete) this.fail(cause);
   };
-  const body: Exchange.Body = {
-    abort: (cause) => controller.abort(cause),
-    pump(next) {
-      sink = next;
-      for (const chunk of early.splice(0)) sink.write(chunk);
-      if (last) tell(last);
-      else controller.resume();
-      return { resume: () => controller.resume() };
-    },
-    collect: (longest) =>
-      new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
-        body.pump({
-          write(chunk) {
-            length += chunk.length;
-            if (length > longest) controller.abort(Failure.of('reset', 'body too long'));
-            else chunks.push(chunk);
-            return true;
-          },
-          end: () => resolve(Buffer.concat(chunks)),
-          fail: reject,
-        });
-      }),
+
+  private readonly onClose = (): void => {
+    if (!this.answer?.complete) this.fail(Failure.of('reset', 'the connection has ended'));
   };
-  /** All bytes have come: nothing is gained by a pause any more. */
-  const end = () => {
-    isEnding = true;
-    controller.resume();
+
+  private readonly onResponse = (answer: IncomingMessage): void => {
+    this.answer = answer;
+    answer.on('error', this.onError);
+    this.body = new AnswerBody(answer, {
+      onWhole: this.onWhole,
+      abort: (cause) => this.fail(cause),
+    });
+    this.terms.onHead?.(() => answer.complete);
+    this.resolve({
+      kind: 'head',
+      status: answer.statusCode ?? 0,
+      headers: answer.headers,
+      body: this.body,
+    });
   };
-  return { body, tell, end };
-};
+
+  private readonly onWhole = (): void => {
+    const { answer, asked, line } = this;
+    const isWhole = answer?.complete && (!lastsToEnd(asked.method, answer) || line.isOrderly());
+    if (isWhole) this.end();
+    else this.fail(Failure.of('reset', 'an answer was cut'));
+  };
+
+  private end(): void {
+    if (this.isOver) return;
+    this.finish();
+    const { sent, answer } = this;
+    this.terms.onEnd?.({
+      isReusable: sent?.shouldKeepAlive === true && sent.writableFinished,
+      headers: answer?.headers ?? {},
+    });
+    this.body?.end();
+  }
+
+  private finish(): void {
+    this.isOver = true;
+    this.terms.signal.removeEventListener('abort', this.onAbort);
+  }
+
+  private fail(cause: Error): void {
+    if (this.isOver) return;
+    this.finish();
+    this.line.socket.destroy();
+    if (this.body) this.body.fail(cause);
+    else this.resolve({ kind: 'failure', isSent: this.isSent, cause });
+  }
+}
 
 export const Exchange = {
-  run: (client: Client, request: Exchange.Request, terms: Exchange.Terms): Promise<Exchange> =>
-    new Promise((resolve) => {
-      let isSent = false;
-      let made: ReturnType<typeof makeBody> | undefined;
-      let needsEnd = false;
-      let abort: (cause: Error) => void = (cause) => fail(cause);
-      const onAbort = () => abort(terms.signal.reason as Error);
-      const finish = () => terms.signal.removeEventListener('abort', onAbort);
-      const fail = (cause: Error) => {
-        finish();
-        if (made) made.tell({ kind: 'end', cause });
-        else resolve({ kind: 'failure', isSent, cause });
-      };
-      if (terms.signal.aborted) return fail(terms.signal.reason as Error);
-      terms.signal.addEventListener('abort', onAbort, { once: true });
-      client.dispatch(
-        {
-          method: request.method as Dispatcher.HttpMethod,
-          path: request.path,
-          headers: request.headers,
-          body: request.body,
-        },
-        {
-          onRequestStart(controller) {
-            abort = (cause) => controller.abort(cause);
-            if (terms.signal.aborted || !terms.maySend())
-              throw Failure.of('left', 'not sent: its time or its client was gone');
-            isSent = true;
-          },
-          onResponseStart(controller, status, headers) {
-            if (status < 200) return;
-            needsEnd = lastsToEnd(request.method, status, headers);
-            made = makeBody(controller);
-            controller.pause();
-            // The HTTP client cannot bear the end of a connection while it pauses.
-            terms.ending.before(made.end);
-            resolve({ kind: 'head', status, headers, body: made.body });
-          },
-          onResponseData(_controller, chunk) {
-            made?.tell({ kind: 'data', chunk });
-          },
-          onResponseEnd() {
-            if (needsEnd && !terms.ending.isOrderly())
-              return fail(Failure.of('reset', 'an answer without a length was cut'));
-            finish();
-            made?.tell({ kind: 'end' });
-          },
-          onResponseError(_controller, cause) {
-            fail(cause);
-          },
-        },
-      );
-    }),
+  /** A connection made ready for exchanges. */
+  line: (socket: Socket, authority: string, isOrderly: () => boolean): Exchange.Line => ({
+    socket,
+    authority,
+    isOrderly,
+    agent: new LineAgent(socket),
+  }),
+  run: (line: Exchange.Line, asked: Exchange.Request, terms: Exchange.Terms): Promise<Exchange> =>
+    new Promise((resolve) => new Running(line, asked, terms, resolve).start()),
 };
--- /dev/null
+++ b/tools/bench/relay-traffic.ts
@@ -0,0 +1,114 @@
+/**
+ * Traffic for measuring a relay: a server that answers each request with a stream of events, and callers on kept
+ * connections. Both write and read raw bytes, so that they cost the relay's process nothing.
+ */
+import { once } from 'node:events';
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net';
+import { RawHttp } from '../fuzz/raw-http.js';
+
+export declare namespace RelayTraffic {
+  /** One shape of requests: how many are sent, and how many events each answer has. */
+  type Shape = { readonly requests: number; readonly events: number };
+  type Server = { readonly address: string; readonly stop: () => void };
+}
+
+export type RelayTraffic = {
+  readonly startServer: () => Promise<RelayTraffic.Server>;
+  /** Sends the requests, several at a time, and fails unless each gets its whole answer. */
+  readonly play: (address: string, path: string, shape: RelayTraffic.Shape) => Promise<void>;
+};
+
+const bodyBytes = 8192;
+const eventBytes = 65;
+/** Between two events of a stream, in milliseconds. */
+const eventGap = 4;
+const concurrency = 8;
+const eventsHeader = 'events';
+const idHeader = 'attempt-id';
+const body = 'b'.repeat(bodyBytes);
+
+const eventOf = (number: number): string =>
+  `id: ${number}\ndata: `.padEnd(eventBytes - 2, 'x').concat('\n\n');
+
+const answer = (socket: Socket, { headers }: RawHttp.Request): void => {
+  const count = Number(headers[eventsHeader]);
+  const id = headers[idHeader] ?? '';
+  socket.write(
+    RawHttp.answer(200, {
+      [idHeader]: id,
+      'content-type': 'text/event-stream',
+      'transfer-encoding': 'chunked',
+    }),
+  );
+  let sent = 0;
+  const next = () => {
+    sent += 1;
+    socket.write(RawHttp.chunk(eventOf(sent)));
+    if (sent < count) setTimeout(next, eventGap);
+    else socket.write(RawHttp.lastChunk);
+  };
+  next();
+};
+
+const open = async (address: string): Promise<Socket> => {
+  const [host = '', port] = address.split(':');
+  const socket = connect({ host, port: Number(port), noDelay: true });
+  await once(socket, 'connect');
+  // Each answer that is read puts listeners of its own on the connection.
+  socket.setMaxListeners(0);
+  return socket;
+};
+
+const headersOf = (id: string, events: number) => ({
+  host: 'serve.example',
+  [idHeader]: id,
+  model: 'm',
+  'token-count': '2890,56',
+  'prompt-prefix': '5c1e07a2:2520,91bd3f06:3780,e4402b7d:2890',
+  'remaining-time': '5000',
+  'content-type': 'application/json',
+  [eventsHeader]: String(events),
+});
+
+let serial = 0;
+
+const ask = async (socket: Socket, path: string, events: number): Promise<void> => {
+  serial += 1;
+  socket.write(RawHttp.request('POST', path, headersOf(`relay-${serial}`, events), body));
+  const got = await RawHttp.readAnswer(socket);
+  const isWhole = got.status === 200 && got.end === 'whole' && got.body.length === events * eventBytes;
+  if (!isWhole) throw new Error(`an answer of ${events} events came as ${got.status}, ${got.end}`);
+};
+
+export const RelayTraffic: RelayTraffic = {
+  async startServer() {
+    const sockets = new Set<Socket>();
+    const server = createServer({ noDelay: true }, (socket) => {
+      sockets.add(socket);
+      socket.on('error', () => {});
+      socket.once('close', () => sockets.delete(socket));
+      RawHttp.readRequests(socket, (request) => answer(socket, request));
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    return {
+      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+      stop() {
+        server.close();
+        for (const socket of sockets) socket.destroy();
+      },
+    };
+  },
+  async play(address, path, { requests, events }) {
+    let left = requests;
+    const callOnOne = async () => {
+      const socket = await open(address);
+      while (left > 0) {
+        left -= 1;
+        await ask(socket, path, events);
+      }
+      socket.destroy();
+    };
+    await Promise.all(Array.from({ length: concurrency }, callOnOne));
+  },
+};
