--- a/src/kinds/timer.ts
+++ b/src/kinds/timer.ts
@@ -4,6 +4,7 @@
  */
 import { Ticker } from './ticker.js';
 
+/** A timer that runs. */
 export type Timer = {
   readonly stop: () => void;
   readonly move: (span: number) => void;
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -9,6 +9,7 @@
 import type { Dialect } from './dialect.js';
 import type { Prompt } from './prompt.js';
 
+/** A request and what is known of it. */
 export type Call = {
   readonly id: Ident.Request;
   readonly arrived: Moment;
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -20,6 +20,7 @@
 import type { Shares } from './shares.js';
 import type { Stall } from './stall.js';
 
+/** Answers a call, or lets it go on. */
 export type Filter = (call: Call) => Filter.Step | Promise<Filter.Step>;
 
 export declare namespace Filter {
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -11,6 +11,7 @@
 import { Prompt } from '../prompt.js';
 import { Responses } from '../responses.js';
 
+/** Whether a rule may take a call. */
 export type Admit = { readonly mayMatch: (rule: Compiled.Rule) => boolean };
 
 type Bad = 'long' | 'late' | 'left';
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -17,6 +17,7 @@
 import { Responses } from '../responses.js';
 import { Walled } from '../walled.js';
 
+/** What the tries of a call came to. */
 export type Attempt = { readonly verdict: Tries };
 
 type Sending = {
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -10,6 +10,7 @@
 import { Responses } from '../responses.js';
 import { StreamAnswer } from '../stream-answer.js';
 
+/** What a call is answered with. */
 export type Commit = { readonly verdict: Tries };
 
 type Refused = Extract<Tries, { kind: 'refusal' }>;
--- a/src/proxy/filters/home.ts
+++ b/src/proxy/filters/home.ts
@@ -6,6 +6,7 @@
 import type { Filter } from '../filter.js';
 import { Responses } from '../responses.js';
 
+/** The home of a call. */
 export type Home = { readonly name: string };
 
 export const Home = {
--- a/src/proxy/filters/list-models.ts
+++ b/src/proxy/filters/list-models.ts
@@ -3,6 +3,7 @@
 import type { Filter } from '../filter.js';
 import { Responses } from '../responses.js';
 
+/** The path of the list. */
 export type ListModels = { readonly path: string };
 
 const path = '/v1/models';
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -10,6 +10,7 @@
 import { Responses } from '../responses.js';
 import { Admit } from './admit.js';
 
+/** The timeouts that a call runs under. */
 export type MatchRule = { readonly timeouts: Document.Timeouts };
 
 const overrides = 'bramblebend-timeouts';
--- a/src/proxy/filters/quota.ts
+++ b/src/proxy/filters/quota.ts
@@ -7,6 +7,7 @@
 import type { Filter } from '../filter.js';
 import { Responses } from '../responses.js';
 
+/** Whose quota a call is charged to. */
 export type Quota = { readonly team: string };
 
 const admit = async (needs: Filter.Needs, call: Call): Promise<Filter.Step> => {
--- a/src/proxy/filters/target.ts
+++ b/src/proxy/filters/target.ts
@@ -7,6 +7,7 @@
 import type { Filter } from '../filter.js';
 import { Responses } from '../responses.js';
 
+/** What a request is for. */
 export type Target = { readonly path: string };
 
 /** A name, an IPv4 or a bracketed IPv6 address, with a port or without. */
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -32,6 +32,7 @@
 import { FirstManifest } from './first-manifest.js';
 import { Meters } from './meters.js';
 import { Quotas } from './quotas.js';
+import { Readiness } from './readiness.js';
 import { ProxyServer } from './server.js';
 import { Shares } from './shares.js';
 import { Stall } from './stall.js';
@@ -179,14 +180,13 @@
     });
     const voucher = Voucher.of(feed, enforce);
     feed.watch(enforce);
-    const isReady = () =>
-      isDraining
-        ? 'draining'
-        : !compiled
-          ? 'no manifest yet'
-          : compiled.isEvacuated(startup.zone)
-            ? 'zone evacuated'
-            : undefined;
+    const readiness = Readiness.of({
+      zone: startup.zone,
+      isDraining: () => isDraining,
+      compiled: () => compiled,
+      listSerial: () => feed.view().platform.serial,
+    });
+    const isReady = readiness.reason;
     const { server, limit } = ProxyServer.of(
       {
         compiled: () => compiled,
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -5,6 +5,7 @@
 import { Stamp } from '../kinds/stamp.js';
 import type { Call } from './call.js';
 
+/** An answer of this proxy's own. */
 export type Responses = {
   readonly status: 400 | 401 | 403 | 404 | 408 | 413 | 429 | 500 | 502 | 503 | 504;
   readonly code: string;
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -19,6 +19,7 @@
 import { Target } from './filters/target.js';
 import { Responses } from './responses.js';
 
+/** The callers' port. */
 export type ProxyServer = {
   readonly server: Server;
   /** Takes the machine's limits as the newest manifest has them. */
--- a/src/proxy/stream-answer.ts
+++ b/src/proxy/stream-answer.ts
@@ -16,6 +16,7 @@
 import { Reset } from './reset.js';
 import { StreamPump } from './stream-pump.js';
 
+/** An answer that has begun. */
 export type StreamAnswer = { readonly pass: () => Promise<StreamPump> };
 
 type Streamed = Extract<Trial, { kind: 'stream' }>;
--- a/src/startup/program.ts
+++ b/src/startup/program.ts
@@ -66,21 +66,32 @@
   return { ...file, ...Object.fromEntries(given.map(([flag, value]) => [flag, readValue(flag, value)])) };
 };
 
-const run = async (terms: Program.Made): Promise<void> => {
-  const ring = Ring.of(terms.node);
-  const die = (error: unknown) => {
+/** Sees to it that the program does not end without a line that says why; returns how to end it after a failure. */
+const watchEnd = (ring: Ring, isDraining: () => boolean): ((error: unknown) => never) => {
+  let isTold = false;
+  const die = (error: unknown): never => {
+    isTold = true;
     ring.alert('the program ends', { why: Failure.text(error), stack: (error as Error)?.stack });
     process.exit(1);
   };
   process.on('uncaughtException', die);
   process.on('unhandledRejection', die);
+  process.once('exit', (code) => {
+    if (!isTold && !isDraining()) ring.alert('the program ends', { why: 'nothing is left to do', code });
+  });
+  return die;
+};
+
+const run = async (terms: Program.Made): Promise<void> => {
+  const ring = Ring.of(terms.node);
+  let isDraining = false;
+  const die = watchEnd(ring, () => isDraining);
   let program: Program;
   try {
     program = await terms.start(ring);
   } catch (error) {
     return die(error);
   }
-  let isDraining = false;
   const end = () => {
     if (isDraining) process.exit(0);
     isDraining = true;
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -11,6 +11,7 @@
 import { Exchange } from './exchange.js';
 import { Identity } from './identity.js';
 
+/** A connection to a server. */
 export type Connection = {
   readonly server: Compiled.Server;
   readonly state: () => Connection.State;
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -13,6 +13,7 @@
 import type { Socket } from 'node:net';
 import { Failure } from '../kinds/failure.js';
 
+/** What came of an exchange. */
 export type Exchange =
   | {
       readonly kind: 'head';
--- a/src/wire/http-get.ts
+++ b/src/wire/http-get.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../kinds/failure.js';
 import { Timer } from '../kinds/timer.js';
 
+/** Reads documents of other programs. */
 export type HttpGet = {
   /** Reads what stands at the path; fails when all of it has not come in time. */
   readonly read: (address: string, path: string) => Promise<HttpGet.Answer>;
--- a/tools/bench/relay-subject.ts
+++ b/tools/bench/relay-subject.ts
@@ -9,6 +9,7 @@
 import { PlatformDialect } from '../../platform/dialect.js';
 import { Lab } from '../fuzz/lab.js';
 
+/** A relay in a process of its own. */
 export declare namespace RelaySubject {
   type Name = 'front' | 'undici' | 'http' | 'net';
   /** Processor milliseconds, reads and writes of the process since it started. */
--- a/tools/bench/relay-traffic.ts
+++ b/tools/bench/relay-traffic.ts
@@ -19,6 +19,7 @@
   type Server = { readonly address: string; readonly stop: () => void };
 }
 
+/** Sends requests through a relay. */
 export type RelayTraffic = {
   readonly startServer: (gap: number) => Promise<RelayTraffic.Server>;
   /** Sends the requests, several at a time, and fails unless each gets its whole answer. */
