--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -1,5 +1,5 @@
 /**
- * Admit: drops what this proxy cannot take on, finds the team by its key, and reads the body up to the largest limit of
+ * Admit: refuses what this proxy cannot take on, finds the team by its key, and reads the body up to the largest limit of
  * the rules that could match, within their deadline.
  */
 import type { IncomingMessage } from 'node:http';
--- a/src/proxy/filters/commit.ts
+++ b/src/proxy/filters/commit.ts
@@ -79,7 +79,7 @@
 const stream = async (needs: Filter.Needs, call: Call, streamed: Streamed): Promise<Filter.Step> => {
   const { trial, tries, sent } = streamed;
   if (call.outgoing.destroyed) {
-    await StreamAnswer.drop(trial);
+    await StreamAnswer.discard(trial);
     count(needs, call, 'client_left');
     return 'answered';
   }
--- a/src/proxy/filters/home.ts
+++ b/src/proxy/filters/home.ts
@@ -1,6 +1,6 @@
 /**
  * Home: the regions this call is bound to. They come from the rule's declared header or else the team's default; a home
- * that is not known, or not among the team's, is dropped and never guessed.
+ * that is not known, or not among the team's, is refused and never guessed.
  */
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
--- a/src/proxy/filters/quota.ts
+++ b/src/proxy/filters/quota.ts
@@ -1,5 +1,5 @@
 /**
- * Quota: a team that has used up what the manifest lets it ask for in a span is dropped as not run. A request is charged
+ * Quota: a team that has used up what the manifest lets it ask for in a span is refused as not run. A request is charged
  * once, when it is let in, however many tries it takes and whether or not its caller stays; only one that certainly was
  * not run is given back.
  */
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -32,7 +32,7 @@
 import { FirstManifest } from './first-manifest.js';
 import { Meters } from './meters.js';
 import { Quotas } from './quotas.js';
-import { Readiness } from './readiness.js';
+import { Ready } from './ready.js';
 import { ProxyServer } from './server.js';
 import { Shares } from './shares.js';
 import { Stall } from './stall.js';
@@ -180,13 +180,13 @@
     });
     const voucher = Voucher.of(feed, enforce);
     feed.watch(enforce);
-    const readiness = Readiness.of({
+    const ready = Ready.of({
       zone: startup.zone,
       isDraining: () => isDraining,
       compiled: () => compiled,
       listSerial: () => feed.view().platform.serial,
     });
-    const isReady = readiness.reason;
+    const isReady = ready.reason;
     const { server, limit } = ProxyServer.of(
       {
         compiled: () => compiled,
--- a/src/proxy/readiness.ts
+++ b/src/proxy/ready.ts
@@ -6,12 +6,12 @@
 import type { Compiled } from '../manifest/compiled.js';
 
 /** Tells whether callers may come. */
-export type Readiness = {
+export type Ready = {
   /** Why no callers should come now; undefined when they may. */
   readonly reason: () => string | undefined;
 };
 
-export declare namespace Readiness {
+export declare namespace Ready {
   type Needs = {
     readonly zone: string;
     readonly isDraining: () => boolean;
@@ -24,9 +24,9 @@
 /** How long after its start a proxy waits for the first list of servers, in milliseconds. */
 const longestWait = 3000;
 
-export const Readiness = {
+export const Ready = {
   longestWait,
-  of({ zone, isDraining, compiled, listSerial }: Readiness.Needs): Readiness {
+  of({ zone, isDraining, compiled, listSerial }: Ready.Needs): Ready {
     const began = Moment.now();
     const isListMissing = () => listSerial() === 0 && Moment.since(began) < longestWait;
     return {
--- a/src/proxy/stream-answer.ts
+++ b/src/proxy/stream-answer.ts
@@ -35,7 +35,7 @@
   else Reset.now(outgoing.socket);
 };
 
-const drop = async ({ connection, job }: Streamed): Promise<void> => {
+const discard = async ({ connection, job }: Streamed): Promise<void> => {
   await connection.destroy();
   job.end();
 };
@@ -135,7 +135,7 @@
     if (verdict.kind !== 'stream') return false;
     this.sent = verdict.sent;
     if (call.outgoing.destroyed || verdict.trial.status !== 200 || !isEventStream(verdict.trial)) {
-      await drop(verdict.trial);
+      await discard(verdict.trial);
       return false;
     }
     this.trial = verdict.trial;
@@ -144,7 +144,7 @@
 }
 
 export const StreamAnswer = {
-  drop,
+  discard,
   /** Commits to the server's answer: its head goes out. */
   begin: (needs: Filter.Needs, call: Call, trial: Streamed, sent: number, named: Headers): StreamAnswer =>
     new Answer(needs, call, trial, sent, named),
--- a/test/readiness.test.ts
+++ b/test/ready.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { Compiled } from '../src/manifest/compiled.js';
-import { Readiness } from '../src/proxy/readiness.js';
+import { Ready } from '../src/proxy/ready.js';
 import { ManualClock } from './manual-clock.js';
 
 const inForce = (evacuated: readonly string[] = []) =>
@@ -11,13 +11,13 @@
 
 const start = () => {
   const state = { isDraining: false, compiled: undefined as Compiled | undefined, serial: 0 };
-  const readiness = Readiness.of({
+  const ready = Ready.of({
     zone: 'a-1',
     isDraining: () => state.isDraining,
     compiled: () => state.compiled,
     listSerial: () => state.serial,
   });
-  return { state, reason: readiness.reason };
+  return { state, reason: ready.reason };
 };
 
 describe('the readiness of a proxy', () => {
@@ -42,7 +42,7 @@
     try {
       const { state, reason } = start();
       state.compiled = inForce();
-      clock.pass(Readiness.longestWait - 1);
+      clock.pass(Ready.longestWait - 1);
       assert.equal(reason(), 'no list of servers yet');
       clock.pass(1);
       assert.equal(reason(), undefined);
