--- a/test/first-manifest.test.ts
+++ b/test/first-manifest.test.ts
@@ -1,10 +1,14 @@
 // Requests at a proxy that has just started: they wait for its first manifest a moment, within bounds, and are
 // refused at once after its first moments.
 import assert from 'node:assert/strict';
-import { after, before, describe, it, mock } from 'node:test';
+import { after, afterEach, before, beforeEach, describe, it, mock } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 import { FirstManifest } from '../src/proxy/first-manifest.js';
+import type { Lab } from '../tools/fuzz/lab.js';
 import { InForce } from '../tools/in-force.js';
 import { Bench } from './bench.js';
+import { ManualClock } from './manual-clock.js';
+import { RequestKit } from './request-kit.js';
 
 const turns = async () => {
   for (let count = 0; count < 5; count += 1) await new Promise<void>((resolve) => setImmediate(resolve));
@@ -59,6 +63,64 @@
   });
 });
 
+/** A callers' port that gets its manifest when the test says so, on a clock that stands still. */
+const startEmpty = async () => {
+  let isInForce = false;
+  const firstManifest = FirstManifest.of();
+  const server = await RequestKit.serve((arrival) => RequestKit.reply(arrival, 'served'));
+  const lab = await RequestKit.start({
+    servers: [server],
+    alter: (needs) => ({
+      ...needs,
+      firstManifest,
+      compiled: () => (isInForce ? needs.compiled() : undefined),
+    }),
+  });
+  return {
+    lab,
+    server,
+    bring() {
+      isInForce = true;
+      firstManifest.came();
+    },
+  };
+};
+
+describe('a request that came before the first manifest', () => {
+  let clock: ManualClock;
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout'] });
+    clock = ManualClock.install();
+  });
+  afterEach(async () => {
+    clock.uninstall();
+    mock.timers.reset();
+    await RequestKit.end();
+  });
+  const isTaken = async (lab: Lab) => {
+    while (lab.active() === 0) await turns();
+  };
+
+  it('is served once the manifest is there', async () => {
+    const { lab, server, bring } = await startEmpty();
+    const asked = RequestKit.ask(lab, RequestKit.request('/safe/a'));
+    await isTaken(lab);
+    assert.equal(server.arrivals.length, 0);
+    bring();
+    assert.deepEqual([(await asked).status, (await asked).body], [200, 'served']);
+  });
+  it('is refused at the end of its wait, and told when to come back', async () => {
+    const { lab, server } = await startEmpty();
+    const asked = RequestKit.ask(lab, RequestKit.request('/safe/a'));
+    await isTaken(lab);
+    mock.timers.tick(800);
+    const answer = await asked;
+    assert.equal(answer.status, 503);
+    assert.ok(answer.headers['retry-after']);
+    assert.equal(server.arrivals.length, 0);
+  });
+});
+
 describe('a front machine that lost all it held', () => {
   let bench: Bench;
 
@@ -70,14 +132,20 @@
   });
   after(() => bench.stop());
 
-  it('serves a request that came before its manifest did, and refuses one soon where none comes', async () => {
+  it('serves again who comes back as told, and refuses a request soon where no manifest comes', async () => {
     const [front] = bench.kit.fronts as [Bench['kit']['fronts'][number]];
     const ask = () => Bench.call(front.listen, '/v1/chat/completions', { model: 'again', messages: [] }, {});
     const end = () => Promise.all([front.agent?.end('SIGKILL'), front.proxy?.end('SIGKILL')]);
     await end();
     await bench.kit.startProxy(front);
-    const [asked] = await Promise.all([ask(), bench.kit.startAgent(front)]);
-    assert.equal(asked.status, 200);
+    // When the agent's word comes is the machine's affair; until then each answer says when to come back.
+    const agentIsUp = bench.kit.startAgent(front);
+    for (let answer = await ask(); answer.status !== 200; answer = await ask()) {
+      assert.equal(answer.status, 503);
+      assert.ok(answer.headers['retry-after']);
+      await pause(100);
+    }
+    await agentIsUp;
     await end();
     await bench.kit.startProxy(front);
     const began = performance.now();
--- a/test/request-kit.ts
+++ b/test/request-kit.ts
@@ -60,8 +60,11 @@
   readonly servers: readonly { readonly address: string }[];
   readonly isPlatform?: boolean;
   readonly document?: object;
+  /** Replaces a part of the request path. */
+  readonly alter?: Lab.Terms['alter'];
 }) => {
   const lab = await Lab.start({
+    ...(terms.alter ? { alter: terms.alter } : {}),
     document: terms.document ?? document(),
     servers: terms.servers.map(({ address }, index) => ({ instance: `i-${index}`, group: 'g', address })),
     ...(terms.isPlatform === false ? {} : { dialect: PlatformDialect }),
