--- a/test/experiment.test.ts
+++ b/test/experiment.test.ts
@@ -70,6 +70,14 @@
     assert.ok(failed(tally) < failed(waiting), `${failed(tally)} and ${failed(waiting)}`);
   });
 
+  it('plays to its end without extra tries, though streams break that others may take up', async () => {
+    const faults: readonly Fault[] = [{ kind: 'crash', at: 1000, span: 1500, share: 0.3, isDark: true }];
+    const without = await Script.build(Policy.changes('no extra tries'));
+    const [usual, single] = [await play(1, code, faults), await play(1, without.code, faults)];
+    const failed = (one: Tally) => one.kinds.brief?.failed ?? 0;
+    assert.ok(failed(single) > failed(usual), `${failed(single)} and ${failed(usual)}`);
+  });
+
   it('has a place in the sources for each named policy', async () => {
     for (const name of Object.keys(Policy.all)) await Script.build(Policy.changes(name));
     assert.throws(() => Policy.changes('no such one'), /no policy is called/);
--- a/tools/experiment/policies.ts
+++ b/tools/experiment/policies.ts
@@ -32,7 +32,12 @@
   'no sums of failures': [change('failures', 'if (scores.size === 0) return none;', 'return none;')],
   'no ejection': [change('ejector', 'health.failures += 1;', 'return;')],
   'no bound for warming servers': [change('warmup', 'if (!group.warmup ||', 'if (group.warmup ||')],
-  'no extra tries': [change('budget', 'spend: () => purse', 'spend: () => false && purse')],
+  'no extra tries': [
+    change('budget', 'spend: () => purse.take(whole) !== undefined || spendAllowed()', 'spend: () => false'),
+    // Who waits for a token would else be told at once that there is one, and ask again without an end.
+    change('budget', 'purse.total() >= whole;', 'false;'),
+    change('budget', 'held: () => purse.total() / whole', 'held: () => 0'),
+  ],
   'pending requests wait for a dark server': [change('prover', 'watchers.tell(server.instance);', '')],
   'no word of dark servers': [change('prover', 'hear(instance) {', 'hear(instance) { if (instance) return;')],
 };
