--- a/tools/platform/relay-bench.ts
+++ b/tools/platform/relay-bench.ts
@@ -133,7 +133,7 @@
   const runs = new Map<RelaySubject.Name, Measured[]>(chosen.map((name) => [name, []]));
   for (let count = 0; count < repeats; count += 1)
     for (const name of chosen) runs.get(name)!.push(await measure(name, server.address, flags));
-  server.stop();
+  await server.stop();
   const all = new Map([...runs].map(([name, measured]) => [name, figuresOf(measured)]));
   const load = loadavg()[0]!.toFixed(1);
   if (json)
--- a/tools/platform/relay-traffic.ts
+++ b/tools/platform/relay-traffic.ts
@@ -2,25 +2,19 @@
  * Traffic for measuring a relay: a server that answers each request with a stream of events, and callers on kept
  * connections. Both write and read raw bytes, so that they cost the relay's process nothing.
  */
-import { once } from 'node:events';
-import { type AddressInfo, connect, createServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { Lab } from '../fuzz/lab.js';
 import { RawHttp } from '../fuzz/raw-http.js';
 
 export declare namespace RelayTraffic {
   /** One shape of requests: how many are sent, and how many events each answer has. */
   type Shape = { readonly requests: number; readonly events: number };
-  /** How dense the traffic is. */
-  type Pace = {
-    /** Requests at a time. */
-    readonly concurrency: number;
-    /** Between two events of a stream, in milliseconds. */
-    readonly gap: number;
-  };
-  type Server = { readonly address: string; readonly stop: () => void };
+  type Server = { readonly address: string; readonly stop: () => Promise<void> };
 }
 
 /** Sends requests through a relay. */
 export type RelayTraffic = {
+  /** Starts the server, with so many milliseconds between two events of a stream. */
   readonly startServer: (gap: number) => Promise<RelayTraffic.Server>;
   /** Sends the requests, several at a time, and fails unless each gets its whole answer. */
   readonly play: (
@@ -60,15 +54,6 @@
   next();
 };
 
-const open = async (address: string): Promise<Socket> => {
-  const [host = '', port] = address.split(':');
-  const socket = connect({ host, port: Number(port), noDelay: true });
-  await once(socket, 'connect');
-  // Each answer that is read puts listeners of its own on the connection.
-  socket.setMaxListeners(0);
-  return socket;
-};
-
 const headersOf = (id: string, events: number) => ({
   host: 'serve.example',
   [idHeader]: id,
@@ -91,28 +76,14 @@
 };
 
 export const RelayTraffic: RelayTraffic = {
-  async startServer(gap) {
-    const sockets = new Set<Socket>();
-    const server = createServer({ noDelay: true }, (socket) => {
-      sockets.add(socket);
-      socket.on('error', () => {});
-      socket.once('close', () => sockets.delete(socket));
-      RawHttp.readRequests(socket, (request) => answer(socket, request, gap));
-    });
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    return {
-      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-      stop() {
-        server.close();
-        for (const socket of sockets) socket.destroy();
-      },
-    };
-  },
+  startServer: (gap) =>
+    Lab.listen((socket) => RawHttp.readRequests(socket, (request) => answer(socket, request, gap))),
   async play(address, path, { requests, events }, concurrency) {
     let left = requests;
     const callOnOne = async () => {
-      const socket = await open(address);
+      const socket = await Lab.connect(address);
+      // Each answer that is read puts listeners of its own on the connection.
+      socket.setMaxListeners(0);
       while (left > 0) {
         left -= 1;
         await ask(socket, path, events);
