Keep fresh tokens for extra tries in place of those that soon expire

Traced: a proxy keeps a reserve of one token and passes the newest of what is beyond it to the pool each 500 ms. The reserve is then its oldest token. When that is some 4 s old and a try waits 1.2 s, the token expires (5 s) before the retry asks for it, though twelve requests had just earned 2.4.

Ruled out: the pause, the choice of servers and the deadline (each gives another status or time).

Now only tokens that stay good for 2 s count as reserve before any are passed on. Nothing is made twice; the pool gets somewhat less from proxies with few requests.

--- a/src/duty/purse.ts
+++ b/src/duty/purse.ts
@@ -6,7 +6,8 @@
 export type Purse = {
   readonly add: (batches: readonly Purse.Batch[]) => void;
   readonly take: (amount: number, newest?: boolean) => readonly Purse.Batch[] | undefined;
-  readonly total: () => number;
+  /** How much is held of what stays good for at least the span given, in milliseconds, or else of all. */
+  readonly total: (lasting?: number) => number;
 };
 
 export declare namespace Purse {
@@ -26,9 +27,11 @@
       if (held.length > 0 && Moment.since(held[0]!.born) > lifetime)
         held = held.filter((one) => Moment.since(one.born) <= lifetime);
     };
-    const total = () => {
+    const total = (lasting = 0) => {
       expire();
-      return held.reduce((sum, one) => sum + one.amount, 0);
+      return held
+        .filter((one) => Moment.since(one.born) <= lifetime - lasting)
+        .reduce((sum, one) => sum + one.amount, 0);
     };
     return {
       total,
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -29,6 +29,8 @@
 const whole = 1000;
 const earned = 200;
 const reserve = whole;
+/** How much longer a token must stay good to count as reserve, in milliseconds: a try may wait so long before it fails. */
+const reserveLasts = 2000;
 const least = 250;
 const asked = 3 * whole;
 const askAgainAfter = 50;
@@ -101,8 +103,9 @@
       },
       tend() {
         know();
-        const surplus = purse.total() - reserve;
-        if (surplus <= -least) send([], -surplus);
+        const missing = reserve - purse.total();
+        if (missing >= least) send([], missing);
+        const surplus = purse.total(reserveLasts) - reserve;
         if (surplus < least) return;
         const batches = purse.take(surplus, true);
         if (batches && !send(batches, 0)) purse.add(batches);
