Bring periodic work of one span into one phase

Hypothesis: what a process at rest costs is how often it wakes; parts of one span that began in different slots of the grid of 50 ms still ring apart. One change: periodic work rings at multiples of its span, its first spans as short as two fifths; a single rest keeps its span. Pings of an uplink come each 400 ms (350 before), with the beat of 200 ms.

Redialling waits its whole span: it isn't periodic work.

--- a/src/kinds/ticker.ts
+++ b/src/kinds/ticker.ts
@@ -1,6 +1,7 @@
 /**
  * Periodic work of a process, done on one common grid of time: what is due in the same slot is done in one turn of the
- * loop, so that a process at rest wakes a few times a second, however many things it tends.
+ * loop, and work of one span comes into one phase, whenever each part of it began. So a process at rest wakes a few
+ * times a second, however many things it tends.
  */
 import { Moment } from './moment.js';
 
@@ -13,21 +14,37 @@
   readonly again: () => void;
 };
 
-type Task = { span: number; due: number; readonly ring: () => void };
+type Task = { span: number; due: number; readonly isPeriodic: boolean; readonly ring: () => void };
 
 /** Width of a slot of the grid, in milliseconds. Work is done up to this much sooner than its span asks, never later. */
 const slot = 50;
+/** How much of its span periodic work waits at least while it comes into phase. */
+const leastPart = 0.4;
 /** A timer of the runtime rings up to this much too soon, in milliseconds. */
 const early = 2;
 
 const tasks = new Set<Task>();
 let armed: { readonly timer: NodeJS.Timeout; readonly due: number } | undefined;
 
-const nextAfter = (now: number, span: number): number => {
+const lastMultiple = (of: number, until: number): number => Math.floor(until / of) * of;
+
+/** The last moment of the grid within the span. */
+const endAfter = (now: number, span: number): number => {
   const end = now + early + span;
-  return span < slot ? end : Math.max(now + early, Math.floor(end / slot) * slot);
+  return span < slot ? end : Math.max(now + early, lastMultiple(slot, end));
+};
+
+/** The last moment within the span that is in phase with all work of this span, or on the way to that. */
+const nextInPhase = (now: number, span: number): number => {
+  const least = now + span * leastPart;
+  if (span % slot !== 0) return endAfter(now, span);
+  const inPhase = lastMultiple(span, now + early + span);
+  return inPhase >= least ? inPhase : lastMultiple(span / 2, now + early + span);
 };
 
+const nextOf = ({ span, isPeriodic }: Pick<Task, 'span' | 'isPeriodic'>, now: number): number =>
+  isPeriodic ? nextInPhase(now, span) : endAfter(now, span);
+
 const disarm = (): void => {
   if (armed) clearTimeout(armed.timer);
   armed = undefined;
@@ -46,36 +63,49 @@
   armed = undefined;
   const now = Moment.now();
   const ringing = [...tasks].filter((task) => task.due <= now + early);
-  for (const task of ringing) task.due = nextAfter(now, task.span);
+  for (const task of ringing) task.due = nextOf(task, now);
   arm();
   for (const task of ringing) if (tasks.has(task)) task.ring();
 };
 
+const begin = (task: Task): Ticker => {
+  tasks.add(task);
+  arm();
+  const again = () => {
+    if (!tasks.has(task)) return;
+    task.due = endAfter(Moment.now(), task.span);
+    arm();
+  };
+  return {
+    again,
+    stop() {
+      tasks.delete(task);
+      if (tasks.size === 0) disarm();
+    },
+    move(next) {
+      task.span = next;
+      again();
+    },
+  };
+};
+
 export const Ticker = {
   /** Forgets all work, where one copy of the modules serves one process after another. */
   clear(): void {
     tasks.clear();
     armed = undefined;
   },
-  start(span: number, ring: () => void): Ticker {
-    const task: Task = { span, due: nextAfter(Moment.now(), span), ring };
-    tasks.add(task);
-    arm();
-    const again = () => {
-      if (!tasks.has(task)) return;
-      task.due = nextAfter(Moment.now(), task.span);
-      arm();
-    };
-    return {
-      again,
-      stop() {
-        tasks.delete(task);
-        if (tasks.size === 0) disarm();
-      },
-      move(next) {
-        task.span = next;
-        again();
-      },
+  /** Begins work that is done once in each span; its first spans may be as short as two fifths. */
+  start: (span: number, ring: () => void): Ticker =>
+    begin({ span, due: nextInPhase(Moment.now(), span), isPeriodic: true, ring }),
+  /** Begins a wait of one span. */
+  once(span: number, ring: () => void): Ticker {
+    const finish = () => {
+      ticker.stop();
+      ring();
     };
+    const due = endAfter(Moment.now(), span);
+    const ticker = begin({ span, due, isPeriodic: false, ring: finish });
+    return ticker;
   },
 };
--- a/src/kinds/timer.ts
+++ b/src/kinds/timer.ts
@@ -35,7 +35,7 @@
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const ticker = Ticker.start(span, finish);
+      const ticker = Ticker.once(span, finish);
       signal?.addEventListener('abort', finish, { once: true });
     }),
   pause: (span: number, signal?: AbortSignal): Promise<void> =>
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -56,7 +56,7 @@
 const oldAfter = 1500;
 const rollEvery = 1000;
 const changesWithin = 20;
-const pingEvery = 350;
+const pingEvery = 400;
 const silence = 1200;
 const nextAfter = 25;
 const stayFar = 15_000;
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -141,7 +141,10 @@
         });
       };
       const late = Timer.after(openWithin, fail);
-      const again = Timer.every(dialAgainAfter, attempt);
+      const again = Timer.after(dialAgainAfter, () => {
+        attempt();
+        again.again();
+      });
       signal?.addEventListener('abort', fail, { once: true });
       attempt();
     });
