Hand over on leaving also when others are not linked again yet

Two causes, both by the cores' own logs: - a core told to end within some 100 ms of another's restart heard only one other vote, for its link to the third was not back, and ended "without a release: too few other cores are able". Others that are silent or blank are now waited for, 800 ms at most; those that tell that they end themselves are not. - a newcomer that had asked for a slot, but was not yet linked from the primary, was passed over, so the slot stayed with the core that ended. Now the core that leaves is told to ask again while one waits, and a primary that leaves names such a newcomer to the next one. Ruled out: the grid of periodic work (same failures without it).

--- a/src/control/life/leaving.ts
+++ b/src/control/life/leaving.ts
@@ -1,7 +1,8 @@
 // A core that is about to end hands over what it does: leadership goes to a backup, its place in sync to another core
 // that takes the state first, and its slot to a newcomer if one waits. So no acknowledged change is on fewer disks
 // than before when the process is gone. All of it is bounded, and where too few others are able nothing is tried: the
-// process ends, and what it holds comes back with its disk.
+// process ends, and what it holds comes back with its disk. Others that are silent are waited for a while, since one
+// that was just started again is linked only after that.
 import { Ballot } from '../../epoch/ballot.js';
 import { Term } from '../../epoch/term.js';
 import type { Vote } from '../../epoch/vote.js';
@@ -21,16 +22,21 @@
 const leaveWithin = 2500;
 /** How long one round of votes may take: longer than a silent core holds one up. */
 const votesWithin = 1100;
-/** How soon it is tried again. */
+/** How long others that are silent or blank are waited for, in milliseconds. */
+const othersWithin = 800;
+/** How soon it is tried again, in milliseconds. */
 const againAfter = 50;
 
-/** Whether a majority of the cores can go on without this one. */
-const canDoWithout = ({ needs }: Life, votes: readonly Vote[], term: Term): boolean => {
-  const able = votes.filter(
-    ({ core, isAble, isBlank }) =>
-      isAble && !isBlank && core.disk !== needs.register.disk && Term.has(term, core.disk),
-  );
-  return able.length >= Term.majority(term);
+type Others = 'able' | 'awaited' | 'too few';
+
+/** Whether a majority of the cores can go on without this one, now or once those that are silent or blank take part. */
+const othersOf = ({ needs }: Life, votes: readonly Vote[], term: Term): Others => {
+  const others = term.cores.filter(({ disk }) => disk !== needs.register.disk);
+  const voteOf = (disk: string) => votes.find(({ core }) => core.disk === disk);
+  const able = others.filter(({ disk }) => voteOf(disk)?.isAble && !voteOf(disk)?.isBlank);
+  const unable = others.filter(({ disk }) => voteOf(disk)?.isAble === false);
+  if (able.length >= Term.majority(term)) return 'able';
+  return others.length - unable.length >= Term.majority(term) ? 'awaited' : 'too few';
 };
 
 const askForRelease = async (
@@ -52,14 +58,16 @@
     const { register, proposer, note } = life.needs;
     let successor: Frame.Core | undefined;
     /** One attempt; resolves with the reason why this core is not released yet, or with nothing. */
-    const attempt = async (until: Moment): Promise<string> => {
+    const attempt = async (until: Moment, othersUntil: Moment): Promise<string> => {
       const late = Timer.pause(votesWithin).then(() => undefined);
       const votes = await Promise.race([proposer.votes(), late]);
       if (!votes) return 'the others are slow';
       for (const { term, accepted } of votes) life.known.learn(term, accepted ?? Ballot.none);
       const term = life.known.term();
       if (!term || register.isBlank() || !Term.has(term, register.disk)) return '';
-      if (!canDoWithout(life, votes, term)) {
+      const others = othersOf(life, votes, term);
+      if (others === 'awaited' && !Moment.isPast(othersUntil)) return 'others are silent';
+      if (others !== 'able') {
         note('ends without a release', { why: 'too few other cores are able' });
         return '';
       }
@@ -71,8 +79,9 @@
     };
     const release = async () => {
       const until = Moment.after(leaveWithin);
+      const othersUntil = Moment.after(othersWithin);
       while (!Moment.isPast(until)) {
-        const why = await attempt(until).catch(Failure.text);
+        const why = await attempt(until, othersUntil).catch(Failure.text);
         if (why === '') break;
         note('not released yet', { why });
         await Timer.pause(againAfter);
--- a/src/replica/membership-change.ts
+++ b/src/replica/membership-change.ts
@@ -16,7 +16,7 @@
   readonly join: (core: Frame.Core) => Promise<string>;
   /** Releases a core that is about to end; resolves with the reason where it can't be released yet. */
   readonly leave: (core: Frame.Core, successor: Frame.Core | null) => Promise<string>;
-  /** A core that asked to be taken in just now and is up. */
+  /** A core that asked to be taken in just now: one that is in touch, if there is any. */
   readonly newcomer: () => Frame.Core | undefined;
 };
 
@@ -46,14 +46,13 @@
         .sort((a, b) => (silentFor(a) < silentFor(b) ? 1 : -1))[0];
     };
     const waiting = new Map<string, { readonly core: Frame.Core; readonly since: Moment }>();
-    const isWaiting = ({ core, since }: { readonly core: Frame.Core; readonly since: Moment }) =>
-      Moment.since(since) < waitsFor &&
-      followers.downFor(core) === 0 &&
-      !Term.has(leadership.term(), core.disk);
-    const newcomer = () => {
-      for (const [disk, one] of waiting) if (Moment.since(one.since) > waitsFor) waiting.delete(disk);
-      return [...waiting.values()].find(isWaiting)?.core;
+    /** Those that asked to be taken in just now and have no slot yet. */
+    const newcomers = (): readonly Frame.Core[] => {
+      for (const [disk, { since }] of waiting)
+        if (Moment.since(since) > waitsFor || Term.has(leadership.term(), disk)) waiting.delete(disk);
+      return [...waiting.values()].map(({ core }) => core);
     };
+    const newcomerInTouch = () => newcomers().find((core) => followers.downFor(core) === 0);
     const replace = async (old: Frame.Core | undefined, next: Frame.Core): Promise<string> => {
       const isDone = await termChange.change((base) =>
         Term.next(base, {
@@ -81,7 +80,7 @@
         }
         return replace(old, joining);
       },
-      newcomer,
+      newcomer: () => newcomerInTouch() ?? newcomers()[0],
       async leave(leaving, successor) {
         leadership.mustLead();
         if (!Term.has(leadership.term(), leaving.disk)) return '';
@@ -90,10 +89,9 @@
           if (isInSync(leaving)) return 'no other core could take the state';
         }
         if (successor) waiting.set(successor.disk, { core: successor, since: Moment.now() });
-        const next = newcomer();
-        if (!next && successor && !Term.has(leadership.term(), successor.disk))
-          return 'the newcomer that waits is not in touch yet';
-        return next ? replace(leaving, next) : '';
+        const next = newcomerInTouch();
+        if (next) return replace(leaving, next);
+        return newcomers().length > 0 ? 'the newcomer that waits is not in touch yet' : '';
       },
     };
   },
