Scale run: real machines in place of hollow ones

The users want no hollow fleet. The counter that is loaded before each program also notes how large its roster is, so every check of test/scale holds as before: all in force, word of the primary and the whole roster at every proxy after each event.

--- a/tools/scale/counter.ts
+++ b/tools/scale/counter.ts
@@ -1,6 +1,10 @@
-// Loaded into a program before it starts: counts the frames it sends and gets, by kind, and writes the
-// counts with its processor time and memory to a file five times a second. The program itself is unchanged.
+/**
+ * Loaded into a program before it starts: counts the frames it sends and gets, by kind, notes how large the roster is
+ * that it has, and writes that with its processor time and memory to a file five times a second. The program itself is
+ * unchanged.
+ */
 import { renameSync, writeFileSync } from 'node:fs';
+import { Roster } from '../../src/membership/roster.js';
 import { Frame } from '../../src/wire/frame.js';
 import { Counts } from './counts.js';
 
@@ -17,8 +21,15 @@
 Frame.decode = (bytes) => {
   const frame = decode(bytes);
   counts.got(frame?.kind ?? 'unknown', bytes.length + 4);
+  if (frame?.kind === 'roster' && frame.whole) counts.knows(frame.proxies.length);
   return frame;
 };
+const { after } = Roster;
+Roster.after = (names, change) => {
+  const next = after(names, change);
+  if (next) counts.knows(next.length);
+  return next;
+};
 
 const write = () => {
   writeFileSync(`${path}.new`, JSON.stringify(counts.sample()));
--- a/tools/scale/counts.ts
+++ b/tools/scale/counts.ts
@@ -1,10 +1,14 @@
-// Frames and bytes of one process by kind, a sample of them, and what lies between two samples.
+/** Frames and bytes of one process by kind, a sample of them, and what lies between two samples. */
+/** Counts frames as they are sent and got. */
 export type Counts = {
   readonly sent: (kind: string, bytes: number) => void;
   readonly got: (kind: string, bytes: number) => void;
+  /** Notes how many proxies stand on the roster that the process has. */
+  readonly knows: (proxies: number) => void;
   readonly sample: () => Counts.Sample;
 };
 
+/** Tallies, samples and rates. */
 export declare namespace Counts {
   type Tally = Readonly<Record<string, { readonly frames: number; readonly bytes: number }>>;
   type Sample = {
@@ -13,6 +17,8 @@
     readonly resident: number;
     readonly sent: Counts.Tally;
     readonly got: Counts.Tally;
+    /** How many proxies stand on the roster that the process has. */
+    readonly roster: number;
   };
   type Rate = {
     readonly seconds: number;
@@ -56,14 +62,19 @@
 
 const now = () => performance.timeOrigin + performance.now();
 
+/** Makes counts, and tells what lies between two samples. */
 export const Counts = {
   now,
   of(): Counts {
     const sent: Held = {};
     const got: Held = {};
+    let roster = 0;
     return {
       sent: (kind, bytes) => add(sent, kind, bytes),
       got: (kind, bytes) => add(got, kind, bytes),
+      knows(proxies) {
+        roster = proxies;
+      },
       sample() {
         const { user, system } = process.cpuUsage();
         const { rss } = process.memoryUsage();
@@ -73,6 +84,7 @@
           resident: rss,
           sent: structuredClone(sent),
           got: structuredClone(got),
+          roster,
         };
       },
     };
--- a/tools/scale/stage.ts
+++ b/tools/scale/stage.ts
@@ -1,20 +1,17 @@
-// The real processes of a scale run: three cores, and in the first zone one machine whose agent relays and one
-// whose agent is a leaf, each program with the counter loaded before it.
+/** The processes of a scale run: three cores and all machines, each program with the counter loaded before it. */
 import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { request } from 'undici';
-import { Stamp } from '../../src/kinds/stamp.js';
 import { FleetKit } from '../fleet-kit.js';
 import { Process } from '../process.js';
-import { Counts } from './counts.js';
+import type { Counts } from './counts.js';
+import { Machines } from './machines.js';
 
+/** The fleet of a run. */
 export type Stage = {
-  readonly seeds: readonly string[];
-  readonly host: string;
+  readonly machines: Machines;
   readonly processes: () => ReadonlyMap<string, Process>;
   readonly sample: (name: string) => Counts.Sample | undefined;
   readonly startCore: (index: number) => Promise<void>;
-  readonly startMachine: (node: string, zone: string) => Promise<void>;
   readonly operate: (
     method: string,
     path: string,
@@ -22,27 +19,25 @@
     headers?: Record<string, string>,
   ) => Promise<FleetKit.Answer>;
   readonly primary: () => Promise<string>;
-  readonly reach: (stamp: Stamp) => Promise<number>;
   readonly end: () => Promise<void>;
 };
 
 const cores = 3;
-const lookEvery = 5;
 
 const network = `127.${60 + (process.pid % 150)}.${Math.floor(process.pid / 150) % 250}`;
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 const script = (path: string) => new URL(`../../${path}`, import.meta.url);
 
+/** Starts fleets on loopback, each on a network of its own. */
 export const Stage = {
   pause,
   of(folder: string): Stage {
     const processes = new Map<string, Process>();
-    const proxies = new Map<string, string>();
     const wire = (index: number) => `${network}.${index + 1}:7000`;
     const http = (index: number) => `${network}.${index + 1}:7080`;
     const seeds = Array.from({ length: cores }, (_none, index) => wire(index));
     const counts = (name: string) => join(folder, `${name}.counts`);
-    const launch = async (name: string, program: string, startup: object) => {
+    const launch = async (name: string, program: string, startup: object): Promise<Process> => {
       const file = join(folder, `${name}.json`);
       writeFileSync(file, JSON.stringify(startup));
       const terms = {
@@ -50,7 +45,9 @@
         nodeArgs: ['--import', script('tools/scale/counter.js').pathname],
         env: { BRAMBLEBEND_COUNTS: counts(name) },
       };
-      processes.set(name, await Process.start(name, script(program), ['--startup', file], terms));
+      const started = await Process.start(name, script(program), ['--startup', file], terms);
+      processes.set(name, started);
+      return started;
     };
     const operate: Stage['operate'] = async (method, path, body, headers = {}) => {
       const authorization = `Bearer ${path === '/v1/servers' ? FleetKit.platformToken : FleetKit.operatorToken}`;
@@ -63,14 +60,9 @@
         }
       throw mishap;
     };
-    const reached = async (address: string, stamp: Stamp): Promise<boolean> => {
-      const response = await request(`http://${address}/health`).catch(() => undefined);
-      const told = (await response?.body.json()) as { stamp: Stamp } | undefined;
-      return told !== undefined && Stamp.compare(told.stamp, stamp) >= 0;
-    };
+    const machines = Machines.of({ network, seeds, launch, countsFile: counts });
     return {
-      seeds,
-      host: `${network}.250`,
+      machines,
       processes: () => processes,
       operate,
       sample(name) {
@@ -80,8 +72,8 @@
           return undefined;
         }
       },
-      startCore: (index) =>
-        launch(`core-${index + 1}`, 'src/bin/control.js', {
+      async startCore(index) {
+        await launch(`core-${index + 1}`, 'src/bin/control.js', {
           node: `core-${index + 1}`,
           zone: 'zone-0000',
           wire: wire(index),
@@ -90,15 +82,7 @@
           seeds,
           operators: [{ name: 'operator', token: FleetKit.operatorToken }],
           platform: [{ name: 'platform', token: FleetKit.platformToken }],
-        }),
-      async startMachine(node, zone) {
-        const ip = `${network}.${10 + proxies.size}`;
-        const feed = `${ip}:7001`;
-        const agent = { node: `${node}-agent`, zone, wire: `${ip}:7000`, feed, ops: `${ip}:8082`, seeds };
-        const proxy = { node, zone, listen: `${ip}:8080`, ops: `${ip}:8081`, agent: feed };
-        await launch(`${node}-agent`, 'src/bin/agent.js', agent);
-        await launch(node, 'src/bin/proxy.js', proxy);
-        proxies.set(node, proxy.ops);
+        });
       },
       async primary() {
         for (;;) {
@@ -111,15 +95,6 @@
           await pause(20);
         }
       },
-      async reach(stamp) {
-        const ats = await Promise.all(
-          [...proxies.values()].map(async (address) => {
-            while (!(await reached(address, stamp))) await pause(lookEvery);
-            return Counts.now();
-          }),
-        );
-        return Math.max(0, ...ats);
-      },
       end: async () => {
         await Promise.all([...processes.values()].map((one) => one.end('SIGKILL')));
       },
--- a/tools/scale/table.ts
+++ b/tools/scale/table.ts
@@ -1,8 +1,11 @@
-// A scale run as a table for people: a row a role at rest, a row an event, and what each event cost a role
-// above its cost at rest.
+/**
+ * A scale run as a table for people: a row a role at rest, a row an event, and what each event cost a role above its
+ * cost at rest.
+ */
 import type { Counts } from './counts.js';
 import type { Run } from './run.js';
 
+/** Writes reports as tables. */
 export type Table = { readonly text: (report: Run.Report) => string };
 
 const number = (value: number): string =>
@@ -28,6 +31,7 @@
     )
     .join(', ');
 
+/** Tables in Markdown. */
 export const Table: Table = {
   text({ size, rest, events, members, depths, oldest, startedIn }) {
     const roles = Object.entries(rest).map(([role, rate]) => [
@@ -50,7 +54,7 @@
     ]);
     return [
       `${JSON.stringify(size)}`,
-      `started in ${number(startedIn)} ms; ${members} members, hollow agents by depth ${JSON.stringify(depths)}; oldest word ${number(oldest)} ms`,
+      `started in ${number(startedIn)} ms; ${members} members, agents by depth ${JSON.stringify(depths)}; oldest word ${number(oldest)} ms`,
       lines([
         [
           'role at rest',
--- a/tools/scale/world.ts
+++ b/tools/scale/world.ts
@@ -1,14 +1,18 @@
-// The documents of a scale run: a manifest and a platform list of a given size, shaped like the target's.
-// Nothing ever dials the servers, since no request is sent.
+/**
+ * The documents of a scale run: a manifest and a platform list of a given size, shaped like the target's. Nothing ever
+ * dials the servers, since no request is sent.
+ */
 import { createHash } from 'node:crypto';
 import type { Document } from '../../src/manifest/document.js';
 
+/** Documents by version, and the zones of the machines. */
 export type World = {
   readonly zones: readonly string[];
   readonly manifest: (change: number) => Document;
   readonly servers: (serial: number) => Document.Servers;
 };
 
+/** How large the documents are. */
 export declare namespace World {
   type Size = {
     readonly nodes: number;
@@ -25,6 +29,7 @@
 
 const named = (name: string, index: number): string => `${name}-${String(index).padStart(4, '0')}`;
 
+/** Makes the documents of a size. */
 export const World = {
   of(size: World.Size): World {
     const zones = Array.from({ length: Math.max(1, Math.round(size.nodes / perZone)) }, (_none, index) =>
