--- a/test/doc-comments.test.ts
+++ b/test/doc-comments.test.ts
@@ -11,7 +11,7 @@
 import { fileURLToPath } from 'node:url';
 
 /** How many files the linter's limit of 60 lines a function leaves out; may only be lowered. */
-const longFunctionFiles = 45;
+const longFunctionFiles = 42;
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
 
