Pass calls to the primary by node:http; no WebAssembly, no V8 flag set at run time

What a start did that Node.js warns of ("may crash") is to set V8's flags after V8 runs, for undici's WebAssembly. undici was left only in control/at-primary. That now calls by wire/http-client (node:http, one bound for the whole call, resting connections given up before the other side does), from which http-get is made too; the stand-in and the flags are gone. A library of 64-bit numbers compiled WebAssembly at each start as well; the bundle leaves it its JavaScript way.

A connection to the primary that isn't there in time is now told as "not taken", since nothing was sent.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -35,10 +35,7 @@
 const lean = {
   name: 'lean',
   setup(made) {
-    for (const name of ['undici', 'http2'])
-      made.onResolve({ filter: new RegExp(`^(node:)?${name}$`) }, () => ({
-        path: `${root}platform/lean/${name}.cjs`,
-      }));
+    made.onResolve({ filter: /^(node:)?http2$/ }, () => ({ path: `${root}platform/lean/http2.cjs` }));
     made.onLoad({ filter: /src\/wire\/schema\.ts$/ }, () => ({
       contents: frameCode(Schema.frame),
       loader: 'js',
@@ -51,7 +48,8 @@
   ...common,
   entryPoints: ['platform/main.ts'],
   outfile: `${out}/program.cjs`,
-  define: { 'import.meta.url': 'importMetaUrl' },
+  // A library of 64-bit numbers compiles WebAssembly at each start; without it, it takes its own way in JavaScript.
+  define: { 'import.meta.url': 'importMetaUrl', WebAssembly: 'undefined' },
   banner: { js: 'const importMetaUrl=require("node:url").pathToFileURL(__filename).href;' },
   plugins: [lean],
 });
--- a/src/control/at-primary.ts
+++ b/src/control/at-primary.ts
@@ -1,19 +1,21 @@
-// What only the primary may do: a core that does not lead passes the call to the primary, once and whole,
-// and gives its response back as it came. While the link to the primary is down it says so at once, and a call that
-// is under way when it goes down is answered then. What can't be confirmed is a 503 that says whether it was taken.
+/**
+ * What only the primary may do: a core that does not lead passes the call to the primary, once and whole, and gives its
+ * response back as it came. While the link to the primary is down it says so at once, and a call that is under way when
+ * it goes down is answered then. What can't be confirmed is a 503 that says whether it was taken.
+ */
 import type { Context } from 'hono';
-import { Agent, request } from 'undici';
 import { Term } from '../epoch/term.js';
 import { Failure } from '../kinds/failure.js';
 import { Timer } from '../kinds/timer.js';
 import type { Frame } from '../wire/frame.js';
+import { HttpClient } from '../wire/http-client.js';
 import type { Core } from './core.js';
 import { Responses } from './responses.js';
 
 export type AtPrimary = {
   readonly pass: (context: Context) => Promise<Response>;
   readonly confirmed: (context: Context, handle: () => Promise<Responses> | Responses) => Promise<Response>;
-  readonly close: () => Promise<void>;
+  readonly close: () => void;
 };
 
 export declare namespace AtPrimary {
@@ -28,8 +30,8 @@
 }
 
 const passedBy = 'bramblebend-passed';
-const passWithin = 7000;
-const connectWithin = 1000;
+/** The calls of one core to the primary. Each side keeps resting connections for 5 s by default. */
+const passing = { within: 7000, connectWithin: 1000, connections: 8, keepFor: 3000 } as const;
 const lookEvery = 100;
 const ofOneConnection = new Set([
   'host',
@@ -53,7 +55,7 @@
   give,
   of(needs: AtPrimary.Needs): AtPrimary {
     const { core } = needs;
-    const agent = new Agent({ connect: { timeout: connectWithin }, connections: 8 });
+    const client = HttpClient.of(passing);
     const noPrimary = (context: Context, text: string, taken: string) =>
       give(context, Responses.unconfirmed('no_primary', text, taken));
     return {
@@ -73,25 +75,27 @@
         });
         const { pathname, search } = new URL(context.req.url);
         try {
-          const body = method === 'GET' ? null : Buffer.from(await context.req.arrayBuffer());
-          const response = await request(`http://${primary.http}${pathname}${search}`, {
-            dispatcher: agent,
-            method: method as 'GET',
+          const body = method === 'GET' ? undefined : Buffer.from(await context.req.arrayBuffer());
+          const response = await client.call(primary.http, {
+            path: `${pathname}${search}`,
+            method,
             headers: { ...headers, [passedBy]: needs.node },
             body,
             signal: lost.signal,
-            headersTimeout: passWithin,
-            bodyTimeout: passWithin,
           });
           const kept = given.flatMap((name) => {
             const value = response.headers[name];
             return value === undefined ? [] : [[name, String(value)] as const];
           });
-          const bytes = await response.body.arrayBuffer();
-          return context.body(bytes, response.statusCode as 200, Object.fromEntries(kept));
+          return context.body(
+            new Uint8Array(response.body),
+            response.status as 200,
+            Object.fromEntries(kept),
+          );
         } catch (error) {
           const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-          const taken = isRefused || method === 'GET' ? 'no' : 'unknown';
+          const isUnsent = isRefused || Failure.is(error, 'connect');
+          const taken = isUnsent || method === 'GET' ? 'no' : 'unknown';
           return noPrimary(context, `the primary did not answer: ${Failure.text(error)}`, taken);
         } finally {
           watch.stop();
@@ -107,7 +111,7 @@
           return give(context, Responses.unconfirmed('unconfirmed', Failure.text(error), taken));
         }
       },
-      close: () => agent.destroy(),
+      close: client.close,
     };
   },
 };
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -27,7 +27,7 @@
 import { Responses } from './responses.js';
 import type { Rights } from './rights.js';
 
-export type ControlHttp = { readonly server: Server; readonly close: () => Promise<void> };
+export type ControlHttp = { readonly server: Server; readonly close: () => void };
 
 export declare namespace ControlHttp {
   type Needs = {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -347,7 +347,7 @@
             what: 'HTTP',
             end: async () => {
               await Promise.all([server, ...(callers ? [callers] : [])].map(closeServer));
-              await controlHttp.close();
+              controlHttp.close();
             },
           },
           { what: 'the state', end: store.close },
--- /dev/null
+++ b/test/http-client.test.ts
@@ -0,0 +1,123 @@
+// Whole calls of other programs: what is sent arrives, what comes back is whole, and each way to fail is told apart.
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createServer, type RequestListener } from 'node:http';
+import { type AddressInfo, connect } from 'node:net';
+import { createInterface } from 'node:readline';
+import { afterEach, describe, it } from 'node:test';
+import { Failure } from '../src/kinds/failure.js';
+import { HttpClient } from '../src/wire/http-client.js';
+
+const ends: (() => void)[] = [];
+afterEach(() => {
+  for (const end of ends.splice(0)) end();
+});
+
+const serve = async (answer: RequestListener) => {
+  let connections = 0;
+  const server = createServer(answer);
+  server.on('connection', () => {
+    connections += 1;
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  ends.push(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: () => connections };
+};
+
+const clientOf = (terms: Partial<HttpClient.Terms> = {}): HttpClient => {
+  const client = HttpClient.of({ within: 5000, connections: 2, ...terms });
+  ends.push(client.close);
+  return client;
+};
+
+/** A process that listens, accepts nothing, and has no more room for connections once it is filled. */
+const frozenListener = async () => {
+  const listen = `require('node:net').createServer().listen({ port: 0, host: '127.0.0.1', backlog: 1 }, function () {
+    process.stdout.write(String(this.address().port) + '\\n');
+  });`;
+  const child = spawn(process.execPath, ['--eval', listen], { stdio: ['ignore', 'pipe', 'inherit'] });
+  ends.push(() => child.kill('SIGKILL'));
+  const [line] = (await once(createInterface({ input: child.stdout }), 'line')) as [string];
+  child.kill('SIGSTOP');
+  const port = Number(line);
+  const fill = async () => {
+    const sockets = Array.from({ length: 6 }, () => connect(port, '127.0.0.1').on('error', () => {}));
+    ends.push(() => {
+      for (const socket of sockets) socket.destroy();
+    });
+    await new Promise((resolve) => setTimeout(resolve, 200));
+  };
+  return { port, fill };
+};
+
+const echo: RequestListener = async (request, response) => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  response.writeHead(201, { etag: `"${request.headers['if-match']}"` });
+  response.end(`${request.method} ${request.url} ${Buffer.concat(chunks)}`);
+};
+
+describe('a call of another program', () => {
+  it('brings method, path, headers and body there, and status, headers and body back', async () => {
+    const { address } = await serve(echo);
+    const answer = await clientOf().call(address, {
+      path: '/a?b=c',
+      method: 'PUT',
+      headers: { 'if-match': '7' },
+      body: Buffer.from('ä body'),
+    });
+    assert.deepEqual([answer.status, answer.headers.etag], [201, '"7"']);
+    assert.equal(answer.body.toString(), 'PUT /a?b=c ä body');
+  });
+  it('takes connections that rest, as many as the client is given', async () => {
+    const { address, connections } = await serve(echo);
+    const client = clientOf({ connections: 2 });
+    for (let round = 0; round < 3; round += 1)
+      await Promise.all(['/1', '/2', '/3', '/4'].map((path) => client.call(address, { path })));
+    assert.equal(connections(), 2);
+  });
+  it('takes no connection that has rested for longer than the client keeps one', async () => {
+    const { address, connections } = await serve(echo);
+    const client = clientOf({ keepFor: 100 });
+    await client.call(address, { path: '/' });
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    await client.call(address, { path: '/' });
+    assert.equal(connections(), 2);
+  });
+  it('fails by its signal, at once', async () => {
+    const { address } = await serve(() => {});
+    const lost = new AbortController();
+    const reason = Failure.of('link', 'out of reach');
+    const call = clientOf().call(address, { path: '/', signal: lost.signal });
+    setImmediate(() => lost.abort(reason));
+    await assert.rejects(call, (error) => error === reason);
+    await assert.rejects(
+      clientOf().call(address, { path: '/', signal: lost.signal }),
+      (error) => error === reason,
+    );
+  });
+  it('tells a refused connection from a call that may have arrived', async () => {
+    const client = clientOf({ connectWithin: 200, within: 1000 });
+    await assert.rejects(client.call('127.0.0.1:1', { path: '/' }), { code: 'ECONNREFUSED' });
+    const { address } = await serve((request) => request.socket.destroy());
+    await assert.rejects(
+      client.call(address, { path: '/', method: 'PUT' }),
+      (error) => (error as NodeJS.ErrnoException).code === 'ECONNRESET' && !Failure.is(error, 'connect'),
+    );
+  });
+  it('tells a connection that is not there in time from a call that may have arrived', async () => {
+    const { port, fill } = await frozenListener();
+    await fill();
+    const call = clientOf({ connectWithin: 200 }).call(`127.0.0.1:${port}`, { path: '/', method: 'PUT' });
+    await assert.rejects(call, (error) => Failure.is(error, 'connect'));
+  });
+  it('fails when all of the answer has not come in time', async () => {
+    const { address } = await serve((_request, response) => void response.writeHead(200).write('half'));
+    await assert.rejects(clientOf({ within: 200 }).call(address, { path: '/' }));
+  });
+});
