Tests: print the ends of the logs of a failed file's fleets

A test that fails once is to be traced from what its run printed, but a fleet's folder was removed with its logs, and one of a test that hung was left somewhere. Under the test command fleets now lie in a folder by test file and leave their logs (also when the runner ends a file that hangs); after the run the last 25 lines of each log of a failed file are printed and all is removed. Arguments name built test files to run in place of all.

--- a/test/bench.ts
+++ b/test/bench.ts
@@ -1,13 +1,12 @@
 // The bench of the tests: whole programs over loopback with back ends inside the test, which answer as
 // each test says and remember every request that reached them.
-import { mkdtempSync, rmSync } from 'node:fs';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
 import type { Document } from '../src/manifest/document.js';
 import { Deployment } from '../tools/deployments/deployment.js';
 import { Faults } from '../tools/faults/faults.js';
+import { FleetFolder } from '../tools/fleet-folder.js';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
 
@@ -228,7 +227,7 @@
       readonly builtIn?: (name: string) => URL;
     } = {},
   ): Promise<Bench> {
-    const folder = mkdtempSync(join(tmpdir(), 'bramblebend-test-'));
+    const folder = FleetFolder.make();
     const zones = ['a', 'b', 'c'].map((region, index) => ({
       zone: `${region}-1`,
       region,
@@ -285,7 +284,7 @@
       async stop() {
         await Promise.all(backEnds.map((one) => one.stop()));
         await kit.stop();
-        rmSync(folder, { recursive: true, force: true });
+        FleetFolder.remove(folder);
       },
     };
   },
--- a/test/known-red.test.ts
+++ b/test/known-red.test.ts
@@ -12,6 +12,7 @@
     # Subtest: comes back
     not ok 2 - comes back
       ---
+      location: '/a/folder/dist/test/cores.test.js:79:5'
       failureType: 'testCodeFailure'
       ...
     1..2
@@ -31,6 +32,11 @@
     assert.deepEqual(KnownRed.failures(['ok 1 - cores']), []);
   });
 
+  it('finds the files of the tests that failed by themselves', () => {
+    assert.deepEqual(KnownRed.files(printed), ['/a/folder/dist/test/cores.test.js']);
+    assert.deepEqual(KnownRed.files(['ok 1 - cores']), []);
+  });
+
   it('passes over what is listed, and over nothing else', () => {
     const list = KnownRed.read(
       '# a note\n\ncores > comes back | it is slow | 13\ncores > keeps all | rare | 13\n',
--- a/tools/run-tests.ts
+++ b/tools/run-tests.ts
@@ -1,20 +1,27 @@
-// Runs the test files and lets pass only what KNOWN-RED.txt names: one line for each known failure, as
-// "suite > test | cause | issue". Every other failure fails the run; known ones are printed with their cause, and
-// those that passed are named too, so that the list can be kept short.
+/**
+ * Runs the test files and lets pass only what KNOWN-RED.txt names: one line for each known failure, as
+ * "suite > test | cause | issue". Every other failure fails the run; known ones are printed with their cause, and those that
+ * passed are named too, so that the list can be kept short. The ends of the logs of a failed file's fleets are printed.
+ * Arguments name built test files to run in place of all.
+ */
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { readFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { basename, join } from 'node:path';
 import { createInterface } from 'node:readline';
+import { FleetFolder } from './fleet-folder.js';
 import { KnownRed } from './known-red.js';
 
 export type RunTests = { readonly code: number };
 
+const named = process.argv.slice(2);
 const command = [
   '--test',
   '--test-concurrency=4',
   '--test-timeout=180000',
   '--test-reporter=tap',
-  'dist/test/',
+  ...(named.length > 0 ? named : ['dist/test/']),
 ];
 
 const readList = (): string => {
@@ -25,7 +32,23 @@
   }
 };
 
-const child = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'inherit'] });
+/** How many lines of each log of a failed file are printed. */
+const lastLines = 25;
+
+const printLogs = (file: string): void => {
+  for (const log of FleetFolder.logsOf(logs, file)) {
+    const kept = readFileSync(log, 'utf8').trimEnd().split('\n').slice(-lastLines);
+    if (kept.join('') === '') continue;
+    console.log(`# the end of ${basename(log)}, of ${basename(file)}`);
+    for (const line of kept) console.log(`#   ${line}`);
+  }
+};
+
+const logs = mkdtempSync(join(tmpdir(), 'bramblebend-logs-'));
+const child = spawn(process.execPath, command, {
+  stdio: ['ignore', 'pipe', 'inherit'],
+  env: { ...process.env, [FleetFolder.variable]: logs },
+});
 const lines: string[] = [];
 const reader = createInterface({ input: child.stdout });
 const isRead = once(reader, 'close');
@@ -35,6 +58,8 @@
 });
 child.once('close', async (code) => {
   await isRead;
+  for (const file of KnownRed.files(lines)) printLogs(file);
+  rmSync(logs, { recursive: true, force: true });
   const verdict = KnownRed.judge(KnownRed.failures(lines), KnownRed.read(readList()));
   for (const { name, cause } of verdict.known) console.log(`known red: ${name} (${cause})`);
   for (const { name } of verdict.green) console.log(`listed as known red, passed: ${name}`);
