Find a call's rules once, and give the same refusals from one place

Found on reading the change again: - admit went through all rules for the longest body, match-rule went through them all again for the first that fits; the second search now takes the candidates that the first one found (same rules, same order, same compiled manifest); - five refusals "503, come back in a second" and two "body too long" were written out apart: Responses.unavailable and bodyTooLong; texts, codes and spans as they were; - enterShare took the call's own outgoing beside the call; a field typed too wide needed a cast; a function named what Address.text does. Behaviour as it was.

--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -27,6 +27,8 @@
   wall?: Wall | undefined;
   body?: Buffer;
   prompt?: Prompt;
+  /** The rules that its path, host, method and headers fit, in order. */
+  like?: readonly Compiled.Rule[];
   rule?: Compiled.Rule;
   timeouts?: Document.Timeouts;
   regions?: readonly Ident.Region[];
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -62,25 +62,10 @@
   return Object.entries(match.headers ?? {}).every(([name, value]) => headers[name] === value);
 };
 
-const crowded: Responses = {
-  status: 503,
-  code: 'crowded',
-  text: 'this proxy serves as many requests as it may',
-  retryAfter: 1000,
-};
-const noManifest: Responses = {
-  status: 503,
-  code: 'no_manifest',
-  text: 'no manifest is in force here yet',
-  retryAfter: 1000,
-};
+const crowded = Responses.unavailable('crowded', 'this proxy serves as many requests as it may');
+const noManifest = Responses.unavailable('no_manifest', 'no manifest is in force here yet');
 const noKey: Responses = { status: 401, code: 'invalid_api_key', text: 'the key is missing or unknown' };
-const noWall: Responses = {
-  status: 503,
-  code: 'no_wall',
-  text: 'the wall around this tenant can’t be told',
-  retryAfter: 1000,
-};
+const noWall = Responses.unavailable('no_wall', 'the wall around this tenant can’t be told');
 
 /** Finds whose call it is, or says why it is refused. */
 const identify = (needs: Filter.Needs, call: Call): Responses | undefined => {
@@ -112,18 +97,11 @@
   return isRead ? Prompt.read(body) : Prompt.none;
 };
 
-const refuseBody = (call: Call, how: Bad, longest: number) =>
-  how === 'long'
-    ? Responses.refuse(call, {
-        status: 413,
-        code: 'body_too_long',
-        text: `the body is longer than ${longest} bytes`,
-      })
-    : Responses.refuse(call, {
-        status: 408,
-        code: 'body_too_slow',
-        text: 'the body did not come in the time that the whole request has',
-      });
+const tooSlow: Responses = {
+  status: 408,
+  code: 'body_too_slow',
+  text: 'the body did not come in the time that the whole request has',
+};
 
 const takeBody = async (call: Call, like: readonly Compiled.Rule[]): Promise<Filter.Step> => {
   const longest = Math.max(...like.map((rule) => rule.body));
@@ -132,7 +110,8 @@
     Math.max(...like.map((rule) => rule.timeouts.total)),
   );
   const body = await readBody(call.incoming, longest, Moment.after(total, call.arrived));
-  if (typeof body === 'string') return refuseBody(call, body, longest);
+  if (body === 'long') return Responses.refuse(call, Responses.bodyTooLong(longest));
+  if (typeof body === 'string') return Responses.refuse(call, tooSlow);
   call.body = body;
   const prompt = promptOf(call, body);
   if (!prompt)
@@ -146,11 +125,11 @@
   if (refusal) return Responses.refuse(call, refusal);
   const { compiled, method, path, incoming } = call;
   const like = compiled!.rules.filter((rule) => isLike(rule, method, path, incoming.headers));
+  call.like = like;
   return like.length === 0 ? 'next' : takeBody(call, like);
 };
 
 export const Admit = {
-  isLike,
   filter:
     (needs: Filter.Needs): Filter =>
     (call) => {
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -1,5 +1,5 @@
 /** Pick and try: gives the call to the upstream layer and keeps the verdict for the commit. */
-import type { ServerResponse } from 'node:http';
+import type { Ident } from '../../kinds/ident.js';
 import { Moment } from '../../kinds/moment.js';
 import type { Compiled } from '../../manifest/compiled.js';
 import { Wall } from '../../manifest/wall.js';
@@ -70,7 +70,7 @@
   /** Connections that carried an earlier try: an answer to that one may still come there. */
   private readonly used = new Set<Connection>();
   private readonly rule: Compiled.Rule;
-  private readonly regions: readonly string[];
+  private readonly regions: readonly Ident.Region[];
   private readonly deadline: Moment;
   private readonly compiled: Compiled;
   private readonly want: Placement.Want;
@@ -91,7 +91,7 @@
     const key = call.prompt?.key;
     return Tries.run({
       rule,
-      regions: regions as Tries.Plan['regions'],
+      regions,
       key: key === undefined ? undefined : Wall.key(call.wall, key),
       want,
       before: { tried: [...this.tried], sent },
@@ -205,28 +205,21 @@
   }
 }
 
-const noWall: Responses = {
-  status: 503,
-  code: 'no_wall',
-  text: 'no servers of this rule keep the wall around this tenant',
-  retryAfter: 1000,
-};
-const crowded: Responses = {
-  status: 503,
-  code: 'crowded',
-  text: 'the servers are crowded and your team holds its part of them',
-  retryAfter: 1000,
-};
+const noWall = Responses.unavailable('no_wall', 'no servers of this rule keep the wall around this tenant');
+const crowded = Responses.unavailable(
+  'crowded',
+  'the servers are crowded and your team holds its part of them',
+);
 
 /** Holds the team's part of the servers until the answer has ended. */
-const enterShare = (needs: Filter.Needs, call: Call, outgoing: ServerResponse): boolean => {
+const enterShare = (needs: Filter.Needs, call: Call): boolean => {
   const rule = Call.need(call, 'rule');
   const leave = needs.shares.enter(
     rule.steps[0]?.groups.join() ?? '',
     Call.need(call, 'team').name,
     capacityOf(Call.need(call, 'compiled'), rule),
   );
-  if (leave) outgoing.once('close', leave);
+  if (leave) call.outgoing.once('close', leave);
   return leave !== undefined;
 };
 
@@ -239,7 +232,7 @@
         needs.meters.refusals.inc({ code: 'no_wall' });
         return Responses.refuse(call, noWall);
       }
-      if (!enterShare(needs, call, call.outgoing)) return Responses.refuse(call, crowded);
+      if (!enterShare(needs, call)) return Responses.refuse(call, crowded);
       call.resume = (after, sent) => tries.launch(after, sent);
       return tries.launch(undefined, 0).then((verdict) => {
         call.verdict = verdict;
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -8,7 +8,6 @@
 import { Call } from '../call.js';
 import type { Filter } from '../filter.js';
 import { Responses } from '../responses.js';
-import { Admit } from './admit.js';
 
 /** The timeouts that a call runs under. */
 export type MatchRule = { readonly timeouts: Document.Timeouts };
@@ -28,25 +27,15 @@
 };
 
 const findRule = (call: Call): Compiled.Rule | undefined => {
-  const { method, path } = call;
-  const { headers } = call.incoming;
   const team = Call.need(call, 'team');
   const model = call.prompt?.model;
-  return Call.need(call, 'compiled').rules.find(
+  return Call.need(call, 'like').find(
     (one) =>
-      Admit.isLike(one, method, path, headers) &&
       (one.match.models === undefined || (model !== undefined && one.match.models.includes(model))) &&
       (one.teams === undefined || one.teams.includes(team.name)),
   );
 };
 
-const refuseLong = (call: Call, rule: Compiled.Rule) =>
-  Responses.refuse(call, {
-    status: 413,
-    code: 'body_too_long',
-    text: `the body is longer than ${rule.body} bytes`,
-  });
-
 const refuseTimeouts = (call: Call, rule: Compiled.Rule) =>
   Responses.refuse(call, {
     status: 400,
@@ -63,7 +52,7 @@
         code: 'no_rule',
         text: 'no rule takes this path, method, model and team',
       });
-    if ((call.body?.length ?? 0) > rule.body) return refuseLong(call, rule);
+    if ((call.body?.length ?? 0) > rule.body) return Responses.refuse(call, Responses.bodyTooLong(rule.body));
     const asked = call.incoming.headers[overrides];
     const timeouts = asked === undefined ? rule.timeouts : readOverrides(String(asked), rule);
     if (!timeouts) return refuseTimeouts(call, rule);
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -28,8 +28,23 @@
   return 'answered';
 };
 
+/** When a caller may come back to a proxy that can't take its request just now, in milliseconds. */
+const comeBackAfter = 1000;
+
 export const Responses = {
   json: writeJson,
+  /** A refusal for now of what another moment may serve. */
+  unavailable: (code: string, text: string): Responses => ({
+    status: 503,
+    code,
+    text,
+    retryAfter: comeBackAfter,
+  }),
+  bodyTooLong: (longest: number): Responses => ({
+    status: 413,
+    code: 'body_too_long',
+    text: `the body is longer than ${longest} bytes`,
+  }),
   refuse(call: Call, response: Responses): 'answered' {
     const { id, compiled, dialect, incoming, outgoing } = call;
     if (outgoing.headersSent) {
--- a/src/upstream/connection.ts
+++ b/src/upstream/connection.ts
@@ -183,12 +183,10 @@
   }
 }
 
-const authorityOf = (server: Compiled.Server): string => Address.text(server.address);
-
 export const Connection = {
   async open(server: Compiled.Server, group: Compiled.Group, signal: AbortSignal): Promise<Connection> {
     const socket = await openSocket(server, signal);
-    const line = Exchange.line(socket, authorityOf(server), watchEnd(socket));
+    const line = Exchange.line(socket, Address.text(server.address), watchEnd(socket));
     const use = new Use(socket);
     const { phase } = use;
     const gone = new Promise<void>((resolve) => {
