Leaving: look each other core's vote up once

The vote of each other core was searched up to three times, and those that stay were counted by those that don't.

--- a/src/control/life/leaving.ts
+++ b/src/control/life/leaving.ts
@@ -31,12 +31,13 @@
 
 /** Whether a majority of the cores can go on without this one, now or once those that are silent or blank take part. */
 const othersOf = ({ needs }: Life, votes: readonly Vote[], term: Term): Others => {
-  const others = term.cores.filter(({ disk }) => disk !== needs.register.disk);
-  const voteOf = (disk: string) => votes.find(({ core }) => core.disk === disk);
-  const able = others.filter(({ disk }) => voteOf(disk)?.isAble && !voteOf(disk)?.isBlank);
-  const unable = others.filter(({ disk }) => voteOf(disk)?.isAble === false);
+  const others = term.cores
+    .filter(({ disk }) => disk !== needs.register.disk)
+    .map(({ disk }) => votes.find(({ core }) => core.disk === disk));
+  const able = others.filter((vote) => vote?.isAble && !vote.isBlank);
+  const staying = others.filter((vote) => vote?.isAble !== false);
   if (able.length >= Term.majority(term)) return 'able';
-  return others.length - unable.length >= Term.majority(term) ? 'awaited' : 'too few';
+  return staying.length >= Term.majority(term) ? 'awaited' : 'too few';
 };
 
 const askForRelease = async (
