Tests and scale run: one answering server, one pause, logs kept for all fleets

test/http-get and test/http-client each wrote out the same server that answers as told: test/answering-server. The two fleets that tests start without Bench (fleet, walls-check) made and removed folders by hand, so their logs were not kept when they fail: FleetFolder. The scale run had two pauses of its own beside node:timers/promises. No assertion is changed.

--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,8 +1,6 @@
 // A small fleet of both deployments' shape under its mix while the manifest changes, judged by the
 // checkers; and each checker shown to catch a planted breach.
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { Caller } from '../tools/caller.js';
@@ -10,6 +8,7 @@
 import { Baobab } from '../tools/deployments/baobab.js';
 import { Deployment } from '../tools/deployments/deployment.js';
 import { Likhet } from '../tools/deployments/likhet.js';
+import { FleetFolder } from '../tools/fleet-folder.js';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
 import { Journal } from '../tools/journal.js';
@@ -22,7 +21,7 @@
   const small = Deployment.shrink(whole);
   const rules = small.manifest.rules.map((rule) => ({ ...rule, timeouts }));
   const deployment = { ...small, manifest: { ...small.manifest, rules } };
-  const folder = mkdtempSync(join(tmpdir(), 'bramblebend-fleet-'));
+  const folder = FleetFolder.make();
   const kit = await FleetKit.start({ folder, deployment, stand: { pace: 2, prefill: 4, slots: 12 } });
   try {
     await InForce.putWhenReady(kit, deployment.manifest);
@@ -60,7 +59,7 @@
     assert.deepEqual(unserved, []);
   } finally {
     await kit.stop();
-    rmSync(folder, { recursive: true, force: true });
+    FleetFolder.remove(folder);
   }
 };
 
--- a/test/http-client.test.ts
+++ b/test/http-client.test.ts
@@ -2,32 +2,21 @@
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { createServer, type RequestListener } from 'node:http';
-import { type AddressInfo, connect } from 'node:net';
+import type { RequestListener } from 'node:http';
+import { connect } from 'node:net';
 import { createInterface } from 'node:readline';
 import { afterEach, describe, it } from 'node:test';
 import { Failure } from '../src/kinds/failure.js';
 import { HttpClient } from '../src/wire/http-client.js';
+import { AnsweringServer } from './answering-server.js';
 
 const ends: (() => void)[] = [];
 afterEach(() => {
   for (const end of ends.splice(0)) end();
+  AnsweringServer.end();
 });
 
-const serve = async (answer: RequestListener) => {
-  let connections = 0;
-  const server = createServer(answer);
-  server.on('connection', () => {
-    connections += 1;
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  ends.push(() => {
-    server.close();
-    server.closeAllConnections();
-  });
-  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: () => connections };
-};
+const serve = AnsweringServer.start;
 
 const clientOf = (terms: Partial<HttpClient.Terms> = {}): HttpClient => {
   const client = HttpClient.of({ within: 5000, connections: 2, ...terms });
--- a/test/http-get.test.ts
+++ b/test/http-get.test.ts
@@ -1,30 +1,11 @@
 // Small documents of other programs: whole or not at all, in time, over one kept connection.
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { createServer, type RequestListener } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { HttpGet } from '../src/wire/http-get.js';
+import { AnsweringServer } from './answering-server.js';
 
-const ends: (() => void)[] = [];
-afterEach(() => {
-  for (const end of ends.splice(0)) end();
-});
-
-const serve = async (answer: RequestListener) => {
-  let connections = 0;
-  const server = createServer(answer);
-  server.on('connection', () => {
-    connections += 1;
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  ends.push(() => {
-    server.close();
-    server.closeAllConnections();
-  });
-  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections: () => connections };
-};
+const serve = AnsweringServer.start;
+afterEach(AnsweringServer.end);
 
 describe('a document of another program', () => {
   it('is read whole, over one connection for all', async () => {
--- a/test/walls-check.test.ts
+++ b/test/walls-check.test.ts
@@ -2,13 +2,11 @@
 // servers say that they take a salt and don't, and one that can't tell.
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
-import { mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import type { Document } from '../src/manifest/document.js';
 import { Deployment } from '../tools/deployments/deployment.js';
+import { FleetFolder } from '../tools/fleet-folder.js';
 import { FleetKit } from '../tools/fleet-kit.js';
 import { InForce } from '../tools/in-force.js';
 
@@ -52,7 +50,7 @@
 };
 
 const check = async (chosen: Deployment, keys: string): Promise<{ code: number | null; text: string }> => {
-  const folder = mkdtempSync(join(tmpdir(), 'bramblebend-walls-'));
+  const folder = FleetFolder.make();
   const kit = await FleetKit.start({ folder, deployment: chosen, stand: { pace: 1 } });
   try {
     await InForce.putWhenReady(kit, chosen.manifest);
@@ -83,7 +81,7 @@
     return await new Promise((resolve) => child.once('close', (code) => resolve({ code, text })));
   } finally {
     await kit.stop();
-    rmSync(folder, { recursive: true, force: true });
+    FleetFolder.remove(folder);
   }
 };
 const verdicts = (text: string) =>
--- a/tools/scale/documents.ts
+++ b/tools/scale/documents.ts
@@ -1,7 +1,8 @@
 /** Puts the documents of a scale run in force, as operators and the platform do, until they are taken. */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Stamp } from '../../src/kinds/stamp.js';
 import { Counts } from './counts.js';
-import { Stage } from './stage.js';
+import type { Stage } from './stage.js';
 import type { World } from './world.js';
 
 /** The documents of a run, by version. */
@@ -23,7 +24,7 @@
   for (;;) {
     const status = await stage.operate('GET', '/v1/status').catch(() => undefined);
     if (status?.status === 200) return status.body.stamp as Stamp;
-    await Stage.pause(againAfter);
+    await pause(againAfter);
   }
 };
 
@@ -47,7 +48,7 @@
         version += 1;
         const body = kind === 'manifest' ? world.manifest(version) : world.servers(version);
         lengths[kind] = JSON.stringify(body).length;
-        while (!(await send(stage, kind, body))) await Stage.pause(againAfter);
+        while (!(await send(stage, kind, body))) await pause(againAfter);
         const at = Counts.now();
         return { stamp: await stampNow(stage), at };
       },
--- a/tools/scale/machines.ts
+++ b/tools/scale/machines.ts
@@ -3,6 +3,7 @@
  * state is in force, whether word of the primary and the whole roster have come, how deep the agents stand.
  */
 import { readFileSync } from 'node:fs';
+import { setTimeout as pause } from 'node:timers/promises';
 import { request } from 'undici';
 import { Stamp } from '../../src/kinds/stamp.js';
 import type { Process } from '../process.js';
@@ -63,8 +64,6 @@
   return seconds === undefined || seconds === '+Inf' ? Number.POSITIVE_INFINITY : Number(seconds) * 1000;
 };
 
-const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
-
 const until = async (isMet: () => Promise<boolean>, what: string): Promise<number> => {
   for (const began = Counts.now(); ; await pause(lookEvery)) {
     if (await isMet()) return Counts.now();
--- a/tools/scale/run.ts
+++ b/tools/scale/run.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 import { type Cost, Costs, type Rates } from './costs.js';
 import { Counts } from './counts.js';
 import { Documents } from './documents.js';
@@ -56,7 +57,7 @@
   const began = Counts.now();
   const rosters = () => stage.sample(Costs.leaf)?.got.roster?.frames;
   for (let quiet = 0, seen = rosters(); quiet < quietFor && Counts.now() - began < settleWithin; ) {
-    await Stage.pause(settleFor);
+    await pause(settleFor);
     quiet = rosters() === seen ? quiet + settleFor : 0;
     seen = rosters();
   }
@@ -100,12 +101,12 @@
   const openedBefore = linksOpened(stage);
   let members = await membersNow(stage);
   while (Counts.now() - began < seconds * 1000) {
-    await Stage.pause(lookEvery);
+    await pause(lookEvery);
     members = Math.min(members, await membersNow(stage));
   }
   const rest = await Costs.between(stage, before, Costs.samples(stage));
   // One that lost its link near the end opens the next a little later.
-  await Stage.pause(settleFor);
+  await pause(settleFor);
   return { rest, members, opened: linksOpened(stage) - openedBefore };
 };
 
@@ -127,7 +128,7 @@
     (last) => ({ last }),
     (error) => ({ last: undefined, why: String(error) }),
   );
-  await Stage.pause(settleFor);
+  await pause(settleFor);
   const spent = await Costs.between(stage, before, Costs.samples(stage));
   tell(`${name}: ${'why' in outcome ? outcome.why : `${Math.round(outcome.last)} ms`}`);
   return {
--- a/tools/scale/stage.ts
+++ b/tools/scale/stage.ts
@@ -1,6 +1,7 @@
 /** The processes of a scale run: three cores and all machines, each program with the counter loaded before it. */
 import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 import { FleetKit } from '../fleet-kit.js';
 import { Process } from '../process.js';
 import type { Counts } from './counts.js';
@@ -25,13 +26,11 @@
 const cores = 3;
 
 const network = `127.${60 + (process.pid % 150)}.${Math.floor(process.pid / 150) % 250}`;
-const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 const script = (path: string) => new URL(`../../${path}`, import.meta.url);
 
 /** Starts fleets on loopback, each on a network of its own. */
 export const Stage = {
   cores,
-  pause,
   of(folder: string): Stage {
     const processes = new Map<string, Process>();
     const wire = (index: number) => `${network}.${index + 1}:7000`;
