--- a/test/platform-kit.ts
+++ b/test/platform-kit.ts
@@ -116,7 +116,9 @@
       await pause(20);
     }
   },
-  async start(options: { readonly fronts?: readonly string[] } = {}): Promise<PlatformKit> {
+  async start(
+    options: { readonly fronts?: readonly string[]; readonly bounds?: object } = {},
+  ): Promise<PlatformKit> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-platform-'));
     const list = await ListServer.start();
     const addresses = FleetKit.lay({
@@ -153,6 +155,7 @@
       };
     });
     const common = {
+      ...(options.bounds ? { bounds: options.bounds } : {}),
       'seed-nodes': cores.map((core) => core.http),
       'platform-api': { address: list.address, 'rate-per-s': 50, 'max-lag-ms': 800 },
     };
