--- a/src/manifest/compiled.ts
+++ b/src/manifest/compiled.ts
@@ -22,6 +22,8 @@
   readonly regions: readonly Id.Region[];
   readonly limits: Document.Limits;
   readonly walls: Wall.Walls | undefined;
+  /** Whether any team has an API key; without one, keys of requests are not looked at. */
+  readonly hasKeys: boolean;
   /** The team of requests without an API key. */
   readonly anonymousTeam: Compiled.Team | undefined;
   /** Finds the team of an API key. */
@@ -35,6 +37,8 @@
     readonly home: Id.Home | undefined;
     readonly homes: readonly Id.Home[] | undefined;
     readonly quota: Document.Quota | undefined;
+    /** Takes precedence over the priority of the rule. */
+    readonly priority: number | undefined;
   };
   /** Outlier ejection: consecutive errors, base ejection time, and the maximum share of the group in percent. */
   type Ejection = { readonly consecutive: number; readonly base: number; readonly percent: number };
@@ -109,6 +113,8 @@
     readonly bounds: Document.Timeouts;
     readonly retry: Retry;
     readonly hasAffinity: boolean;
+    /** Whether the rule refuses requests without an API key. */
+    readonly needsKey: boolean;
     readonly usesSharedWall: boolean;
     readonly maxBodyBytes: number;
     readonly teams: readonly Id.Team[] | undefined;
@@ -167,6 +173,7 @@
       maxBackoffMs: rule.retry?.max ?? 1000,
     },
     hasAffinity: rule.affinity ?? true,
+    needsKey: rule.needs_key ?? false,
     usesSharedWall: rule.wall === 'shared',
     maxBodyBytes: Math.min(
       rule.body ?? limits.body_bytes ?? defaultMaxBodyBytes,
@@ -195,6 +202,29 @@
   return addressCache.get(server);
 };
 
+type TeamIndex = {
+  /** The teams by the SHA-256 of their keys. */
+  readonly byKey: ReadonlyMap<string, Compiled.Team>;
+  readonly anonymous: Compiled.Team | undefined;
+};
+const teamIndexCache = new WeakMap<Document['teams'], TeamIndex>();
+
+/** The teams by key, cached like rules: a change of the server list does not rebuild them. */
+const indexTeams = (teams: Document['teams']): TeamIndex => {
+  const cached = teamIndexCache.get(teams);
+  if (cached) return cached;
+  const byKey = new Map<string, Compiled.Team>();
+  let anonymous: Compiled.Team | undefined;
+  for (const [name, { keys, home, homes, quota, open, priority }] of Object.entries(teams)) {
+    const team = { name: name as Id.Team, home, homes, quota, priority };
+    for (const key of keys) byKey.set(key, team);
+    if (open) anonymous = team;
+  }
+  const index = { byKey, anonymous };
+  teamIndexCache.set(teams, index);
+  return index;
+};
+
 const compileGroup = (
   name: string,
   group: Document.Group,
@@ -260,13 +290,7 @@
           document.walls,
         ),
       );
-    const teamsByKey = new Map<string, Compiled.Team>();
-    let anonymousTeam: Compiled.Team | undefined;
-    for (const [name, { keys, home, homes, quota, open }] of Object.entries(document.teams)) {
-      const team = { name: name as Id.Team, home, homes, quota };
-      for (const key of keys) teamsByKey.set(key, team);
-      if (open) anonymousTeam = team;
-    }
+    const { byKey, anonymous } = indexTeams(document.teams);
     const { zones } = document;
     return {
       stamp: view.stamp,
@@ -279,8 +303,9 @@
       regions: [...new Set(Object.values(zones).map((zone) => zone.region))],
       limits: document.limits ?? {},
       walls: Wall.of(document),
-      anonymousTeam,
-      findTeamByKey: (key) => teamsByKey.get(createHash('sha256').update(key).digest('hex')),
+      hasKeys: byKey.size > 0,
+      anonymousTeam: anonymous,
+      findTeamByKey: (key) => byKey.get(createHash('sha256').update(key).digest('hex')),
     };
   },
 };
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -135,6 +135,7 @@
     bounds: Guard.strictObject({}, timeouts),
     retry,
     affinity: Guard.boolean,
+    needs_key: Guard.boolean,
     wall: Guard.oneOf('own', 'shared'),
     body: Guard.integer({ min: 0, max: 64 * 1024 * 1024 }),
     teams: Guard.list(team, { min: 1 }),
@@ -182,10 +183,16 @@
       Guard.strictObject(
         {
           keys: Guard.list(Guard.string({ like: /^[0-9a-f]{64}$/, as: 'a SHA-256 in hexadecimal' }), {
-            max: 100,
+            max: 10_000,
           }),
         },
-        { home, homes: Guard.list(home, { min: 1 }), quota, open: Guard.boolean },
+        {
+          home,
+          homes: Guard.list(home, { min: 1 }),
+          quota,
+          open: Guard.boolean,
+          priority: Guard.integer({ min: 0, max: 9 }),
+        },
       ),
       team,
     ),
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -26,6 +26,8 @@
   /** The manifest in force when the request was admitted. */
   compiled?: Compiled;
   team?: Compiled.Team;
+  /** The API key by which the team was found; undefined for a request without one. */
+  key?: string;
   /** Cache isolation of the tenant; undefined where the manifest defines none. */
   wall?: Wall | undefined;
   body?: Buffer;
--- a/src/proxy/dialect.ts
+++ b/src/proxy/dialect.ts
@@ -11,6 +11,8 @@
 /** Reads and writes the headers of one set of conventions. */
 export type Dialect = {
   readonly parse: (headers: IncomingHttpHeaders) => Dialect.RequestInfo;
+  /** The API key of a client request. */
+  readonly apiKey: (headers: IncomingHttpHeaders) => string | undefined;
   /** Whether a client header is forwarded to servers. */
   readonly isKept: (name: string) => boolean;
   /** Whether a header is forwarded even if the sender lists it in its Connection header. */
@@ -31,7 +33,7 @@
   readonly deadlineEndsResponses: boolean;
   /** Statuses that guarantee to the client that the request did not run and never will. */
   readonly notRunStatuses: ReadonlySet<number>;
-  /** Whether the model and prompt are read from an OpenAI-style body, and the API key from the usual headers. */
+  /** Whether the model and prompt are read from an OpenAI-style body, and its probes and model list are answered. */
   readonly isOpenAi: boolean;
 };
 
@@ -56,6 +58,8 @@
     readonly timeLeft: number;
     readonly hops: number;
     readonly priority: number | undefined;
+    /** The team that the API key of the request belongs to; undefined for a request without a key. */
+    readonly tenant: string | undefined;
     readonly lastEventId: string | undefined;
   };
   /** What a response tells the client about where it was served. */
@@ -89,6 +93,12 @@
 const lastEventIdHeader = 'last-event-id';
 const credentialHeaders = new Set(['host', 'authorization', 'api-key', 'x-api-key']);
 
+const readKey = (headers: IncomingHttpHeaders): string | undefined => {
+  const bearer = /^Bearer +(\S+) *$/i.exec(String(headers.authorization ?? ''))?.[1];
+  const other = headers['api-key'] ?? headers['x-api-key'];
+  return bearer ?? (typeof other === 'string' ? other : undefined);
+};
+
 /** The product's own conventions: headers with the prefix bramblebend-, and errors in the OpenAI format. */
 export const Dialect: Dialect = {
   isOpenAi: true,
@@ -105,6 +115,7 @@
       ? headers[lastEventIdHeader][0]
       : headers[lastEventIdHeader],
   }),
+  apiKey: readKey,
   isKept: (name) => !credentialHeaders.has(name),
   isNeeded: () => false,
   requestHeaders: ({ id, timeLeft, hops, lastEventId }) => ({
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -10,18 +10,13 @@
 import type { Filter } from '../filter.js';
 import { Prompt } from '../prompt.js';
 import { Responses } from '../responses.js';
+import { MatchRule } from './match-rule.js';
 
 /** Whether a rule may match a call. */
 export type Admit = { readonly mayMatch: (rule: Compiled.Rule) => boolean };
 
 type BodyError = 'long' | 'late' | 'left';
 
-const readKey = (headers: NodeJS.Dict<string | string[]>): string | undefined => {
-  const bearer = /^Bearer +(\S+) *$/i.exec(String(headers.authorization ?? ''))?.[1];
-  const other = headers['api-key'] ?? headers['x-api-key'];
-  return bearer ?? (typeof other === 'string' ? other : undefined);
-};
-
 const readHost = (headers: NodeJS.Dict<string | string[]>): string =>
   String(headers.host ?? '')
     .replace(/:\d+$/, '')
@@ -64,7 +59,6 @@
 
 const crowded = Responses.unavailable('crowded', 'this proxy serves as many requests as it may');
 const noManifest = Responses.unavailable('no_manifest', 'no manifest is in force here yet');
-const noKey: Responses = { status: 401, code: 'invalid_api_key', text: 'the key is missing or unknown' };
 const unknownIsolation = Responses.unavailable('no_wall', 'the wall around this tenant can’t be told');
 
 /** Identifies the team and its cache isolation, or returns the refusal. */
@@ -72,11 +66,12 @@
   const compiled = needs.compiled();
   if (!compiled) return noManifest;
   if (needs.active() > needs.maxConcurrent) return crowded;
-  const key = call.dialect.isOpenAi ? readKey(call.incoming.headers) : undefined;
+  const key = compiled.hasKeys ? call.dialect.apiKey(call.incoming.headers) : undefined;
   const team = key === undefined ? compiled.anonymousTeam : compiled.findTeamByKey(key);
-  if (!team) return noKey;
+  if (!team) return Responses.invalidKey;
   call.compiled = compiled;
   call.team = team;
+  if (key !== undefined) call.key = key;
   call.wall = compiled.walls?.of(team.name);
   if (!compiled.walls || call.wall) return undefined;
   needs.meters.refusals.inc({ code: 'no_wall' });
@@ -130,6 +125,8 @@
   const { compiled, method, path, incoming } = call;
   const candidates = compiled!.rules.filter((rule) => isCandidate(rule, method, path, incoming.headers));
   call.candidateRules = candidates;
+  const isRefusedByAll = candidates.length > 0 && candidates.every((rule) => MatchRule.lacksKey(call, rule));
+  if (isRefusedByAll) return Responses.refuse(call, Responses.invalidKey);
   return candidates.length === 0 ? 'next' : receiveBody(call, candidates);
 };
 
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -32,12 +32,19 @@
 };
 
 const buildRequest = (call: Call, { pick, step, left, hops, after }: SendOptions): Exchange.Request => {
-  const { dialect, id, rule, incoming } = call;
+  const { dialect, id, rule, team, key, incoming } = call;
   const { group, server } = pick;
   const body = CacheSalt.body(call, step.model, group.wall);
   const headers: Record<string, string> = {
     ...CacheSalt.headers(call, group.wall, HeaderFilter.requestHeaders(incoming.headers, dialect)),
-    ...dialect.requestHeaders({ id, timeLeft: left, hops, priority: rule?.priority, lastEventId: after }),
+    ...dialect.requestHeaders({
+      id,
+      timeLeft: left,
+      hops,
+      priority: team?.priority ?? rule?.priority,
+      tenant: key === undefined ? undefined : team?.name,
+      lastEventId: after,
+    }),
   };
   if (group.proof) headers[group.proof.header] = server.instance;
   return {
--- a/src/proxy/filters/match-rule.ts
+++ b/src/proxy/filters/match-rule.ts
@@ -45,6 +45,8 @@
 
 /** Creates the match-rule filter. */
 export const MatchRule = {
+  /** Whether the rule needs an API key that the call does not have. */
+  lacksKey: (call: Call, rule: Compiled.Rule): boolean => rule.needsKey && call.key === undefined,
   filter: (): Filter => (call) => {
     const rule = findRule(call);
     if (!rule)
@@ -53,6 +55,7 @@
         code: 'no_rule',
         text: 'no rule takes this path, method, model and team',
       });
+    if (MatchRule.lacksKey(call, rule)) return Responses.refuse(call, Responses.invalidKey);
     if ((call.body?.length ?? 0) > rule.maxBodyBytes)
       return Responses.refuse(call, Responses.bodyTooLong(rule.maxBodyBytes));
     const asked = call.incoming.headers[timeoutsHeader];
--- a/src/proxy/quota-limiter.ts
+++ b/src/proxy/quota-limiter.ts
@@ -24,7 +24,10 @@
 /** Admits requests against the quotas of their teams. */
 export type QuotaLimiter = {
   /** Charges a request with the given prompt size to its team, or refuses it. */
-  readonly admit: (team: Compiled.Team, prompt: number) => Promise<QuotaLimiter.Verdict>;
+  readonly admit: (
+    team: Pick<Compiled.Team, 'name' | 'quota'>,
+    prompt: number,
+  ) => Promise<QuotaLimiter.Verdict>;
   /** Applies the response of the duty holder under the given epoch to the request with this serial. */
   readonly applyGrants: (
     epoch: number,
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -42,6 +42,12 @@
     text,
     retryAfter: retryAfterMs,
   }),
+  /** The refusal of a request whose API key is missing or unknown. */
+  invalidKey: {
+    status: 401,
+    code: 'invalid_api_key',
+    text: 'the key is missing or unknown',
+  } as Responses,
   /** The refusal of a body above the size limit. */
   bodyTooLong: (maxBytes: number): Responses => ({
     status: 413,
--- a/test/platform-tenants.test.ts
+++ b/test/platform-tenants.test.ts
@@ -152,12 +152,11 @@
     received.length = 0;
     assert.equal((await send(0, {}, '/open/1')).status, 200);
     assert.equal((await send(0, { subscriber: unlimited.name }, '/open/1')).status, 200);
-    assert.equal((await send(0, { key: 'key-of-nobody' }, '/open/1')).status, 200);
+    assert.equal((await send(0, { key: 'key-of-nobody' }, '/open/1')).status, 401);
     assert.equal((await send(0, { key: unlimited.credentials[0]! }, '/open/1')).status, 200);
     assert.deepEqual(
       received.map(({ headers }) => [headers.subscriber, headers.key]),
       [
-        [undefined, undefined],
         [undefined, undefined],
         [undefined, undefined],
         [unlimited.name, undefined],
--- a/test/quota-changes.test.ts
+++ b/test/quota-changes.test.ts
@@ -64,8 +64,7 @@
     });
     return quotas;
   };
-  const admit = (quotas: QuotaLimiter, index: number) =>
-    quotas.admit({ name: nameOf(index), home: undefined, homes: undefined, quota }, 100);
+  const admit = (quotas: QuotaLimiter, index: number) => quotas.admit({ name: nameOf(index), quota }, 100);
   const used = (index: number) => duty.usage()[nameOf(index)]?.used.requests ?? 0;
   // Unspent grants expire after two seconds, and their expiry is reported.
   const settle = (...proxies: readonly QuotaLimiter[]) =>
--- a/test/quota-holder.test.ts
+++ b/test/quota-holder.test.ts
@@ -61,10 +61,7 @@
   };
   const admit = async (node: Name, count: number) => {
     for (let done = 0; done < count; done += 1) {
-      const verdict = await proxies[node].admit(
-        { name: 'team' as Id.Team, home: undefined, homes: undefined, quota },
-        1,
-      );
+      const verdict = await proxies[node].admit({ name: 'team' as Id.Team, quota }, 1);
       if (verdict.kind === 'in') admitted[node] += 1;
     }
   };
--- a/test/quota-questions.test.ts
+++ b/test/quota-questions.test.ts
@@ -29,8 +29,7 @@
       return true;
     },
   });
-  const admit = (index: number) =>
-    quotas.admit({ name: nameOf(index), home: undefined, homes: undefined, quota }, 100);
+  const admit = (index: number) => quotas.admit({ name: nameOf(index), quota }, 100);
   const setUp = (next: boolean) => {
     isUp = next;
   };
