Strict revocation: a proxy accepts API keys only under a lease on the newest manifest

Callers saw: a front out of touch went on running requests with a removed key (CONFIG, revocation-strict). Cause: a cut-off proxy keeps its last manifest without bound, and the age in a ping leaves out the time in transit, so it could bound nothing. Now frames upward carry the sender's time, pings downward echo it with a bound of the age of the view at the sender, and each hop counts from before the frame that the ping answers: a proxy knows until when its view was certainly the newest that any confirmed primary had acknowledged. With key_lease (platform: revocation-strict, revoke-ms, less 2 % for clocks) it accepts a key only while that is recent enough: at admission, before each try and before each send; otherwise 503 with Retry-After. The key must also still be the tenant's in the newest manifest at each try. Weighed: an acknowledgement that waits for what a cut-off node could do would hold changes for the length of a cut, past ack-ms.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -4,6 +4,7 @@
  */
 import { Address } from '../common/address.js';
 import { Id } from '../common/id.js';
+import { Instant } from '../common/instant.js';
 import { Listen } from '../common/listen.js';
 import type { LogBuffer } from '../log/log-buffer.js';
 import { Children } from '../membership/children.js';
@@ -23,6 +24,7 @@
 import type { Link } from '../wire/link.js';
 import { LinkPair } from '../wire/link-pair.js';
 import { LinkServer } from '../wire/link-server.js';
+import { PingClock } from '../wire/ping-clock.js';
 
 /** The agent program. */
 export type Agent = { readonly start: (startup: Agent.Startup, log: LogBuffer) => Promise<Agent.Running> };
@@ -77,7 +79,14 @@
         age: feed.age,
         onTokens: ({ stamp: _stamp, ...body }) => void uplink.send(body),
       });
-    const linkOptions = { stamp: feed.stamp, age: feed.age, pingsWhenBusy: true, serve, note: log.info };
+    const linkOptions = {
+      stamp: feed.stamp,
+      age: feed.age,
+      verifiedAge: () => Instant.since(feed.verifiedAt()),
+      pingsWhenBusy: true,
+      serve,
+      note: log.info,
+    };
     const linkServer = await LinkServer.open({ ...linkOptions, address: Address.checked(startup.wire) });
     wire = LinkServer.text(linkServer);
     const serveProxy: LinkServer.Options['serve'] = (link, hello, frames) => {
@@ -101,7 +110,7 @@
       reportsMembers: true,
       onPing() {
         confirmation.check();
-        for (const link of localLinks) link.send({ kind: 'ping', age: feed.age() });
+        for (const link of localLinks) link.send(PingClock.local(feed.age(), feed.verifiedAt()));
       },
       onRoster: roster.set,
       onLoads: (loads) => children.broadcast({ kind: 'loads', loads }),
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -101,6 +101,7 @@
       vouched: false,
     }));
     const age = (): number => core?.confirmationAge() ?? feed.age();
+    const verifiedAge = (): number => core?.confirmationAge() ?? Instant.since(feed.verifiedAt());
     /** Whether a primary that a majority confirms was heard of recently, directly or through other cores. */
     const isInTouch = () => age() < maxContactAgeMs;
     const children = Children.of(roll);
@@ -196,6 +197,7 @@
       address: Address.checked(startup.wire),
       stamp: feed.stamp,
       age,
+      verifiedAge,
       pingsWhenBusy: true,
       note: logBuffer.info,
       serve: (link, hello, frames) =>
--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -18,6 +18,7 @@
 import { ViewCache } from '../repair/view-cache.js';
 import type { Frame } from '../wire/frame.js';
 import { Link } from '../wire/link.js';
+import { PingClock } from '../wire/ping-clock.js';
 import { Protocol } from '../wire/protocol.js';
 import type { MemberTable } from './member-table.js';
 import { ParentCandidates } from './parent-candidates.js';
@@ -215,8 +216,9 @@
       candidates.addPeers(peers);
       options.onPeers?.(peers);
     };
-    const handlePing = ({ age, stamp }: Extract<Frame, { kind: 'ping' }>, link: Link) => {
-      feed.recordPing(age, stamp);
+    const handlePing = (ping: Extract<Frame, { kind: 'ping' }>, link: Link) => {
+      const { age, stamp } = ping;
+      feed.recordPing(age, stamp, PingClock.verifiedAt(ping));
       options.onPing?.();
       checkAge(age);
       if (Stamp.isNewer(stamp, feed.stamp())) requestView(link);
@@ -284,6 +286,7 @@
       const terms = {
         stamp: feed.stamp,
         age: feed.age,
+        wantsEcho: true,
         pingEvery: pingIntervalMs,
         silence: silenceTimeoutMs,
       };
--- a/src/news/feed.ts
+++ b/src/news/feed.ts
@@ -5,6 +5,9 @@
  * looks for another parent. A ping that names a newer view than the one held does not count. A ping that names the very
  * view held confirms it: that view was the newest when the message left the primary. The first confirmation of a view
  * is passed on at once, so that the nodes below need not wait for the next ping.
+ *
+ * The age in a ping does not include its time in transit, so it may be too low by any span: after a cut, or when the process
+ * was suspended. Where a bound is needed, `verifiedAt` counts from before the question that the ping answers.
  */
 import { Instant } from '../common/instant.js';
 import { Stamp } from '../common/stamp.js';
@@ -20,12 +23,17 @@
   readonly watch: (listener: (view: View) => void) => () => void;
   /** Calls back when the view held is confirmed for the first time; returns a function that ends it. */
   readonly watchConfirmed: (listener: () => void) => () => void;
-  /** Records a ping: the age of the last message from the primary, and the stamp of the sender. */
-  readonly recordPing: (age: number, stamp: Stamp) => void;
+  /**
+   * Records a ping: the age of the last message from the primary, the stamp of the sender, and since when that may have
+   * been replaced, where the ping tells.
+   */
+  readonly recordPing: (age: number, stamp: Stamp, verifiedAt?: Instant) => void;
   /** The age of the last message from the primary, in milliseconds. */
   readonly age: () => number;
   /** When the last message that confirmed a view left the primary. */
   readonly confirmedAt: () => Instant;
+  /** Until when no primary had acknowledged a change that is newer than the view held. */
+  readonly verifiedAt: () => Instant;
   /** The number of views that were older than the one held. */
   readonly ignoredCount: () => number;
 };
@@ -36,6 +44,7 @@
     let view = initial;
     let receivedAt = Instant.past;
     let lastConfirmedAt = Instant.past;
+    let lastVerifiedAt = Instant.past;
     let ignored = 0;
     let isConfirmed = false;
     const confirmationListeners = new Set<() => void>();
@@ -63,8 +72,9 @@
         confirmationListeners.add(listener);
         return () => void confirmationListeners.delete(listener);
       },
-      recordPing(age, stamp) {
+      recordPing(age, stamp, verifiedAt = Instant.past) {
         if (Stamp.isNewer(stamp, view.stamp)) return;
+        if (view.manifest && verifiedAt > lastVerifiedAt) lastVerifiedAt = verifiedAt;
         const sentAt = Instant.after(-age);
         if (sentAt > receivedAt) receivedAt = sentAt;
         if (sentAt <= lastConfirmedAt || !view.manifest || !Stamp.isSame(stamp, view.stamp)) return;
@@ -75,6 +85,7 @@
       },
       age: () => Instant.since(receivedAt),
       confirmedAt: () => lastConfirmedAt,
+      verifiedAt: () => lastVerifiedAt,
     };
   },
 };
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -15,6 +15,7 @@
 import type { Call } from './call.js';
 import type { Dialect } from './dialect.js';
 import type { FirstManifest } from './first-manifest.js';
+import type { KeyLease } from './key-lease.js';
 import type { Meters } from './meters.js';
 import type { QuotaLimiter } from './quota-limiter.js';
 import type { Shares } from './shares.js';
@@ -31,6 +32,7 @@
   type Dependencies = {
     readonly compiled: () => Compiled | undefined;
     readonly firstManifest: FirstManifest;
+    readonly keyLease: KeyLease;
     /** Number of requests in progress. */
     readonly active: () => number;
     /** Requests in progress above which new ones are refused. */
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -59,23 +59,32 @@
 
 const crowded = Responses.unavailable('crowded', 'this proxy serves as many requests as it may');
 const noManifest = Responses.unavailable('no_manifest', 'no manifest is in force here yet');
+const unverifiedKeys = Responses.unavailable(
+  'keys_unverified',
+  'this proxy is out of touch and cannot tell which keys are valid',
+);
 const unknownIsolation = Responses.unavailable('no_wall', 'the wall around this tenant can’t be told');
 
+const countRefusal = (needs: Filter.Dependencies, refusal: Responses): Responses => {
+  needs.meters.refusals.inc({ code: refusal.code });
+  return refusal;
+};
+
 /** Identifies the team and its cache isolation, or returns the refusal. */
 const identify = (needs: Filter.Dependencies, call: Call): Responses | undefined => {
   const compiled = needs.compiled();
   if (!compiled) return noManifest;
   if (needs.active() > needs.maxConcurrent) return crowded;
   const key = compiled.hasKeys ? call.dialect.apiKey(call.incoming.headers) : undefined;
+  if (key !== undefined && !needs.keyLease.isValid()) return countRefusal(needs, unverifiedKeys);
   const team = key === undefined ? compiled.anonymousTeam : compiled.findTeamByKey(key);
-  if (!team) return Responses.invalidKey;
+  if (!team) return countRefusal(needs, Responses.invalidKey);
   call.compiled = compiled;
   call.team = team;
   if (key !== undefined) call.key = key;
   call.wall = compiled.walls?.of(team.name);
   if (!compiled.walls || call.wall) return undefined;
-  needs.meters.refusals.inc({ code: 'no_wall' });
-  return unknownIsolation;
+  return countRefusal(needs, unknownIsolation);
 };
 
 const isPromptPath = (path: string): boolean => path === '/v1/chat/completions' || path === '/v1/completions';
@@ -126,7 +135,7 @@
   const candidates = compiled!.rules.filter((rule) => isCandidate(rule, method, path, incoming.headers));
   call.candidateRules = candidates;
   const isRefusedByAll = candidates.length > 0 && candidates.every((rule) => MatchRule.lacksKey(call, rule));
-  if (isRefusedByAll) return Responses.refuse(call, Responses.invalidKey);
+  if (isRefusedByAll) return Responses.refuse(call, countRefusal(needs, Responses.invalidKey));
   return candidates.length === 0 ? 'next' : receiveBody(call, candidates);
 };
 
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -121,12 +121,23 @@
     return this.rule.steps.some((step) =>
       step.groups.some((name) => {
         const group = this.compiled.groups.get(name);
-        return group !== undefined && this.mayGo(group);
+        return group !== undefined && this.isIsolated(group);
       }),
     );
   }
 
-  private readonly mayGo = (group: Compiled.Group): boolean =>
+  /** Whether the key of the call, if it has one, is still a key of its team. */
+  private isKeyValid(): boolean {
+    const { key, team } = this.call;
+    if (key === undefined) return true;
+    const newest = this.needs.compiled() ?? this.compiled;
+    const isKnown = newest === this.compiled || newest.findTeamByKey(key)?.name === team?.name;
+    return isKnown && this.needs.keyLease.isValid();
+  }
+
+  private readonly mayGo = (group: Compiled.Group): boolean => this.isKeyValid() && this.isIsolated(group);
+
+  private readonly isIsolated = (group: Compiled.Group): boolean =>
     Wall.isAllowed(this.call.wall, group.wall, CacheSalt.hasOpaqueBody(this.call));
 
   private pickDependencies(): Candidate.Needs {
--- a/src/proxy/meters.ts
+++ b/src/proxy/meters.ts
@@ -12,7 +12,13 @@
 
 /** Creates the metrics of a proxy. */
 export const Meters = {
-  of(sources: { stamp: () => Stamp; held: () => number; active: () => number; age: () => number }) {
+  of(sources: {
+    stamp: () => Stamp;
+    held: () => number;
+    active: () => number;
+    age: () => number;
+    keyLease: () => number;
+  }) {
     const metrics = Metrics.of();
     const { gauge, counter } = metrics;
     gauge('epoch', 'epoch of the manifest in force', () => sources.stamp().epoch);
@@ -20,6 +26,11 @@
     gauge('tokens', 'tokens for extra tries held here', sources.held);
     gauge('active_requests', 'requests being served', sources.active);
     gauge('news_age_seconds', 'age of the last word from the primary', () => sources.age() / 1000);
+    gauge(
+      'key_lease_seconds',
+      'how long API keys are accepted unless the lease is renewed; infinite without a bound',
+      () => sources.keyLease() / 1000,
+    );
     return {
       metrics,
       requests: counter('requests_total', 'requests by rule and outcome', ['rule', 'outcome']),
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -31,6 +31,7 @@
 import type { Link } from '../wire/link.js';
 import { Dialect } from './dialect.js';
 import { FirstManifest } from './first-manifest.js';
+import { KeyLease } from './key-lease.js';
 import { LeavingServers } from './leaving-servers.js';
 import { Meters } from './meters.js';
 import { QuotaLimiter } from './quota-limiter.js';
@@ -83,12 +84,21 @@
     const maintenance = Timer.every(500, () => {
       budget.maintain();
       quotas.maintain();
+      keyLease.reportChange();
       const failed = failures.takeUnreported();
       if (failed.length > 0) uplink.send({ kind: 'failures', failed });
     });
     const inFlight = InFlight.of();
     const stall = Stall.of();
     const firstManifest = FirstManifest.of();
+    const keyLease = KeyLease.of({
+      within: () => startup.key_lease ?? Number.POSITIVE_INFINITY,
+      verifiedAt: feed.verifiedAt,
+      onChange(isValid) {
+        if (isValid) ring.info('API keys are accepted again');
+        else ring.error('API keys are refused: the manifest held may not be the newest', { age: feed.age() });
+      },
+    });
     const boot = Id.boot();
     let active = 0;
     let isDraining = false;
@@ -98,6 +108,7 @@
       held: budget.held,
       active: () => active,
       age: feed.age,
+      keyLease: keyLease.remaining,
     });
     const ejector = Ejector.of((server, span, why) => {
       meters.ejections.inc({ group: server.group });
@@ -198,6 +209,7 @@
       {
         compiled: () => compiled,
         firstManifest,
+        keyLease,
         active: () => active,
         maxConcurrent: startup.concurrent ?? 512,
         dialect,
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -14,6 +14,7 @@
     drain: Guard.integer({ min: 0, max: 3_600_000 }),
     extra_tries: Guard.strictObject({ count: Guard.number({ min: 0 }), window: Guard.integer({ min: 1 }) }),
     linger: Guard.integer({ min: 0, max: 3_600_000 }),
+    key_lease: Guard.integer({ min: 1, max: 3_600_000 }),
     ready_path: Guard.string({ like: /^\/[^\s?#:*]*$/, as: 'a path that begins with /' }),
   },
 );
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -8,8 +8,11 @@
 import { Stamp } from '../common/stamp.js';
 import { Schema } from './schema.js';
 
-/** One message, with the stamp of its sender. */
-export type Frame = Frame.Body & { readonly stamp: Stamp };
+/**
+ * One message, with the stamp of its sender, and when it was sent on the clock of its sender, in milliseconds, where the
+ * sender wants that echoed.
+ */
+export type Frame = Frame.Body & { readonly stamp: Stamp; readonly sentAt?: number };
 
 /** The kinds of frames and their parts. Field names are those of the protobuf schema. */
 export declare namespace Frame {
@@ -46,7 +49,7 @@
         readonly age: number;
         readonly protocol?: number;
       }
-    | { readonly kind: 'ping'; readonly age: number }
+    | Ping
     | { readonly kind: 'ask'; readonly digests: readonly string[] }
     | {
         readonly kind: 'patch';
@@ -103,6 +106,18 @@
       }
     | Request
     | Reply;
+  /** Links add all fields but the age when they send a ping. */
+  type Ping = {
+    readonly kind: 'ping';
+    /** The age of the last message from the primary at the sender, without its time in transit. */
+    readonly age: number;
+    /** The `sentAt` of the last frame received from the other end, on that end's clock; 0 if there was none. */
+    readonly echo?: number;
+    /** Whether the sender knows an upper bound of the age of its view. */
+    readonly isVerified?: boolean;
+    /** The time since which the view of the sender may have been replaced, at most, in milliseconds. */
+    readonly verifiedAge?: number;
+  };
   type Request =
     | {
         readonly kind: 'prepare';
@@ -231,9 +246,9 @@
 export const Frame = {
   maxBytes: maxFrameBytes,
   /** The frame with its length prefix of four bytes; throws when it exceeds the limit. */
-  encode(stamp: Stamp, frame: Frame.Body): Buffer {
+  encode(stamp: Stamp, frame: Frame.Body, sentAt = 0): Buffer {
     const { kind, ...body } = frame;
-    const bytes = Schema.frame.encode(Schema.frame.fromObject({ stamp, [kind]: body })).finish();
+    const bytes = Schema.frame.encode(Schema.frame.fromObject({ stamp, sentAt, [kind]: body })).finish();
     if (bytes.length > maxFrameBytes)
       throw Failure.of('frame', 'frame exceeds the size limit', { length: bytes.length });
     const framed = Buffer.allocUnsafe(4 + bytes.length);
@@ -256,6 +271,7 @@
       unknownFrames += 1;
       return undefined;
     }
-    return { kind, stamp: plain.stamp ?? Stamp.none, ...(plain[kind] as object) } as Frame;
+    const { stamp = Stamp.none, sentAt } = plain;
+    return { kind, stamp, ...(sentAt ? { sentAt } : {}), ...(plain[kind] as object) } as Frame;
   },
 };
--- a/src/wire/link-server.ts
+++ b/src/wire/link-server.ts
@@ -26,6 +26,7 @@
     readonly address: Address;
     readonly stamp: () => Stamp;
     readonly age: () => number;
+    readonly verifiedAge?: () => number;
     readonly pingsWhenBusy?: boolean;
     readonly serve: (link: Link, hello: Hello, frames: AsyncGenerator<Frame, void, void>) => Promise<void>;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
@@ -90,6 +91,7 @@
       const link = Link.fromSocket(socket, {
         stamp: options.stamp,
         age: options.age,
+        ...(options.verifiedAge ? { verifiedAge: options.verifiedAge } : {}),
         pingEvery: pingIntervalMs,
         silence: silenceTimeoutMs,
         pingsWhenBusy: options.pingsWhenBusy ?? false,
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -10,6 +10,7 @@
 import { StateMachine } from '../common/state-machine.js';
 import { Timer } from '../common/timer.js';
 import { Frame } from './frame.js';
+import { PingClock } from './ping-clock.js';
 
 /** One end of a link. */
 export type Link = {
@@ -34,6 +35,10 @@
     readonly stamp: () => Stamp;
     /** The age of the last message from the primary, in milliseconds, for each ping. */
     readonly age: () => number;
+    /** The time since which the view sent may have been replaced, at most, in milliseconds; infinite if not known. */
+    readonly verifiedAge?: () => number;
+    /** Tells with each frame when it was sent, so that the other end echoes it in its pings. */
+    readonly wantsEcho?: boolean;
     /** Interval of pings, in milliseconds. */
     readonly pingEvery?: number;
     /** Milliseconds without received data after which the link is closed. */
@@ -49,7 +54,7 @@
 const redialIntervalMs = 300;
 
 /** Splits the byte stream into frames, each with a length prefix of four bytes. */
-async function* read(socket: Socket): AsyncGenerator<Frame, void, void> {
+async function* read(socket: Socket, clock: PingClock): AsyncGenerator<Frame, void, void> {
   let buffered: Buffer = Buffer.alloc(0);
   for await (const chunk of socket as AsyncIterable<Buffer>) {
     buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
@@ -59,7 +64,9 @@
       if (buffered.length < 4 + length) break;
       const frame = Frame.decode(buffered.subarray(4, 4 + length));
       buffered = buffered.subarray(4 + length);
-      if (frame) yield frame;
+      if (!frame) continue;
+      clock.record(frame);
+      yield frame;
     }
   }
   if (buffered.length > 0)
@@ -73,6 +80,7 @@
     const silence = options.silence ?? 2000;
     const state = StateMachine.of('open', { open: ['closed'], closed: [] });
     let resolveClosed: () => void = () => {};
+    const clock = PingClock.of(options);
     const closed = new Promise<void>((resolve) => {
       resolveClosed = resolve;
     });
@@ -92,7 +100,7 @@
         );
         return false;
       }
-      socket.write(Frame.encode(options.stamp(), body));
+      socket.write(Frame.encode(options.stamp(), clock.complete(body), clock.sentAt()));
       if (!options.pingsWhenBusy) pings.restart();
       return true;
     };
@@ -130,7 +138,7 @@
       isLocal: false,
       async *frames() {
         try {
-          yield* read(socket);
+          yield* read(socket, clock);
         } finally {
           close();
         }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -13,7 +13,7 @@
 message Hello { Entry self = 1; string version = 2; string aim = 3; uint32 protocol = 4; }
 message Welcome { Entry self = 1; repeated string peers = 2; string version = 3; repeated string relays = 4;
   double age = 5; uint32 protocol = 6; }
-message Ping { double age = 1; }
+message Ping { double age = 1; double echo = 2; bool isVerified = 3; double verifiedAge = 4; }
 message Ask { repeated string digests = 1; }
 message News { bytes view = 1; bytes compressed = 2; }
 message Range { string name = 1; string digest = 2; string body = 3; uint32 count = 4; }
@@ -61,7 +61,7 @@
 message Leaving { repeated string instances = 1; }
 message Failed { string instance = 1; float count = 2; }
 message Failures { repeated Failed failed = 1; }
-message Frame { Stamp stamp = 1;
+message Frame { Stamp stamp = 1; double sentAt = 34;
   oneof body { Hello hello = 2; Welcome welcome = 3; Ping ping = 4; Ask ask = 5; News news = 6; Roll roll = 7;
     Refuse refuse = 8;
     Prepare prepare = 9; Accept accept = 10; Peek peek = 11; Vote vote = 12; Append append = 13;
--- a/test/platform-tenants.test.ts
+++ b/test/platform-tenants.test.ts
@@ -190,8 +190,8 @@
       const responses = await Promise.all(
         [0, 1, 2].map((front) => send(front, { key: limited.credentials[0]! })),
       );
-      for (const { status, headers } of responses) {
-        assert.ok(status === 200 || status === 429, String(status));
+      for (const { status, text, headers } of responses) {
+        assert.ok(status === 200 || status === 429, `${status} ${text}`);
         if (status !== 429) continue;
         refused += 1;
         assert.ok(Number(headers['retry-after']) > 0);
@@ -232,6 +232,26 @@
     await waitForStatus(200, { key: unlimited.credentials[0]! });
   });
 
+  it('a front that was suspended over a revocation runs no request with the removed key', async () => {
+    const front = kit.fronts[0]!;
+    const removed = unlimited.credentials[0]!;
+    const other = 'a-third-key-of-kaje80';
+    assert.equal(await replace([{ ...unlimited, credentials: [removed, other] }, limited]), 200);
+    await waitForStatus(200, { key: other });
+    process.kill(front.process!.pid, 'SIGSTOP');
+    assert.equal(await replace([{ ...unlimited, credentials: [other] }, limited]), 200);
+    await pause(revokeMs + 200);
+    received.length = 0;
+    const responses = Promise.all([1, 2, 3].map(() => send(0, { key: removed })));
+    await pause(200);
+    process.kill(front.process!.pid, 'SIGCONT');
+    for (const { status } of await responses) assert.ok(status === 503 || status === 401, String(status));
+    await waitForStatus(401, { key: removed });
+    assert.deepEqual(received, []);
+    assert.equal(await replace([{ ...unlimited, credentials: [removed] }, limited]), 200);
+    await waitForStatus(200, { key: removed });
+  });
+
   it('no log of any program holds a key', async () => {
     const keys = [...unlimited.credentials, ...limited.credentials];
     for (const core of kit.cores) {
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -4,12 +4,14 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import type { Guard } from '../../src/common/guard.js';
+import { Instant } from '../../src/common/instant.js';
 import { Stamp } from '../../src/common/stamp.js';
 import { Compiled } from '../../src/manifest/compiled.js';
 import { Document } from '../../src/manifest/document.js';
 import { Dialect } from '../../src/proxy/dialect.js';
 import type { Filter } from '../../src/proxy/filter.js';
 import { FirstManifest } from '../../src/proxy/first-manifest.js';
+import { KeyLease } from '../../src/proxy/key-lease.js';
 import { Meters } from '../../src/proxy/meters.js';
 import { QuotaLimiter } from '../../src/proxy/quota-limiter.js';
 import { ProxyServer } from '../../src/proxy/server.js';
@@ -98,6 +100,11 @@
   const needs: Filter.Dependencies = {
     compiled: newest,
     firstManifest: FirstManifest.of(),
+    keyLease: KeyLease.of({
+      within: () => Number.POSITIVE_INFINITY,
+      verifiedAt: () => Instant.past,
+      onChange() {},
+    }),
     active,
     maxConcurrent: 512,
     dialect: terms.dialect ?? Dialect,
@@ -126,6 +133,7 @@
       held: budget.held,
       active,
       age: () => 0,
+      keyLease: () => Number.POSITIVE_INFINITY,
     }),
     note() {},
   };
