Quotas: cores grant a part of the slack at once; refuse at once what the holder has just refused

A large tenant's proxies may hold one request ahead where at least half a request per proxy is left. A proxy refuses 250 ms long without asking what the holder granted nothing of. Ruled out: grants ahead for small tenants (the ungranted rest is under one request per proxy).

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -11,6 +11,7 @@
 import { Listen } from '../common/listen.js';
 import { Timer } from '../common/timer.js';
 import { BudgetDuty } from '../duty/budget-duty.js';
+import { CoreAllowance } from '../duty/core-allowance.js';
 import { FailureAggregator } from '../duty/failure-aggregator.js';
 import { FallbackListDuty } from '../duty/fallback-list-duty.js';
 import { ListDuty } from '../duty/list-duty.js';
@@ -130,13 +131,23 @@
       onConnect: () => core?.wake(),
       note: logBuffer.info,
     });
+    const quotaOf = (team: string) => feed.view().manifest?.document.teams[team]?.quota;
     const quotas = QuotaDuty.of({
-      quotaOf: (team) => feed.view().manifest?.document.teams[team]?.quota,
+      quotaOf,
       roster: roster.names,
       requestReport: (node) => sendDown({ ...QuotaDuty.reportRequest, node }),
     });
+    const allowance = CoreAllowance.of({
+      quotaOf,
+      coreCount() {
+        const cores = core?.term()?.cores ?? [];
+        return cores.some(({ disk }) => disk === register.disk) ? cores.length : undefined;
+      },
+      grantLifetimeMs: QuotaDuty.grantLifetimeMs,
+    });
     const budget = BudgetDuty.of({
       quotas,
+      allowance,
       hasRecentPrimary: isInTouch,
       own: startup.node,
       term: () => core?.term(),
--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -1,9 +1,11 @@
 /**
  * The budget duty of a core: pools the retry tokens that proxies do not need and grants them to proxies that request some. A
  * duty is a role that one core at a time holds; the others forward its messages to the holder. A new holder starts with an
- * empty pool: tokens in transit may be lost, but are never duplicated. The same core also holds the quota duty.
+ * empty pool: tokens in transit may be lost, but are never duplicated. The same core also holds the quota duty; any core may
+ * answer a question for quotas from its own allowance.
  */
 import type { Frame } from '../wire/frame.js';
+import type { CoreAllowance } from './core-allowance.js';
 import { DutyOrder } from './duty-order.js';
 import type { QuotaDuty } from './quota-duty.js';
 import { TokenPool } from './token-pool.js';
@@ -33,10 +35,11 @@
     readonly forward: (node: string, frame: BudgetDuty.Tokens) => void;
     readonly respond: (frame: BudgetDuty.Tokens) => void;
     readonly quotas: QuotaDuty;
+    readonly allowance: CoreAllowance;
     /**
      * Whether word of a primary arrived recently. A core that is cut off considers itself the first live one. It then
-     * grants no quota, and the proxies below it admit up to their even shares. Retry tokens were earned and cannot be
-     * granted twice, so they continue to be handled.
+     * grants no more than its own allowance, and the proxies below it admit up to their even shares. Retry tokens were
+     * earned and cannot be granted twice, so they continue to be handled.
      */
     readonly hasRecentPrimary?: () => boolean;
   }): BudgetDuty {
@@ -50,6 +53,20 @@
       if (term.epoch !== epoch) pool = TokenPool.of();
       epoch = term.epoch;
     };
+    const grantFromAllowance = (frame: BudgetDuty.Tokens, { epoch: termEpoch }: Frame.Term): boolean => {
+      const grants = frame.whole ? undefined : needs.allowance.grant(frame);
+      if (grants) needs.respond({ ...frame, epoch: termEpoch, uses: [], grants, fromAllowance: true });
+      return grants !== undefined;
+    };
+    const answerReport = (frame: BudgetDuty.Tokens, term: Frame.Term): void => {
+      if (needs.hasRecentPrimary?.() === false) {
+        grantFromAllowance(frame, term);
+        return;
+      }
+      const response = needs.quotas.receive(frame, term.epoch);
+      if (response?.listening === true && grantFromAllowance(frame, term)) return;
+      if (response) needs.respond(response);
+    };
     return {
       holder,
       pooled: () => pool.total(),
@@ -57,13 +74,12 @@
         const term = needs.term();
         const holderNode = holder();
         if (!term || holderNode === undefined) return;
-        if (holderNode !== needs.own) return needs.forward(holderNode, frame);
-        if (frame.uses.length > 0 || frame.serial > 0) {
-          if (needs.hasRecentPrimary?.() === false) return;
-          const response = needs.quotas.receive(frame, term.epoch);
-          if (response) needs.respond(response);
+        const isQuotaReport = frame.uses.length > 0 || frame.serial > 0;
+        if (holderNode !== needs.own) {
+          if (!isQuotaReport || !grantFromAllowance(frame, term)) needs.forward(holderNode, frame);
           return;
         }
+        if (isQuotaReport) return answerReport(frame, term);
         startTerm(term);
         pool.add(frame.batches);
         const wanted = Math.min(frame.wanted, pool.total());
--- a/src/duty/quota-duty.ts
+++ b/src/duty/quota-duty.ts
@@ -30,7 +30,11 @@
   /** A message about retry tokens or quotas. */
   type Tokens = Extract<Frame.Body, { kind: 'tokens' }>;
   /** The quota of a team; `span` is in milliseconds. */
-  type Quota = Partial<UsageWindow.Usage> & { readonly span: number };
+  type Quota = Partial<UsageWindow.Usage> & {
+    readonly span: number;
+    /** Requests beyond the quota that the cores may grant within the span on their own authority. */
+    readonly slack?: number;
+  };
   /** A team's usage, its quota, and the number of proxies that reported. */
   type Usage = {
     readonly used: UsageWindow.Usage;
@@ -71,6 +75,10 @@
   prompt: a.prompt - b.prompt,
 });
 
+/** The requests that one proxy may hold ahead of need: at least one if the proxies could hold at most two each. */
+const requestsAhead = (left: number, proxies: number): number =>
+  left >= proxies / 2 ? Math.max(1, left / (2 * proxies)) : 0;
+
 /** Requests a full report from a proxy. A proxy of an earlier version takes it for an empty grant. */
 const reportRequest = {
   kind: 'tokens',
@@ -181,10 +189,13 @@
       if (!quota) return undefined;
       record(node, use, UsageWindow.zero);
       const left = remainingFor(use, quota);
-      const ahead = 1 / (2 * coverage.proxyCount(use.team));
+      const proxies = coverage.proxyCount(use.team);
       const granted = minimum(left, {
-        requests: Math.max(use.must.requests, Math.min(use.wanted.requests, left.requests * ahead)),
-        prompt: Math.max(use.must.prompt, Math.min(use.wanted.prompt, left.prompt * ahead)),
+        requests: Math.max(
+          use.must.requests,
+          Math.min(use.wanted.requests, requestsAhead(left.requests, proxies)),
+        ),
+        prompt: Math.max(use.must.prompt, Math.min(use.wanted.prompt, left.prompt / (2 * proxies))),
       });
       record(node, use, granted);
       return { team: use.team, ...granted };
--- a/src/manifest/document.ts
+++ b/src/manifest/document.ts
@@ -144,7 +144,11 @@
 
 const quota = Guard.strictObject(
   { span: Guard.integer({ min: 1000, max: 86_400_000 }) },
-  { requests: Guard.integer({ min: 1 }), prompt: Guard.integer({ min: 1 }) },
+  {
+    requests: Guard.integer({ min: 1 }),
+    prompt: Guard.integer({ min: 1 }),
+    slack: Guard.integer({ min: 0, max: 1_000_000 }),
+  },
 );
 
 const limits = Guard.strictObject(
--- a/src/proxy/quota-limiter.ts
+++ b/src/proxy/quota-limiter.ts
@@ -33,7 +33,7 @@
     epoch: number,
     serial: number,
     grants: readonly Frame.Grant[],
-    flags?: { readonly life?: boolean; readonly whole?: boolean; readonly listening?: boolean },
+    flags?: Pick<Extract<Frame.Body, { kind: 'tokens' }>, 'life' | 'whole' | 'listening' | 'fromAllowance'>,
   ) => void;
   /** Sends a full report; the duty holder, which has no report of this proxy yet, requested it. */
   readonly reportAll: () => void;
@@ -72,6 +72,8 @@
   lastUsedAt: Instant;
   lastChargedAt: Instant;
   isSteady: boolean;
+  /** Until when requests are refused at once, since the holder has just granted nothing. */
+  exhaustedUntil: Instant;
   /** What the duty holder has recorded for this team; undefined if not known. */
   acknowledged: UsageWindow.Usage | undefined;
 };
@@ -89,6 +91,8 @@
   readonly cancelTimeout: () => void;
 };
 
+/** How long requests are refused without a question after the holder granted nothing. */
+const exhaustedMs = 250;
 /** How long a grant may be spent, counted from its request. */
 const grantLifetimeMs = 2000;
 /** Time after which a request for grants counts as unanswered. */
@@ -101,6 +105,8 @@
 const isEqual = (a: UsageWindow.Usage, b: UsageWindow.Usage | undefined): boolean =>
   a.requests === b?.requests && a.prompt === b.prompt;
 
+const isEmpty = (grant: Frame.Grant): boolean => grant.requests === 0 && grant.prompt === 0;
+
 const openRequest = (serial: number, onTimeout: (request: GrantRequest) => void): GrantRequest => {
   let resolve: (isAnswered: boolean) => void = () => {};
   const answered = new Promise<boolean>((resolvePromise) => {
@@ -147,6 +153,7 @@
         lastUsedAt: Instant.now(),
         lastChargedAt: Instant.past,
         isSteady: false,
+        exhaustedUntil: Instant.past,
         acknowledged: undefined,
       };
       accounts.set(team, made);
@@ -241,6 +248,13 @@
         used.prompt <= (quota.prompt ?? Number.POSITIVE_INFINITY) * part;
       return isWithin ? charge(account, usage) : undefined;
     };
+    const addGrant = ({ team, requests, prompt }: Frame.Grant, askedAt: Instant): Account | undefined => {
+      const account = accounts.get(team);
+      if (!account) return undefined;
+      account.grant = UsageWindow.sum(unspentGrantOf(account), { requests, prompt });
+      account.grantExpiresAt = Instant.after(grantLifetimeMs, askedAt);
+      return account;
+    };
     return {
       async admit({ name, quota }, prompt) {
         if (!quota) return { kind: 'in', refund: () => {} };
@@ -249,7 +263,7 @@
         const askedAt = Instant.now();
         let isAnswered = true;
         const mayAsk = (round: number) =>
-          (round < 2 && isAnswered) ||
+          (round < 2 && isAnswered && Instant.isPast(account.exhaustedUntil)) ||
           (!isAnswered && isStartingUp() && Instant.since(askedAt) < maxStartupWaitMs);
         account.waiting.add(usage);
         try {
@@ -271,8 +285,18 @@
           }
         );
       },
-      applyGrants(from, answered, grants, { life = false, whole = false, listening = false } = {}) {
+      applyGrants(
+        from,
+        answered,
+        grants,
+        { life = false, whole = false, listening = false, fromAllowance = false } = {},
+      ) {
         if (from < epoch || pending?.serial !== answered) return;
+        if (fromAllowance) {
+          for (const grant of grants) addGrant(grant, pending.at);
+          pending.resolve(true);
+          return;
+        }
         epoch = from;
         isRegistered = life;
         pending.isAcknowledged = true;
@@ -289,13 +313,12 @@
           void requestGrants().answered.then(resolve);
           return;
         }
-        for (const { team, requests, prompt } of grants) {
-          const account = accounts.get(team);
+        for (const grant of grants) {
+          const account = addGrant(grant, pending.at);
+          const told = pending.teams.get(grant.team);
           if (!account) continue;
-          account.grant = UsageWindow.sum(unspentGrantOf(account), { requests, prompt });
-          account.grantExpiresAt = Instant.after(grantLifetimeMs, pending.at);
-          const told = pending.teams.get(team);
-          account.acknowledged = told && UsageWindow.sum(told.reported, { requests, prompt });
+          account.acknowledged = told && UsageWindow.sum(told.reported, grant);
+          if (told?.isWaiting && isEmpty(grant)) account.exhaustedUntil = Instant.after(exhaustedMs);
         }
         pending.resolve(true);
       },
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -103,6 +103,8 @@
         readonly life?: boolean;
         readonly whole?: boolean;
         readonly listening?: boolean;
+        /** Granted by a core on its own authority; the holder of the duty has not seen the report that it answers. */
+        readonly fromAllowance?: boolean;
       }
     | Request
     | Reply;
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -86,6 +86,7 @@
       hasRecentPrimary: () => isInTouch,
       forward: () => {},
       respond: ({ node }) => void answered.push(node),
+      allowance: { grant: () => undefined },
       quotas: {
         observeEpoch: () => {},
         usage: () => ({}),
--- a/test/quota-questions.test.ts
+++ b/test/quota-questions.test.ts
@@ -79,4 +79,53 @@
     const [use] = sent[before + 1] ?? [];
     assert.deepEqual([use?.used.requests, use?.must.requests], [4, 0]);
   });
+  it('are not sent for a team for a while after the holder granted it nothing, and its requests are refused at once', async () => {
+    let asked = 0;
+    const quotas: QuotaLimiter = QuotaLimiter.of({
+      proxies: () => 2,
+      send(serial, uses) {
+        asked += 1;
+        const grants = uses.map(({ team }) => ({ team, requests: 0, prompt: 0 }));
+        setImmediate(() => quotas.applyGrants(1, serial, grants, { life: true }));
+        return true;
+      },
+    });
+    const admit = () => quotas.admit({ name: nameOf(0), quota }, 100);
+    assert.equal((await admit()).kind, 'over');
+    const before = asked;
+    const began = Instant.now();
+    for (let count = 0; count < 20; count += 1) {
+      const verdict = await admit();
+      assert.ok(verdict.kind === 'over' && verdict.retryAfter >= 1000);
+    }
+    assert.equal(asked, before);
+    assert.ok(Instant.since(began) < 100);
+    for (const waiting = Instant.now(); Instant.since(waiting) < 300; await nextTurn());
+    await admit();
+    assert.ok(asked > before, 'it is asked again afterwards');
+  });
+
+  it('that a core answers from its allowance leave what the holder knows as it was', async () => {
+    const sent: { readonly uses: readonly Frame.Use[]; readonly whole: boolean }[] = [];
+    const quotas: QuotaLimiter = QuotaLimiter.of({
+      proxies: () => 2,
+      send(serial, uses, { whole }) {
+        sent.push({ uses, whole });
+        const isQuestion = uses.some(({ must }) => must.requests > 0);
+        const grants = uses.map(({ team, must }) => ({ team, ...must }));
+        const flags = isQuestion ? { fromAllowance: true } : { life: true };
+        setImmediate(() => quotas.applyGrants(1, serial, isQuestion ? grants : [], flags));
+        return true;
+      },
+    });
+    assert.equal((await quotas.admit({ name: nameOf(0), quota }, 100)).kind, 'in');
+    quotas.maintain();
+    assert.deepEqual(
+      sent.map(({ uses, whole }) => [uses[0]?.used.requests, uses[0]?.must.requests, whole]),
+      [
+        [0, 1, false],
+        [1, 0, true],
+      ],
+    );
+  });
 });
