Tell which fields of a configuration have no effect, refuse what cannot be obeyed, audit keys and limits

A core now logs each configuration that it takes with counts and with the fields that have no effect (names only, values may be keys). A service with tls true or a protocol other than h1 was accepted and spoken to in plain HTTP/1.1; it is refused with 400. The audit log names teams whose keys or quotas change, and counts keys.

--- a/src/control/adapter.ts
+++ b/src/control/adapter.ts
@@ -31,6 +31,8 @@
   /** What the paths for operators are built from. */
   type OperatorContext = {
     readonly office: PrimaryGateway;
+    /** Writes a log line. */
+    readonly note: (text: string, facts?: Record<string, unknown>) => void;
     /** Runs the handler at the primary and answers 503 if its result could not be confirmed. */
     readonly onPrimary: (handle: Handle) => (context: Context) => Promise<Response>;
   };
--- a/src/control/commands/put-numbered.ts
+++ b/src/control/commands/put-numbered.ts
@@ -7,6 +7,7 @@
 
 import { Check } from '../../manifest/check.js';
 import type { Document } from '../../manifest/document.js';
+import { TeamChange } from '../../manifest/team-change.js';
 import { Orders } from '../../store/orders.js';
 import { State } from '../../store/state.js';
 import type { PrimaryGateway } from '../primary-gateway.js';
@@ -18,6 +19,14 @@
   readonly document: Document & { readonly source: Document.Source };
 };
 
+/** How many teams an entry of the audit log names. */
+const maxTeamsNamed = 20;
+
+const summarize = (lines: readonly string[]): readonly string[] => {
+  const rest = lines.length - maxTeamsNamed;
+  return rest > 0 ? [...lines.slice(0, maxTeamsNamed), `${rest} more teams`] : lines;
+};
+
 /** The author that the audit log names. */
 const by = 'operator';
 
@@ -57,14 +66,15 @@
             findings: [{ place: '/source/number', text: `must be above ${current}` }],
           });
         const { evacuations } = newest ?? {};
+        const teamChange = TeamChange.of(newest, document);
         return {
           kind: 'manifest',
           stamp,
           document: evacuations ? { ...document, evacuations } : document,
           by,
           at,
-          what: `manifest ${number} put`,
-          teams: [],
+          what: [`manifest ${number} put`, ...summarize(teamChange.lines)].join('; '),
+          teams: teamChange.teams.slice(0, maxTeamsNamed),
           answer: { key, digest },
         };
       },
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -236,6 +236,7 @@
     );
     const operatorPaths = needs.adapter.operators?.({
       office,
+      note: needs.note,
       onPrimary: (handle) => (context) =>
         core.leading() ? forwarder.respond(context, () => handle(context)) : forwarder.forward(context),
     });
--- a/test/platform-tenants.test.ts
+++ b/test/platform-tenants.test.ts
@@ -34,11 +34,19 @@
   ...more,
 });
 const service = { name: 'huvo11a', 'health-path': '/health', 'max-connections': 360, protocol: 'h1' };
-const configurationText = (revision: number, subscribers: readonly Subscriber[] | undefined): string =>
+const configurationText = (
+  revision: number,
+  subscribers: readonly Subscriber[] | undefined,
+  serviceFields: object = {},
+): string =>
   JSON.stringify({
     revision,
-    'route-table': [route('r-1', '/keyed/'), route('r-2', '/open/', { anonymous: true })],
-    services: [service],
+    'route-table': [
+      route('r-1', '/keyed/'),
+      route('r-2', '/open/', { anonymous: true }),
+      route('r-3', '/at-home/', { 'home-regions': ['sto'] }),
+    ],
+    services: [{ ...service, ...serviceFields }],
     limits: {},
     ...(subscribers ? { subscribers } : {}),
   });
@@ -71,10 +79,13 @@
   let current = 0;
   const received: { readonly at: number; readonly headers: IncomingHttpHeaders }[] = [];
 
-  const replace = async (subscribers: readonly Subscriber[] | undefined): Promise<number> => {
+  const replace = async (
+    subscribers: readonly Subscriber[] | undefined,
+    serviceFields: object = {},
+  ): Promise<number> => {
     const { status } = await kit.sendCommand(
       '/configuration/replace',
-      configurationText(current + 1, subscribers),
+      configurationText(current + 1, subscribers, serviceFields),
       { 'base-revision': String(current) },
     );
     if (status === 200) current += 1;
@@ -252,6 +263,39 @@
     await waitForStatus(200, { key: removed });
   });
 
+  it('the homes of a tenant and of a route both bind', async () => {
+    const [here, there] = ['key-of-a-tenant-at-home', 'key-of-a-tenant-elsewhere'];
+    const bound: readonly Subscriber[] = [
+      { name: 'bound', credentials: [here], 'home-regions': ['sto'] },
+      { name: 'elsewhere', credentials: [there], 'home-regions': ['got'] },
+    ];
+    assert.equal(await replace([unlimited, limited, ...bound]), 200);
+    await waitForStatus(200, { key: here });
+    received.length = 0;
+    assert.equal((await send(0, { key: here }, '/at-home/1')).status, 200);
+    assert.equal((await send(0, { key: there }, '/at-home/1')).status, 403);
+    assert.equal((await send(0, { key: there })).status, 503, 'no server is at its home');
+    assert.equal((await send(0, { key: unlimited.credentials[0]! }, '/at-home/1')).status, 200);
+    assert.deepEqual(
+      received.map(({ headers }) => headers.subscriber),
+      ['bound', unlimited.name],
+    );
+    assert.equal(await replace([unlimited, { ...limited, 'home-regions': ['nowhere'] }]), 400);
+  });
+
+  it('what of a configuration has no effect is logged, and what cannot be obeyed is refused', async () => {
+    assert.equal(await replace([unlimited, limited], { tls: true }), 400);
+    assert.equal(await replace([unlimited, limited], { protocol: 'h2' }), 400);
+    const spending = { ...limited, 'burst-size': 7, 'spend-per-month': 12 } as Subscriber;
+    assert.equal(await replace([unlimited, spending], { tls: false, 'new-field': 1 }), 200);
+    const logs = await Promise.all(kit.cores.map((core) => kit.call(core, 'GET', '/log')));
+    const taken = logs.flatMap(({ text }) => text.split('\n')).find((line) => line.includes('new-field'));
+    assert.ok(
+      taken?.includes('configuration taken') && taken.includes('/subscribers/*/spend-per-month'),
+      taken,
+    );
+  });
+
   it('no log of any program holds a key', async () => {
     const keys = [...unlimited.credentials, ...limited.credentials];
     for (const core of kit.cores) {
