--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -111,6 +111,7 @@
     const roster = Roster.of();
     const rosterTimer = Timer.every(250, () => {
       quotas.observeEpoch(core?.term()?.epoch ?? 0);
+      allowance.observeMembership();
       const proxies = roll.all().filter((entry) => entry.program === 'proxy');
       const names = proxies.map((entry) => entry.node);
       roster.set(isInTouch() ? names : [...new Set([...roster.names(), ...names])]);
@@ -143,7 +144,6 @@
         const cores = core?.term()?.cores ?? [];
         return cores.some(({ disk }) => disk === register.disk) ? cores.length : undefined;
       },
-      grantLifetimeMs: QuotaDuty.grantLifetimeMs,
     });
     const budget = BudgetDuty.of({
       quotas,
--- a/src/duty/core-allowance.ts
+++ b/src/duty/core-allowance.ts
@@ -16,18 +16,22 @@
 export type CoreAllowance = {
   /** The grants for all requests that wait, or undefined if the allowance does not cover them all. */
   readonly grant: (frame: QuotaDuty.Tokens) => readonly Frame.Grant[] | undefined;
+  /** Notices when the core joins or leaves the term; called several times a second. */
+  readonly observeMembership: () => void;
 };
 
 type Granted = { readonly window: UsageWindow; readonly spanMs: number };
 
+/** How long such a grant may be spent, counted from its question, in milliseconds. */
+const grantLifetimeMs = 500;
+
 /** Creates the allowance of a core. */
 export const CoreAllowance = {
+  grantLifetimeMs,
   of(needs: {
     readonly quotaOf: (team: string) => QuotaDuty.Quota | undefined;
     /** The number of cores in the term, this one included; undefined if it is not one of them. */
     readonly coreCount: () => number | undefined;
-    /** How long a grant may be spent, in milliseconds. */
-    readonly grantLifetimeMs: number;
   }): CoreAllowance {
     const grantedByTeam = new Map<string, Granted>();
     let memberSince: Instant | undefined;
@@ -47,12 +51,13 @@
     const remaining = (team: string, count: number): { left: number; window: UsageWindow } | undefined => {
       const quota = needs.quotaOf(team);
       if (quota?.slack === undefined || quota.prompt !== undefined) return undefined;
-      const spanMs = quota.span + needs.grantLifetimeMs;
+      const spanMs = quota.span + grantLifetimeMs;
       if (memberSince === undefined || Instant.since(memberSince) < spanMs) return undefined;
       const window = windowOf(team, spanMs);
       return { left: Math.floor(quota.slack / count) - window.total().requests, window };
     };
     return {
+      observeMembership: () => void observeMembership(),
       grant({ uses }) {
         const count = observeMembership();
         if (count === undefined) return undefined;
--- a/src/proxy/quota-limiter.ts
+++ b/src/proxy/quota-limiter.ts
@@ -15,6 +15,7 @@
  */
 import { Instant } from '../common/instant.js';
 import { Timer } from '../common/timer.js';
+import { CoreAllowance } from '../duty/core-allowance.js';
 import { UsageWindow } from '../duty/usage-window.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Document } from '../manifest/document.js';
@@ -66,6 +67,9 @@
   readonly span: number;
   grant: UsageWindow.Usage;
   grantExpiresAt: Instant;
+  /** Granted by a core from its allowance, for the requests that waited. */
+  allowance: UsageWindow.Usage;
+  allowanceExpiresAt: Instant;
   readonly waiting: Set<UsageWindow.Usage>;
   /** Usage admitted since the last report. */
   recent: UsageWindow.Usage;
@@ -148,6 +152,8 @@
         span,
         grant: UsageWindow.zero,
         grantExpiresAt: Instant.past,
+        allowance: UsageWindow.zero,
+        allowanceExpiresAt: Instant.past,
         waiting: new Set<UsageWindow.Usage>(),
         recent: UsageWindow.zero,
         lastUsedAt: Instant.now(),
@@ -233,7 +239,15 @@
       account.lastChargedAt = Instant.now();
       return { kind: 'in', refund: account.window.add(usage) };
     };
+    const spendAllowance = (account: Account, usage: UsageWindow.Usage): boolean => {
+      const { requests, prompt } = account.allowance;
+      if (Instant.isPast(account.allowanceExpiresAt)) return false;
+      if (requests < usage.requests || prompt < usage.prompt) return false;
+      account.allowance = { requests: requests - usage.requests, prompt: prompt - usage.prompt };
+      return true;
+    };
     const spendGrant = (account: Account, usage: UsageWindow.Usage): QuotaLimiter.Verdict | undefined => {
+      if (spendAllowance(account, usage)) return charge(account, usage);
       const { requests, prompt } = unspentGrantOf(account);
       if (requests < usage.requests || prompt < usage.prompt) return undefined;
       account.grant = { requests: requests - usage.requests, prompt: prompt - usage.prompt };
@@ -255,6 +269,12 @@
       account.grantExpiresAt = Instant.after(grantLifetimeMs, askedAt);
       return account;
     };
+    const setAllowance = ({ team, requests, prompt }: Frame.Grant, askedAt: Instant): void => {
+      const account = accounts.get(team);
+      if (!account) return;
+      account.allowance = { requests, prompt };
+      account.allowanceExpiresAt = Instant.after(CoreAllowance.grantLifetimeMs, askedAt);
+    };
     return {
       async admit({ name, quota }, prompt) {
         if (!quota) return { kind: 'in', refund: () => {} };
@@ -293,7 +313,7 @@
       ) {
         if (from < epoch || pending?.serial !== answered) return;
         if (fromAllowance) {
-          for (const grant of grants) addGrant(grant, pending.at);
+          for (const grant of grants) setAllowance(grant, pending.at);
           pending.resolve(true);
           return;
         }
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -86,7 +86,7 @@
       hasRecentPrimary: () => isInTouch,
       forward: () => {},
       respond: ({ node }) => void answered.push(node),
-      allowance: { grant: () => undefined },
+      allowance: { grant: () => undefined, observeMembership() {} },
       quotas: {
         observeEpoch: () => {},
         usage: () => ({}),
--- a/test/core-allowance.test.ts
+++ b/test/core-allowance.test.ts
@@ -14,7 +14,7 @@
 
 const span = 5000;
 const slack = 16;
-const grantLifetimeMs = 2000;
+const { grantLifetimeMs } = CoreAllowance;
 const quota = { span, requests: 100, slack };
 
 let clock: ManualClock;
@@ -27,7 +27,6 @@
   CoreAllowance.of({
     quotaOf: (team) => (team === 'unknown' ? undefined : one),
     coreCount,
-    grantLifetimeMs,
   });
 const ask = (requests: number, team = 'team', more: Partial<QuotaDuty.Tokens> = {}): QuotaDuty.Tokens => ({
   kind: 'tokens',
@@ -49,7 +48,7 @@
   ...more,
 });
 const finishFirstSpan = (allowances: readonly CoreAllowance[]) => {
-  for (const allowance of allowances) allowance.grant(ask(1));
+  for (const allowance of allowances) allowance.observeMembership();
   clock.advance(span + grantLifetimeMs + 1);
 };
 
@@ -113,13 +112,13 @@
     finishFirstSpan([allowance]);
     assert.equal(allowance.grant(ask(1)), undefined);
     count = 3;
-    assert.equal(allowance.grant(ask(1)), undefined);
+    allowance.observeMembership();
     clock.advance(span + grantLifetimeMs - 1);
     assert.equal(allowance.grant(ask(1)), undefined);
     clock.advance(2);
     assert.equal(allowance.grant(ask(1))?.length, 1);
     count = undefined;
-    assert.equal(allowance.grant(ask(1)), undefined);
+    allowance.observeMembership();
     count = 3;
     assert.equal(allowance.grant(ask(1)), undefined, 'it waits again after it joined again');
   });
@@ -143,7 +142,10 @@
       hasRecentPrimary: () => hasRecentPrimary,
       forward: (node) => void seen.push(`forwarded to ${node}`),
       respond: ({ fromAllowance }) => void seen.push(fromAllowance ? 'from its allowance' : 'as the holder'),
-      allowance: { grant: ({ uses }) => (uses.length > 0 ? [] : undefined) },
+      allowance: {
+        grant: ({ uses }) => (uses.length > 0 ? [] : undefined),
+        observeMembership() {},
+      },
       quotas: {
         observeEpoch() {},
         usage: () => ({}),
