A soak with tenants, and checks of names, removed keys and limits in the stand-in

Recordings now hold keys, names and tenants of configurations; three checks judge them, with six planted faults. The soak plays clients that go on using their open connections, beside series of signals (HUP, TERM, KILL, STOP), faults of servers, changes of keys and limits and hot tenants, all overlapping; it judges what holds for machines out of touch too. Its first run condemned a connection that ended inside an answer to be closed: the trace shows an early end, no wrong bytes; the client of the stand-in took undici's parser error for garbage. It tells the two apart now, and a test shows both.

--- a/test/good-day.ts
+++ b/test/good-day.ts
@@ -14,6 +14,10 @@
   warmupOvershoot: 1.5,
   warmupSlack: 5,
   warmupPerSecond: { llm: 4 },
+  revoke: 2000,
+  quotaWindow: 1000,
+  quotaOvershoot: 0.1,
+  quotaSlack: 1,
 };
 
 export declare namespace GoodDay {
@@ -32,6 +36,9 @@
     readonly left?: number;
     readonly labels?: string;
     readonly remaining?: number | 'none';
+    readonly key?: string;
+    readonly subscriber?: string;
+    readonly hasKey?: boolean;
   };
 }
 
@@ -50,6 +57,7 @@
     digest: 'body',
     left: told.left ?? 10_000,
     labels: 'labels',
+    ...(told.key === undefined ? {} : { key: told.key }),
   });
 const arrive = (recording: Recording, told: GoodDay.Told, digest = 'body') =>
   recording.served.push({
@@ -69,6 +77,8 @@
     from: 0,
     labels: told.labels ?? 'labels',
     ...(told.remaining === 'none' ? {} : { remaining: told.remaining ?? 9000 }),
+    ...(told.subscriber === undefined ? {} : { subscriber: told.subscriber }),
+    hasKey: told.hasKey ?? false,
   });
 const run = (recording: Recording, told: GoodDay.Told, from = 0, name = `run-${told.attempt}`) => {
   const base = { at: told.at + 2, instance: told.instance ?? 'i-1', attempt: told.attempt, run: name };
@@ -126,6 +136,9 @@
       { name: 'home', host: 'h', prefix: '/a/home/', services, homes: ['a'], timeout: 4000, attempts: 2 },
       ...(revision < 4 ? [] : [{ name: 'later', host: 'h', prefix: '/a/later/', services, homes: [] }]),
     ],
+    subscribers: [
+      { name: 'tenant', keys: revision < 4 ? ['key', 'old-key'] : ['key'], perSecond: 1, burst: 1 },
+    ],
     ...(status === 200 ? { acked: at + 50 } : {}),
   };
 };
@@ -150,6 +163,8 @@
     { at: 5200, attempt: 'stream', runs: 'resumable' },
     { events: eventsOf([1, 2, 3], 'run-stream') },
   );
+  for (const [index, key] of ['key', 'old-key', 'key'].entries())
+    serve(recording, { at: 5600 + index, attempt: `keyed${index}`, key, subscriber: 'tenant' });
   send(recording, { at: 5300, attempt: 'refused' });
   end(recording, { at: 5300, attempt: 'refused' }, refusal);
   const twice: GoodDay.Told = { at: 5400, attempt: 'twice', runs: 'repeatable' };
--- a/test/platform-checks.test.ts
+++ b/test/platform-checks.test.ts
@@ -11,6 +11,8 @@
 
 const late: Told = { at: 13_700, attempt: 'x', instance: 'i-3', service: 'next', zone: 'b-1', region: 'b' };
 
+const keyed: Told = { ...late, key: 'key', subscriber: 'tenant' };
+
 const plants: Readonly<Record<string, Readonly<Record<string, (recording: Recording) => void>>>> = {
   twice: {
     'a once request that runs at two servers': (recording) => {
@@ -49,6 +51,24 @@
     'bytes that are no answer': (recording) => serve(recording, late, { outcome: 'wrong', status: 0 }),
     'bytes that nobody waits for': (recording) => recording.strays.push({ at: 1, front: 'f-1', why: 'more' }),
   },
+  tenant: {
+    'a key that was passed on': (recording) => serve(recording, { ...keyed, hasKey: true }),
+    'the name of another tenant': (recording) => serve(recording, { ...keyed, subscriber: 'other' }),
+    'no name': (recording) => {
+      const { subscriber: _subscriber, ...nameless } = keyed;
+      serve(recording, nameless);
+    },
+    'a key that no version holds': (recording) => serve(recording, { ...keyed, key: 'made up' }),
+  },
+  revoked: {
+    'a key long after it was taken away': (recording) => serve(recording, { ...keyed, key: 'old-key' }),
+  },
+  quota: {
+    'more than the limit in a window': (recording) => {
+      for (let index = 0; index < 4; index += 1)
+        serve(recording, { ...keyed, at: keyed.at + index * 200, attempt: `x${index}` });
+    },
+  },
   order: {
     'a missing event': (recording) => serve(recording, late, { events: eventsOf([1, 3], 'run-x') }),
     'a doubled event': (recording) => serve(recording, late, { events: eventsOf([1, 2, 2], 'run-x') }),
--- a/test/platform-client.test.ts
+++ b/test/platform-client.test.ts
@@ -126,6 +126,22 @@
     assert.deepEqual(violationsOf(recording), []);
   });
 
+  it('tell an answer that ends early from bytes that are no answer, also where the connection was to close', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const outcomes = [];
+    for (const bytes of [`${head}5\r\nhal`, 'HTTP/1.1 whatever\r\n\r\n']) {
+      const recording = Recording.of();
+      const address = await serve(({ socket }) => void socket.end(bytes));
+      const { client } = await startClient(recording, () => [address]);
+      await client.call(kind({ isStream: false }));
+      outcomes.push([recording.ended[0]?.outcome, violationsOf(recording).length]);
+    }
+    assert.deepEqual(outcomes, [
+      ['broken', 0],
+      ['wrong', 1],
+    ]);
+  });
+
   it('do not retry a once request that may have run, but retry a repeatable one', async () => {
     const recording = Recording.of();
     const engine = await startEngine(recording, 'i-1');
--- a/tools/platform/caller-try.ts
+++ b/tools/platform/caller-try.ts
@@ -35,7 +35,11 @@
   }
 };
 
-const isTalk = (error: unknown): boolean => error instanceof errors.HTTPParserError;
+/** An end of the connection inside an answer, which is no answer but no wrong bytes either. */
+const endReason = 'Invalid EOF state';
+
+const isTalk = (error: unknown): boolean =>
+  error instanceof errors.HTTPParserError && !error.message.includes(endReason);
 
 const neverCameUp = (error: unknown): boolean => {
   const { syscall, code } = error as { syscall?: string; code?: string };
--- a/tools/platform/checks.ts
+++ b/tools/platform/checks.ts
@@ -4,6 +4,7 @@
 import { DirectoryChecks } from './directory-checks.js';
 import type { Recording } from './recording.js';
 import { ServiceChecks } from './service-checks.js';
+import { TenantChecks } from './tenant-checks.js';
 import { TimeChecks } from './time-checks.js';
 import { TrafficChecks } from './traffic-checks.js';
 import type { Verdict } from './verdict.js';
@@ -17,6 +18,7 @@
   ...TimeChecks,
   ...ServiceChecks,
   ...DirectoryChecks,
+  ...TenantChecks,
 };
 
 export const Checks = {
--- a/tools/platform/client.ts
+++ b/tools/platform/client.ts
@@ -43,9 +43,13 @@
     readonly isSlack?: boolean;
     /** Doesn't wait as told, and tries again at once and more often. */
     readonly isImpatient?: boolean;
+    /** Goes on using its open connections, whatever the directory answers, until they are closed. */
+    readonly isClinging?: boolean;
   };
 }
 
+/** A clinging client opens a connection anew for one in so many requests. */
+const freshOneIn = 6;
 const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
 const final = [400, 401, 404, 413, 431];
@@ -88,7 +92,7 @@
           known = { addresses: addresses.map(String), until: now() + kept };
           shunned.clear();
           for (const [front, connections] of idle)
-            if (!addresses.includes(front)) {
+            if (!terms.isClinging && !addresses.includes(front)) {
               idle.delete(front);
               for (const connection of connections) discard(connection);
             }
@@ -126,12 +130,15 @@
     const take = (front: string, isFresh: boolean): Connection =>
       (isFresh ? undefined : idle.get(front)?.pop()) ?? open(front);
     const giveBack = (front: string, connection: Connection, seen: CallerTry) => {
-      if (seen.isSpent || connection.destroyed || !known?.addresses.includes(front))
-        return discard(connection);
+      const isUnwanted = !terms.isClinging && !known?.addresses.includes(front);
+      if (seen.isSpent || connection.destroyed || isUnwanted) return discard(connection);
       idle.set(front, [...(idle.get(front) ?? []), connection]);
     };
-    const chooseFront = async (): Promise<string | undefined> => {
+    const chooseFront = async (isFresh: boolean): Promise<string | undefined> => {
       const list = await addresses();
+      const open = [...idle].flatMap(([front, connections]) => (connections.length > 0 ? [front] : []));
+      if (terms.isClinging && !isFresh && open.length > 0 && random.below(freshOneIn) > 0)
+        return random.pick(open);
       const good = list.filter((front) => !shunned.has(front));
       return good.length > 0 ? random.pick(good) : list.length > 0 ? random.pick(list) : undefined;
     };
@@ -148,7 +155,7 @@
       for (let tried = 0; ; tried += 1) {
         const left = began + kind.deadline - now();
         const attempt = randomBytes(8).toString('hex');
-        const front = await chooseFront();
+        const front = await chooseFront(tried > 0);
         const base = { attempt, request: id };
         if (front === undefined || left <= 0) {
           const ended: Recording.Ended = {
@@ -174,6 +181,7 @@
           left: Math.round(left),
           labels: Recording.labels(headers),
           ...(lastEvent > 0 ? { lastEvent } : {}),
+          ...(headers[Words.key] === undefined ? {} : { key: headers[Words.key] }),
         });
         const connection = take(front, tried > 0);
         const seen = await CallerTry.run(connection, {
--- a/tools/platform/engine.ts
+++ b/tools/platform/engine.ts
@@ -246,6 +246,8 @@
         from,
         labels: Recording.labels(incoming.headers),
         ...(remaining === undefined ? {} : { remaining: Number(remaining) }),
+        ...(read(Words.subscriber) === '' ? {} : { subscriber: read(Words.subscriber) }),
+        hasKey: read(Words.key) !== '',
       });
       if (!isMeant) return decline(response, attempt, 421);
       if (attempt === '') return decline(response, attempt, 400);
--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -41,6 +41,8 @@
     readonly fronts: number;
     readonly servers: Readonly<Record<string, number>>;
     readonly drain?: number;
+    /** Whether clients go on using their open connections until these are closed. */
+    readonly areClientsClinging?: boolean;
     /** What each machine runs in place of the compiled sources, say the bundle of the deployment. */
     readonly program?: URL;
     /** Flags of the runtime, beside the bound of its memory. */
@@ -115,6 +117,11 @@
       'warmup-slack': 5,
       'evacuation-ms': 2000,
       'address-reuse-s': 2,
+      'revocation-strict': true,
+      'revoke-ms': 4000,
+      'quota-window-s': 5,
+      'quota-overshoot': 0.1,
+      'quota-slack': 20,
       ttl_max_s: 5,
     };
     const { net, list } = await claim(recording);
@@ -226,6 +233,7 @@
         recording,
         ttlMax: bounds.ttl_max_s,
         isSlack: index === 1,
+        isClinging: terms.areClientsClinging ?? false,
       }),
     );
     return {
@@ -255,6 +263,10 @@
         warmupOvershoot: bounds['warmup-overshoot'],
         warmupSlack: bounds['warmup-slack'],
         warmupPerSecond: { [names.model]: warmup.perSecond },
+        revoke: bounds['revoke-ms'],
+        quotaWindow: bounds['quota-window-s'] * 1000,
+        quotaOvershoot: bounds['quota-overshoot'],
+        quotaSlack: bounds['quota-slack'],
       },
       async isReady() {
         const answers = await Promise.all(
--- a/tools/platform/operator.ts
+++ b/tools/platform/operator.ts
@@ -31,6 +31,14 @@
     readonly 'route-table': readonly Route[];
     readonly services: readonly Readonly<Record<string, unknown>>[];
     readonly limits: Readonly<Record<string, number>>;
+    readonly subscribers?: readonly Subscriber[];
+  };
+  type Subscriber = {
+    readonly name: string;
+    readonly credentials: readonly string[];
+    readonly 'rate-per-s'?: number;
+    readonly 'burst-size'?: number;
+    readonly priority?: number;
   };
   type Terms = {
     readonly nodes: () => readonly string[];
@@ -75,6 +83,13 @@
     };
   });
 
+const tenantOf = (one: Operator.Subscriber): Recording.Subscriber => ({
+  name: one.name,
+  keys: one.credentials,
+  perSecond: one['rate-per-s'] ?? 0,
+  burst: one['burst-size'] ?? 0,
+});
+
 export const Operator = {
   digestOf,
   routesOf,
@@ -151,6 +166,7 @@
           base,
           isValid: more.isValid ?? true,
           routes: routesOf(configuration),
+          ...(configuration.subscribers ? { subscribers: configuration.subscribers.map(tenantOf) } : {}),
           digest: digestOf(configuration),
         };
         recording.orders.push({ ...entry, status: 0 });
--- a/tools/platform/recording.ts
+++ b/tools/platform/recording.ts
@@ -40,6 +40,8 @@
     /** Its model, tokens and parts of the prompt, as a digest. */
     readonly labels?: string;
     readonly lastEvent?: number;
+    /** The key that it carried. */
+    readonly key?: string;
   };
   type Outcome = 'whole' | 'refused' | 'failed' | 'broken' | 'unreached' | 'silent' | 'wrong' | 'left';
   type Ended = {
@@ -77,6 +79,10 @@
         /** The time that it was handed; absent when it was handed none. */
         readonly remaining?: number;
         readonly labels?: string;
+        /** The tenant that it was said to be of. */
+        readonly subscriber?: string;
+        /** Whether it still carried a key. */
+        readonly hasKey?: boolean;
       }
     | { readonly kind: 'not-run'; readonly status: number }
     | {
@@ -104,6 +110,13 @@
     readonly timeout?: number;
     readonly attempts?: number;
   };
+  /** A tenant; a rate of 0 means that it has no limit. */
+  type Subscriber = {
+    readonly name: string;
+    readonly keys: readonly string[];
+    readonly perSecond: number;
+    readonly burst: number;
+  };
   type Order =
     | {
         readonly kind: 'configuration';
@@ -114,6 +127,8 @@
         readonly base: number;
         readonly isValid: boolean;
         readonly routes: readonly Route[];
+        /** Absent in a configuration without tenants. */
+        readonly subscribers?: readonly Subscriber[];
         readonly digest: string;
       }
     | {
--- /dev/null
+++ b/tools/platform/soak.ts
@@ -0,0 +1,265 @@
+/**
+ * A seeded soak of whole programs with tenants: clients go on using their open connections until these are closed, while
+ * several series of signals, restarts, faults of servers and changes of the configuration run beside each other. At its end the
+ * checks that hold for every machine, in touch or not, judge the recordings. By hand:
+ * node dist/tools/platform/soak.js --seed 1 --seeds 50 --seconds 30
+ */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import sade from 'sade';
+import { Random } from '../random.js';
+import { Checks } from './checks.js';
+import type { Client } from './client.js';
+import { Day } from './day.js';
+import { PlatformFleet } from './fleet.js';
+import type { Operator } from './operator.js';
+import { Recording } from './recording.js';
+import type { Verdict } from './verdict.js';
+import { Words } from './words.js';
+
+/** What a soak found. */
+export type Soak = {
+  readonly verdicts: Readonly<Record<string, Verdict>>;
+  readonly counts: Readonly<Record<string, number>>;
+  readonly notes: readonly string[];
+};
+
+export declare namespace Soak {
+  type Terms = { readonly seed: number; readonly seconds: number; readonly frontsPerZone: number };
+}
+
+/** Checks that hold for machines out of touch as well. */
+const judged = [
+  ...['twice', 'refused', 'unasked', 'labels', 'mixed', 'order', 'route', 'home', 'attempts'],
+  ...['race', 'again', 'invalid', 'inForce', 'back', 'readBack', 'tenant', 'revoked', 'quota'],
+];
+const zones = { 'a-1': 'a', 'b-1': 'b', 'c-1': 'c' };
+const pause = (spanMs: number) => new Promise<void>((resolve) => setTimeout(resolve, spanMs));
+
+/** The tenants, with keys that come and go, and limits that change. */
+class Tenants {
+  private serial = 0;
+  /** Keys that clients draw from: in force, removed, and never held. */
+  readonly drawn: string[] = ['made-up-key'];
+  private list: Operator.Subscriber[] = [];
+
+  constructor(private readonly random: Random) {
+    for (let index = 0; index < 6; index += 1)
+      this.list.push({
+        name: `tenant-${index}`,
+        credentials: [this.makeKey(), this.makeKey()],
+        ...(index === 0 ? {} : { 'rate-per-s': 2 + index, 'burst-size': 3 }),
+        ...(index === 1 ? { priority: 0 } : {}),
+      });
+  }
+
+  current(): readonly Operator.Subscriber[] {
+    return this.list;
+  }
+
+  change(): void {
+    const index = this.random.below(this.list.length);
+    const tenant = this.list[index]!;
+    const changes: readonly (() => Operator.Subscriber)[] = [
+      () => ({ ...tenant, credentials: [...tenant.credentials.slice(1), this.makeKey()] }),
+      () => ({ ...tenant, credentials: tenant.credentials.slice(0, 1) }),
+      () => ({ ...tenant, 'rate-per-s': 1 + this.random.below(9), 'burst-size': this.random.below(6) }),
+    ];
+    this.list = this.list.with(index, this.random.pick(changes)());
+  }
+
+  private makeKey(): string {
+    this.serial += 1;
+    const key = `key-${this.serial}-${this.random.below(1_000_000)}`;
+    this.drawn.push(key);
+    return key;
+  }
+}
+
+class SoakRun {
+  readonly counts: Record<string, number> = {};
+  private readonly tenants: Tenants;
+  private revision = 2;
+  private isOver = false;
+
+  constructor(
+    private readonly fleet: PlatformFleet,
+    private readonly random: Random,
+  ) {
+    this.tenants = new Tenants(random);
+  }
+
+  kinds(): readonly Client.Kind[] {
+    return Day.kinds.map((kind) => ({
+      ...kind,
+      perSecond: kind.perSecond * 2,
+      headers: (random: Random) => ({
+        ...kind.headers(random),
+        [Words.key]: random.pick(this.tenants.drawn.slice(-16)),
+      }),
+    }));
+  }
+
+  async put(): Promise<number> {
+    const base = this.revision === 2 ? 0 : this.revision - 1;
+    const next = { ...Day.configuration(this.revision), subscribers: this.tenants.current() };
+    const status = await this.fleet.operator.put(next, base);
+    if (status === 200) this.revision += 1;
+    return status;
+  }
+
+  /** All series side by side, each with steps at random moments, for the given time. */
+  async play(seconds: number): Promise<void> {
+    const series = [
+      this.repeat('front', 900, () => this.strikeMachine('front')),
+      this.repeat('front', 1300, () => this.strikeMachine('front')),
+      this.repeat('control', 3500, () => this.strikeMachine('control')),
+      this.repeat('server', 1500, () => this.strikeServer()),
+      this.repeat('change', 1100, () => this.changeTenants()),
+      this.repeat('hot', 2500, () => this.burst()),
+    ];
+    await pause(seconds * 1000);
+    this.isOver = true;
+    await Promise.all(series);
+  }
+
+  private async repeat(name: string, meanMs: number, step: () => Promise<void>): Promise<void> {
+    while (!this.isOver) {
+      await pause(meanMs * (0.5 + this.random.below(100) / 100));
+      if (this.isOver) return;
+      await step();
+      this.counts[name] = (this.counts[name] ?? 0) + 1;
+    }
+  }
+
+  private readonly struck = new Set<string>();
+
+  private async strikeMachine(role: 'front' | 'control'): Promise<void> {
+    const free = this.fleet.machines.filter((one) => one.role === role && !this.struck.has(one.name));
+    if (free.length === 0) return;
+    const machine = this.random.pick(free);
+    this.struck.add(machine.name);
+    const process = machine.process();
+    const kind = this.random.pick(['SIGHUP', 'SIGHUP', 'SIGTERM', 'SIGKILL', 'SIGSTOP'] as const);
+    this.counts[kind] = (this.counts[kind] ?? 0) + 1;
+    process.signal(kind);
+    if (kind === 'SIGSTOP') {
+      await pause(300 + this.random.below(5000));
+      process.signal('SIGCONT');
+    } else if (kind !== 'SIGHUP') {
+      // A signal that comes while the process ends must not keep it.
+      if (kind === 'SIGTERM' && this.random.below(2) === 0) process.signal('SIGHUP');
+      this.fleet.recording.ends.push({ at: Recording.now(), front: machine.address });
+      await process.ended;
+      await machine.start();
+    }
+    this.struck.delete(machine.name);
+  }
+
+  private async strikeServer(): Promise<void> {
+    const up = this.fleet.engines().filter((engine) => engine.isUp());
+    const engine = this.random.pick(up);
+    const { service, zone } = engine.terms;
+    if (this.random.below(2) === 0 || up.length < 7) {
+      engine.fault(
+        this.random.pick([
+          { kind: 'lost', times: 2 },
+          { kind: 'cut', after: 2, times: 2 },
+        ] as const),
+      );
+      return;
+    }
+    await this.fleet.addEngine(service, zone, PlatformFleet.warmup.span);
+    await this.fleet.retire(engine);
+  }
+
+  private async changeTenants(): Promise<void> {
+    this.tenants.change();
+    await this.put();
+  }
+
+  /** One tenant asks for many times its limit, through all regions at once. */
+  private async burst(): Promise<void> {
+    const tenant = this.random.pick(this.tenants.current().slice(1));
+    const key = tenant.credentials[0]!;
+    const lookup = Day.kinds.at(-1)!;
+    const hot: Client.Kind = { ...lookup, headers: () => ({ [Words.key]: key }), retries: 0 };
+    for (let round = 0; round < 12; round += 1) {
+      for (const client of this.fleet.clients)
+        for (let count = 0; count < 3; count += 1) void client.call(hot);
+      await pause(100);
+    }
+  }
+}
+
+const countEnds = (recording: Recording): Record<string, number> => {
+  const counts: Record<string, number> = {};
+  for (const { outcome, status } of recording.ended)
+    counts[`${outcome} ${status}`] = (counts[`${outcome} ${status}`] ?? 0) + 1;
+  return counts;
+};
+
+export const Soak = {
+  judged,
+  async play({ seed, seconds, frontsPerZone }: Soak.Terms): Promise<Soak> {
+    const random = Random.of(seed);
+    const fleet = await PlatformFleet.start({
+      folder: mkdtempSync(join(tmpdir(), 'bramblebend-soak-')),
+      seed,
+      zones,
+      fronts: frontsPerZone,
+      servers: { [PlatformFleet.names.model]: 6, [PlatformFleet.names.plain]: 3 },
+      areClientsClinging: true,
+    });
+    const notes: string[] = [];
+    try {
+      const run = new SoakRun(fleet, random);
+      notes.push(`first configuration: ${await run.put()}`);
+      while (!(await fleet.isReady())) await pause(20);
+      for (const client of fleet.clients) client.play(run.kinds());
+      await run.play(seconds);
+      await Promise.all(fleet.clients.map((client) => client.pause()));
+      await fleet.operator.read();
+      for (const machine of fleet.machines)
+        if (!machine.process().isUp()) notes.push(`${machine.name} has ended by itself`);
+      const verdicts = Checks.judge(fleet.recording, fleet.bounds);
+      return {
+        verdicts: Object.fromEntries(judged.map((name) => [name, verdicts[name]!])),
+        counts: { ...run.counts, ...countEnds(fleet.recording) },
+        notes,
+      };
+    } finally {
+      await fleet.stop();
+    }
+  },
+};
+
+const report = (seed: number, { verdicts, counts, notes }: Soak): boolean => {
+  const broken = Object.entries(verdicts).flatMap(([name, { breaches }]) =>
+    breaches.slice(0, 5).map((breach) => `  ${name}: ${breach}`),
+  );
+  const occasions = Object.entries(verdicts).map(([name, one]) => `${name} ${one.occasions}`);
+  process.stdout.write(`seed ${seed}: ${broken.length === 0 ? 'kept' : 'BROKEN'}; ${notes.join('; ')}\n`);
+  process.stdout.write(`  ${JSON.stringify(counts)}\n  occasions: ${occasions.join(', ')}\n`);
+  if (broken.length > 0) process.stdout.write(`${broken.join('\n')}\n`);
+  return broken.length > 0 || notes.length > 1;
+};
+
+type Flags = { seed: number; seeds: number; seconds: number; fronts: number };
+
+if (process.argv[1] === fileURLToPath(import.meta.url))
+  sade('soak', true)
+    .option('--seed', 'the first seed', 1)
+    .option('--seeds', 'how many seeds, one after the other', 1)
+    .option('--seconds', 'how long each runs', 30)
+    .option('--fronts', 'fronts in each of the three zones', 2)
+    .action(async ({ seed, seeds, seconds, fronts }: Flags) => {
+      let bad = 0;
+      for (let next = seed; next < seed + seeds; next += 1)
+        if (report(next, await Soak.play({ seed: next, seconds, frontsPerZone: fronts }))) bad += 1;
+      process.stdout.write(`${seeds} seeds, ${bad} with a rule broken\n`);
+      process.exitCode = bad > 0 ? 1 : 0;
+    })
+    .parse(process.argv);
--- a/tools/platform/verdict.ts
+++ b/tools/platform/verdict.ts
@@ -16,6 +16,11 @@
     readonly warmupOvershoot: number;
     readonly warmupSlack: number;
     readonly warmupPerSecond: Readonly<Record<string, number>>;
+    /** How long after its acknowledgement a removed key may still run, in milliseconds. */
+    readonly revoke: number;
+    readonly quotaWindow: number;
+    readonly quotaOvershoot: number;
+    readonly quotaSlack: number;
   };
   type Check = (recording: Recording, bounds: Bounds) => Verdict;
   type Arrival = Extract<Recording.Served, { kind: 'arrived' }>;
--- a/tools/platform/words.ts
+++ b/tools/platform/words.ts
@@ -10,6 +10,8 @@
   retryAfter: 'Retry-After',
   base: 'Base-Revision',
   instance: 'Instance-Id',
+  key: 'Key',
+  subscriber: 'Subscriber',
   warmup: 'Warmup-Remaining',
   model: 'Model',
   tokens: 'Token-Count',
