A session that is stopped while it waits to dial its second parent ends, and dials nobody

The wait now heeds the stop, a link is not opened under an aborted signal, and a link that came up meanwhile is closed.

--- a/src/membership/uplink.ts
+++ b/src/membership/uplink.ts
@@ -296,9 +296,10 @@
         .filter((address) => !below.has(address) && Address.parse(address) !== undefined);
       const connected = new AbortController();
       const dials = list.map(async (address, index) => {
-        await Timer.sleep(index * dialStaggerMs, connected.signal);
-        if (connected.signal.aborted) throw Failure.of('link', 'another candidate connected first');
         const signal = AbortSignal.any([stop.signal, connected.signal]);
+        await Timer.sleep(index * dialStaggerMs, signal);
+        if (signal.aborted)
+          throw Failure.of('link', 'another candidate connected first, or the session ends');
         const opened = options.open
           ? Promise.resolve(options.open(address, terms))
           : Link.open(Address.checked(address), terms, signal);
@@ -314,6 +315,7 @@
     };
     const runSession = async (): Promise<void> => {
       const { address, link } = await dialCandidates();
+      if (stop.signal.aborted) return link.close();
       const onStop = () => link.close();
       stop.signal.addEventListener('abort', onStop, { once: true });
       const reporter = createReporter(link);
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -150,6 +150,8 @@
    * an attempt made before it returned is answered late, and a new one soon.
    */
   async open(address: Address, options: Link.Options, signal?: AbortSignal, dial = connect): Promise<Link> {
+    if (signal?.aborted)
+      throw Failure.of('link', `no link to ${Addresses.text(address)}: it is no longer wanted`);
     const sockets: Socket[] = [];
     const connected = await new Promise<Socket>((resolve, reject) => {
       const settle = () => {
