--- a/tools/platform/answer-checks.ts
+++ b/tools/platform/answer-checks.ts
@@ -1,8 +1,11 @@
-// What may never happen to one request, judged from what clients and servers wrote down: run twice, run though
-// refused, altered on its way, answered with what is not its own, or its stream put together wrongly.
+/**
+ * Checks of single requests by what clients and servers recorded: not run twice, not run although refused, not altered on
+ * the way, answered with their own response only, and streams put together correctly.
+ */
 import type { Recording } from './recording.js';
 import { Verdict } from './verdict.js';
 
+/** The checks of responses. */
 export type AnswerChecks = Readonly<
   Record<'twice' | 'refused' | 'unasked' | 'labels' | 'mixed' | 'order', Verdict.Check>
 >;
@@ -58,6 +61,7 @@
   return isOfOne && end?.digest !== ended.digest ? 'not the whole stream of its server' : undefined;
 };
 
+/** The checks of responses, by name. */
 export const AnswerChecks: AnswerChecks = {
   twice(recording) {
     const runs = runsOf(recording);
--- a/tools/platform/caller-try.ts
+++ b/tools/platform/caller-try.ts
@@ -1,15 +1,19 @@
-// One try of a client on one connection: sends the request, reads the answer to its end, and tells what it saw,
-// byte for byte and event by event, without believing any of it.
+/**
+ * One try of a simulated client on one connection: sends the request, reads the response to its end, and reports what it
+ * observed, byte by byte and event by event.
+ */
 import { Client, errors } from 'undici';
 import { Recording } from './recording.js';
 import { Words } from './words.js';
 
+/** What a client observed of one try. */
 export type CallerTry = Omit<Recording.Ended, 'at' | 'attempt' | 'request'> & {
   readonly isSpent: boolean;
   /** The connection never came up, so nothing was sent. */
   readonly isUnsent: boolean;
 };
 
+/** Types used with it. */
 export declare namespace CallerTry {
   type Terms = {
     readonly path: string;
@@ -46,6 +50,7 @@
   return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
 };
 
+/** Runs tries. */
 export const CallerTry = {
   connect: (front: string): Client =>
     new Client(`http://${front}`, {
--- a/tools/platform/checks.ts
+++ b/tools/platform/checks.ts
@@ -1,4 +1,6 @@
-// All checkers of the stand-in, by name. They read the recordings of clients, servers, operator and list only.
+/**
+ * All checks of the simulated platform, by name. They read only the recordings of clients, servers, operator and list.
+ */
 import { AnswerChecks } from './answer-checks.js';
 import { ConfigurationChecks } from './configuration-checks.js';
 import { DirectoryChecks } from './directory-checks.js';
@@ -9,6 +11,7 @@
 import { TrafficChecks } from './traffic-checks.js';
 import type { Verdict } from './verdict.js';
 
+/** The checks by name. */
 export type Checks = Readonly<Record<string, Verdict.Check>>;
 
 const all: Checks = {
@@ -21,6 +24,7 @@
   ...TenantChecks,
 };
 
+/** Runs all checks. */
 export const Checks = {
   all,
   judge: (recording: Recording, bounds: Verdict.Bounds): Readonly<Record<string, Verdict>> =>
--- a/tools/platform/client.ts
+++ b/tools/platform/client.ts
@@ -1,5 +1,7 @@
-// The clients of the platform: they learn where to go, choose an address by chance, keep connections, and try
-// again only as the page allows. Every try carries an id of its own. All they see is written down.
+/**
+ * Simulated clients of the platform: they resolve the directory, choose a proxy at random, keep connections open, and retry
+ * only as the platform's protocol allows. Each try carries an id of its own, and everything observed is recorded.
+ */
 import { randomBytes } from 'node:crypto';
 import { type Client as Connection, request } from 'undici';
 import type { Random } from '../random.js';
@@ -7,6 +9,7 @@
 import { Recording } from './recording.js';
 import { Words } from './words.js';
 
+/** A simulated client. */
 export type Client = {
   /** One request with all its tries. */
   readonly call: (kind: Client.Kind) => Promise<Recording.Ended>;
@@ -16,6 +19,7 @@
   readonly stop: () => Promise<void>;
 };
 
+/** Types used with it. */
 export declare namespace Client {
   type Kind = {
     readonly name: string;
@@ -62,6 +66,7 @@
   return runs !== 'once';
 };
 
+/** Creates clients. */
 export const Client = {
   mayRepeat,
   of(terms: Client.Terms): Client {
--- a/tools/platform/configuration-checks.ts
+++ b/tools/platform/configuration-checks.ts
@@ -1,9 +1,12 @@
-// What the operator was promised: a version that was acknowledged is in force in time, none goes back, a race has
-// one winner, nothing invalid is taken, and what is read back is what was sent.
+/**
+ * Checks of the operator's guarantees: an acknowledged version is in force in time, no machine goes back to an older one, a
+ * race has one winner, nothing invalid is accepted, and what is read back is what was sent.
+ */
 import type { Recording } from './recording.js';
 import { RouteBook } from './route-book.js';
 import { Verdict } from './verdict.js';
 
+/** The checks of configurations. */
 export type ConfigurationChecks = Readonly<
   Record<'applied' | 'back' | 'race' | 'again' | 'invalid' | 'inForce' | 'readBack', Verdict.Check>
 >;
@@ -41,6 +44,7 @@
 const ackedOf = (recording: Recording): readonly RouteBook.Version[] =>
   RouteBook.of(recording).versions.filter((version) => version.acked !== undefined);
 
+/** The checks of configurations, by name. */
 export const ConfigurationChecks: ConfigurationChecks = {
   applied(recording, bounds) {
     const acked = ackedOf(recording);
--- a/tools/platform/day.ts
+++ b/tools/platform/day.ts
@@ -1,5 +1,7 @@
-// A short seeded day on the stand-in of the platform: a fleet, a mix of requests, chosen faults, and at its end the
-// checkers' verdicts. Run by hand it prints them: node dist/tools/platform/day.js --seed 7 --faults calm
+/**
+ * A short seeded run on the simulated platform: a fleet, a mix of requests, chosen faults, and the verdicts of the checks at
+ * the end. By hand it prints them: node dist/tools/platform/day.js --seed 7 --faults calm
+ */
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -15,6 +17,7 @@
 import type { Verdict } from './verdict.js';
 import { Words } from './words.js';
 
+/** The result of a run. */
 export type Day = {
   readonly verdicts: Readonly<Record<string, Verdict>>;
   readonly kinds: Readonly<Record<string, Day.Figures>>;
@@ -23,6 +26,7 @@
   readonly recording: Recording;
 };
 
+/** Types used with it. */
 export declare namespace Day {
   type Fault = keyof typeof faults;
   type Figures = {
@@ -289,6 +293,7 @@
   return { asked: kindOf.size, served: served.length, inTime: inTime.length, ends };
 };
 
+/** Plays runs. */
 export const Day = {
   faults: Object.keys(faults) as readonly Day.Fault[],
   kinds,
--- a/tools/platform/directory-checks.ts
+++ b/tools/platform/directory-checks.ts
@@ -1,7 +1,10 @@
-// What the directory names: no machine that ended long ago, beside one that runs.
+/**
+ * Check of the directory: beside a running machine it names none that ended long ago.
+ */
 import type { Recording } from './recording.js';
 import type { Verdict } from './verdict.js';
 
+/** The check of the directory. */
 export type DirectoryChecks = Readonly<Record<'directory', Verdict.Check>>;
 
 const mostWrong = 3;
@@ -18,6 +21,7 @@
   return ended > before(recording.lives) ? ended : undefined;
 };
 
+/** The check of the directory, by name. */
 export const DirectoryChecks: DirectoryChecks = {
   directory(recording, bounds) {
     const judged = recording.resolved.map(({ at, addresses }) => {
--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -1,5 +1,7 @@
-// A small fleet on the users' platform, on addresses of the loopback: control nodes and fronts as whole programs
-// from their settings files, and around them servers, the list, clients and the operator of the stand-in.
+/**
+ * A small fleet on the platform, on loopback addresses: control nodes and fronts as whole programs that read settings files,
+ * with simulated servers, list, clients and operator around them.
+ */
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { request } from 'undici';
@@ -16,6 +18,7 @@
 import type { Verdict } from './verdict.js';
 import { Words } from './words.js';
 
+/** A running fleet. */
 export type PlatformFleet = {
   readonly recording: Recording;
   readonly machines: readonly PlatformFleet.Machine[];
@@ -32,6 +35,7 @@
   readonly stop: () => Promise<void>;
 };
 
+/** Types used with it. */
 export declare namespace PlatformFleet {
   type Terms = {
     readonly folder: string;
@@ -94,6 +98,7 @@
   throw new Error('every network of the loopback is taken');
 };
 
+/** Starts fleets. */
 export const PlatformFleet = {
   names,
   warmup,
--- a/tools/platform/list.ts
+++ b/tools/platform/list.ts
@@ -1,5 +1,7 @@
-// The platform's list of servers: in pages, some time behind the truth, under a rate shared by all callers. A
-// server that is to end is shown as draining first; one that crashed stays for a while.
+/**
+ * The simulated server list of the platform: paged, delayed, and rate-limited over all callers. A server that is to end is
+ * listed as draining first; one that crashed remains for a while.
+ */
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Engine } from './engine.js';
@@ -7,6 +9,7 @@
 import { Reset } from './reset.js';
 import { Words } from './words.js';
 
+/** The server list. */
 export type PlatformList = {
   readonly address: string;
   readonly show: (engine: Engine) => void;
@@ -16,6 +19,7 @@
   readonly stop: () => Promise<void>;
 };
 
+/** Types used with it. */
 export declare namespace PlatformList {
   type Terms = {
     readonly listen: string;
@@ -29,6 +33,7 @@
 
 type Shown = { readonly from: number; readonly state: Recording.Listed['state'] };
 
+/** Starts lists. */
 export const PlatformList = {
   async start(terms: PlatformList.Terms): Promise<PlatformList> {
     const { recording } = terms;
--- a/tools/platform/operator.ts
+++ b/tools/platform/operator.ts
@@ -1,10 +1,13 @@
-// The operator of the platform: sends configurations and evacuations to any node that serves control, follows
-// where it is led, goes on to another node after a failure, and repeats what got no clear answer unchanged.
+/**
+ * The simulated operator of the platform: sends configurations and evacuations to any node that serves control, follows
+ * redirects, moves on to another node after a failure, and repeats unchanged what got no clear response.
+ */
 import { request } from 'undici';
 import type { Random } from '../random.js';
 import { Recording } from './recording.js';
 import { Words } from './words.js';
 
+/** The simulated operator. */
 export type Operator = {
   readonly put: (
     configuration: Operator.Configuration,
@@ -16,6 +19,7 @@
   readonly read: () => Promise<Operator.Configuration | undefined>;
 };
 
+/** Types used with it. */
 export declare namespace Operator {
   type Route = {
     readonly name: string;
@@ -90,6 +94,7 @@
   burst: one['burst-size'] ?? 0,
 });
 
+/** Creates operators. */
 export const Operator = {
   digestOf,
   routesOf,
--- a/tools/platform/recording.ts
+++ b/tools/platform/recording.ts
@@ -1,9 +1,12 @@
-// What clients, servers, operator and platform of the stand-in write down, and all that the checkers read.
-// Times are the machine's monotonic clock in milliseconds.
+/**
+ * What simulated clients, servers, operator and list record, and all that the checks read. Times are of the machine's
+ * monotonic clock, in milliseconds.
+ */
 import { createHash } from 'node:crypto';
 import { Journal } from '../journal.js';
 import { Words } from './words.js';
 
+/** The recording of one run. */
 export type Recording = {
   readonly sent: Recording.Sent[];
   readonly ended: Recording.Ended[];
@@ -20,6 +23,7 @@
   readonly resolved: { readonly at: number; readonly addresses: readonly string[] }[];
 };
 
+/** Types used with it. */
 export declare namespace Recording {
   type Runs = 'once' | 'repeatable' | 'resumable';
   /** One try of a client. */
@@ -154,6 +158,7 @@
   };
 }
 
+/** Creates recordings and digests. */
 export const Recording = {
   now: Journal.now,
   of: (): Recording => ({
--- a/tools/platform/reset.ts
+++ b/tools/platform/reset.ts
@@ -1,7 +1,10 @@
-// Ends a connection by a reset. One that is being shut down already is only destroyed: libuv refuses to reset it,
-// Node.js then keeps its handle for ever, and the process spins at its end.
+/**
+ * Ends a connection by a TCP reset. A connection that is already being shut down is only destroyed: libuv refuses to reset
+ * it, Node.js then keeps its handle forever, and the process spins when it ends.
+ */
 import type { Socket } from 'node:net';
 
+/** Resets connections. */
 export const Reset = {
   of(socket: Socket): void {
     if (socket.writableEnded || socket.destroyed) socket.destroy();
--- a/tools/platform/route-book.ts
+++ b/tools/platform/route-book.ts
@@ -1,7 +1,10 @@
-// Which configuration allows what: the versions that the operator sent, and for a request the service and the
-// homes that each of them names.
+/**
+ * What each configuration allows: the versions that the operator sent and, for a request, the service and the home regions
+ * that each of them names.
+ */
 import type { Recording } from './recording.js';
 
+/** The versions of the configuration, for lookups. */
 export type RouteBook = {
   readonly versions: readonly RouteBook.Version[];
   readonly find: (version: RouteBook.Version, host: string, path: string) => Recording.Route | undefined;
@@ -13,6 +16,7 @@
   readonly lacking: (host: string, path: string) => readonly RouteBook.Version[];
 };
 
+/** Types used with it. */
 export declare namespace RouteBook {
   type Version = Extract<Recording.Order, { kind: 'configuration' }>;
 }
@@ -22,6 +26,7 @@
     .filter((route) => route.host.toLowerCase() === host.toLowerCase() && path.startsWith(route.prefix))
     .sort((a, b) => b.prefix.length - a.prefix.length)[0];
 
+/** Reads the versions of a recording. */
 export const RouteBook = {
   of(recording: Recording): RouteBook {
     const versions = recording.orders
--- a/tools/platform/service-checks.ts
+++ b/tools/platform/service-checks.ts
@@ -1,8 +1,11 @@
-// Who is served at all: proper requests that were turned away as wrong, and kinds of request that starve.
+/**
+ * Checks of who is served at all: proper requests refused as wrong, and kinds of request that starve.
+ */
 import type { Recording } from './recording.js';
 import { RouteBook } from './route-book.js';
 import { Verdict } from './verdict.js';
 
+/** The checks of service. */
 export type ServiceChecks = Readonly<Record<'denied' | 'starved' | 'later', Verdict.Check>>;
 
 /** What says "not now", and so denies nothing. */
@@ -16,6 +19,7 @@
 const isDenial = ({ status }: Recording.Ended): boolean =>
   status >= 300 && status < 500 && !laterStatuses.includes(status);
 
+/** The checks of service, by name. */
 export const ServiceChecks: ServiceChecks = {
   denied(recording) {
     const book = RouteBook.of(recording);
--- a/tools/platform/time-checks.ts
+++ b/tools/platform/time-checks.ts
@@ -1,9 +1,12 @@
-// How long a request may take: the time that servers are handed, the end of a route's time, and what goes on for a
-// client that has left.
+/**
+ * Checks of durations: the time that servers are given, the timeout of a route, and work that continues for a client that
+ * has disconnected.
+ */
 import type { Recording } from './recording.js';
 import { RouteBook } from './route-book.js';
 import { Verdict } from './verdict.js';
 
+/** The checks of durations. */
 export type TimeChecks = Readonly<Record<'remaining' | 'timeout' | 'gone', Verdict.Check>>;
 
 /** What a measured time may be off, in milliseconds. */
@@ -23,6 +26,7 @@
   return times.length === 0 ? undefined : Math.max(...times);
 };
 
+/** The checks of durations, by name. */
 export const TimeChecks: TimeChecks = {
   remaining(recording) {
     const tries = Verdict.tries(recording);
--- a/tools/platform/traffic-checks.ts
+++ b/tools/platform/traffic-checks.ts
@@ -1,10 +1,13 @@
-// Where requests may go and how many: the routes and homes of what the operator sent, servers that leave, zones
-// that are evacuated, cold servers, and the budget of further tries.
+/**
+ * Checks of where requests may go and of how many: routes and homes, servers that leave, evacuated zones, cold servers, and
+ * the budget of retries.
+ */
 import { countBetween } from '../count-between.js';
 import type { Recording } from './recording.js';
 import { RouteBook } from './route-book.js';
 import { Verdict } from './verdict.js';
 
+/** The checks of traffic. */
 export type TrafficChecks = Readonly<
   Record<'route' | 'home' | 'drain' | 'evacuation' | 'failback' | 'budget' | 'attempts', Verdict.Check>
 >;
@@ -21,6 +24,7 @@
   ...new Set(book.versions.flatMap((version) => book.find(version, sent.host, sent.path)?.services ?? [])),
 ];
 
+/** The checks of traffic, by name. */
 export const TrafficChecks: TrafficChecks = {
   route(recording) {
     const book = RouteBook.of(recording);
--- a/tools/platform/verdict.ts
+++ b/tools/platform/verdict.ts
@@ -1,8 +1,12 @@
-// What a checker found: how often it met something that it could have condemned, and what it condemned.
+/**
+ * The result of a check: how often it met something that it could have condemned, and what it condemned.
+ */
 import type { Recording } from './recording.js';
 
+/** The result of a check. */
 export type Verdict = { readonly occasions: number; readonly breaches: readonly string[] };
 
+/** Types used with it. */
 export declare namespace Verdict {
   type Bounds = {
     readonly contact: number;
@@ -41,6 +45,7 @@
 const ofKind = <K extends Recording.Served['kind']>(recording: Recording, kind: K) =>
   recording.served.filter((one): one is Extract<Recording.Served, { kind: K }> => one.kind === kind);
 
+/** Reads recordings for checks. */
 export const Verdict = {
   groupBy,
   ofKind,
--- a/tools/platform/words.ts
+++ b/tools/platform/words.ts
@@ -1,4 +1,8 @@
-// The platform's words, as its page gives them, for the stand-in alone: headers, paths, fields.
+/**
+ * Names of headers, paths and fields of the platform's protocol, for the simulated platform only.
+ */
+
+/** The names of the protocol. */
 export const Words = {
   attempt: 'Attempt-Id',
   remaining: 'Remaining-Time',
