Quotas with a slack: proxies without a holder spend their even shares at an even rate

Found by reasoning about a leader that dies under a hot tenant: proxies near the holder have used more than their even shares, and when it is gone the others may still spend theirs at once, so the sum passes the quota by the difference. Without a stated slack a proxy spends its share as before: over long spans an even rate would starve a proxy that is cut off.

--- a/src/proxy/quota-limiter.ts
+++ b/src/proxy/quota-limiter.ts
@@ -1,8 +1,8 @@
 /**
  * Admission of requests against team quotas. The proxy requests grants from the holder of the quota duty, one request at a
  * time, and may spend each grant for two seconds. If no response arrives, it admits up to its even share of the quota
- * alone, computed with the highest number of proxies it has ever known. Shortly after its start, when it may not know
- * the other proxies yet, it waits instead.
+ * alone, computed with the highest number of proxies it has ever known, and at an even rate where the quota states a slack.
+ * Shortly after its start, when it may not know the other proxies yet, it waits instead.
  *
  * The proxy keeps a record of what it admitted and reports it: all teams once, and then, twice a second, those teams
  * whose usage differs from what the holder last received and those with steady traffic. Each report also renews the
@@ -76,6 +76,9 @@
   lastUsedAt: Instant;
   lastChargedAt: Instant;
   isSteady: boolean;
+  /** Requests admitted without the holder since `aloneFrom`. */
+  admittedAlone: number;
+  aloneFrom: Instant;
   /** Until when requests are refused at once, since the holder has just granted nothing. */
   exhaustedUntil: Instant;
   /** What the duty holder has recorded for this team; undefined if not known. */
@@ -159,6 +162,8 @@
         lastUsedAt: Instant.now(),
         lastChargedAt: Instant.past,
         isSteady: false,
+        admittedAlone: 0,
+        aloneFrom: Instant.past,
         exhaustedUntil: Instant.past,
         acknowledged: undefined,
       };
@@ -176,8 +181,11 @@
     // When a request for grants fails, the waiting requests are admitted from the even share in this turn of the event loop.
     // The next report is sent after that turn, so that it includes them.
     let isFailing = false;
+    /** Since when the holder has granted nothing because it did not answer. */
+    let aloneSince: Instant | undefined;
     let sendDeferred: (() => void) | undefined;
     const failRequest = (failed: GrantRequest) => {
+      aloneSince ??= failed.at;
       isFailing = true;
       failed.resolve(false);
       setImmediate(() => {
@@ -253,6 +261,21 @@
       account.grant = { requests: requests - usage.requests, prompt: prompt - usage.prompt };
       return charge(account, usage);
     };
+    // Proxies may have used more than their even shares before they lost the holder, so shares that were spent at once could add
+    // up to more than the quota within its span. Where a bound is stated they are spent at an even rate.
+    const isWithinRate = (
+      account: Account,
+      { requests, span, slack }: Document.Quota,
+      part: number,
+    ): boolean => {
+      if (slack === undefined || requests === undefined) return true;
+      const since = aloneSince ?? Instant.now();
+      if (account.aloneFrom !== since) {
+        account.aloneFrom = since;
+        account.admittedAlone = 0;
+      }
+      return account.admittedAlone + 1 <= requests * part * (Instant.since(since) / span);
+    };
     const spendEvenShare = (account: Account, quota: Document.Quota, usage: UsageWindow.Usage) => {
       const used = UsageWindow.sum(account.window.total(), usage);
       proxyCount.record(dependencies.proxies());
@@ -260,7 +283,9 @@
       const isWithin =
         used.requests <= (quota.requests ?? Number.POSITIVE_INFINITY) * part &&
         used.prompt <= (quota.prompt ?? Number.POSITIVE_INFINITY) * part;
-      return isWithin ? charge(account, usage) : undefined;
+      if (!isWithin || !isWithinRate(account, quota, part)) return undefined;
+      account.admittedAlone += 1;
+      return charge(account, usage);
     };
     const addGrant = ({ team, requests, prompt }: Frame.Grant, askedAt: Instant): Account | undefined => {
       const account = accounts.get(team);
@@ -333,6 +358,7 @@
           void requestGrants().answered.then(resolve);
           return;
         }
+        aloneSince = undefined;
         for (const grant of grants) {
           const account = addGrant(grant, pending.at);
           const told = pending.teams.get(grant.team);
--- a/test/quota-holder.test.ts
+++ b/test/quota-holder.test.ts
@@ -21,8 +21,8 @@
 
 const nextTurn = () => new Promise<void>((resolve) => setImmediate(resolve));
 
-const setUpDuty = (span = longSpan) => {
-  const quota = { span, requests };
+const setUpDuty = (span = longSpan, more: { readonly slack?: number } = {}) => {
+  const quota = { span, requests, ...more };
   const roster = new Set<string>(names);
   const isolated = new Set<string>();
   const admitted = { a: 0, b: 0, c: 0 };
@@ -133,4 +133,25 @@
     await admit('a', requests);
     assert.equal(admitted.a, requests);
   });
+
+  it('is not needed to keep the bound of a quota with a slack, even if the proxies had used unlike parts before', async () => {
+    const slack = 6;
+    const span = 4000;
+    const { isolated, admitted, admit, totalAdmitted, finishStartup, runFor } = setUpDuty(span, { slack });
+    await finishStartup();
+    await admit('a', 22);
+    await admit('b', 4);
+    await admit('c', 4);
+    assert.equal(totalAdmitted(), requests);
+    for (const name of names) isolated.add(name);
+    for (const name of names) await admit(name, requests);
+    assert.ok(totalAdmitted() <= requests + slack, `${totalAdmitted()} of ${requests} and ${slack}`);
+    const before = { ...admitted };
+    await runFor(span / 2);
+    for (const name of names) await admit(name, requests);
+    for (const name of ['b', 'c'] as const) {
+      const since = admitted[name] - before[name];
+      assert.ok(since >= 4 && since <= requests / names.length, `${name} admitted ${since} alone`);
+    }
+  });
 });
