Quotas with a slack: a proxy that missed an answer counts with its share and holds back nobody else

Cause: one proxy whose last word shows a missed answer, as each has that has just started, held all others to their even shares for up to 3 s; of a small tenant these are under one request. Now what such a proxy may have let in by itself is counted: the whole requests of its even share, less what it reported. That bounds it, since with a slack shares are spent at an even rate. Silent proxies count by whole requests too: a part under one request can't be spent. Quotas without a slack, or that count prompts, stay as they were. Tests: quota-alone, of which the first two need the change (a was held to 10 of 30, to 0 of 2).

--- a/src/duty/quota-coverage.ts
+++ b/src/duty/quota-coverage.ts
@@ -17,8 +17,10 @@
   readonly recordProxyCount: (team: string, proxies: number) => void;
   /** The highest number of proxies that may admit requests of this team. */
   readonly proxyCount: (team: string) => number;
-  /** Whether no proxy can be admitting requests of this team without the holder's knowledge. */
-  readonly isComplete: (team: string, span: number) => boolean;
+  /** Whether each proxy that can be admitting requests of this team by itself is known: heard, or among `aloneNodes`. */
+  readonly isHeardFromAll: (team: string, span: number) => boolean;
+  /** Proxies whose last report shows that a response did not reach them in time. */
+  readonly aloneNodes: () => readonly string[];
   /** Proxies on the roster that were neither heard nor asked recently; they count as asked from now on. */
   readonly takeUnasked: () => readonly string[];
 };
@@ -69,9 +71,11 @@
       recordProxyCount(team, proxies) {
         reportedCounts.set(team, Math.max(proxies, reportedCounts.get(team) ?? 0));
       },
-      isComplete(team, span) {
+      aloneNodes() {
         for (const [node, at] of aloneSince) if (Instant.since(at) > silentAfterMs) aloneSince.delete(node);
-        if (aloneSince.size > 0) return false;
+        return [...aloneSince.keys()];
+      },
+      isHeardFromAll(team, span) {
         if (Instant.since(startedAt) > span) return true;
         return heard.size >= proxyCount(team) && unheard().length === 0;
       },
--- a/src/duty/quota-duty.ts
+++ b/src/duty/quota-duty.ts
@@ -156,8 +156,9 @@
         if (since > quota.span + grantLifetimeMs) setReport(name, node, undefined);
         if (since <= silentAfterMs || since > quota.span + grantLifetimeMs) continue;
         const { amount } = report;
+        const requestShare = Math.floor((quota.requests ?? 0) * share);
         extra = UsageWindow.sum(extra, {
-          requests: Math.max(0, (quota.requests ?? 0) * share - amount.requests),
+          requests: Math.max(0, requestShare - amount.requests),
           prompt: Math.max(0, (quota.prompt ?? 0) * share - amount.prompt),
         });
       }
@@ -174,13 +175,29 @@
       const share = { requests: fullQuota.requests / proxies, prompt: fullQuota.prompt / proxies };
       return subtract(share, UsageWindow.sum(use.used, use.holds));
     };
+    // What proxies that missed a response may have admitted beyond their reports: the whole requests of their even shares, which
+    // they spend at an even rate where the quota states a slack.
+    const countAlone = (name: string, quota: QuotaDuty.Quota): UsageWindow.Usage => {
+      const share = Math.floor((quota.requests ?? 0) / coverage.proxyCount(name));
+      const reports = teams.get(name)?.reports;
+      const unreported = coverage
+        .aloneNodes()
+        .map((node) => Math.max(0, share - (reports?.get(node)?.amount.requests ?? 0)));
+      return { requests: unreported.reduce((sum, one) => sum + one, 0), prompt: 0 };
+    };
+    /** Whether what proxies admit by themselves can be counted, so that it need not hold back the others. */
+    const isAloneCountable = ({ slack, prompt }: QuotaDuty.Quota): boolean =>
+      slack !== undefined && prompt === undefined;
     const remainingFor = (use: Frame.Use, quota: QuotaDuty.Quota): UsageWindow.Usage => {
       const fullQuota = {
         requests: quota.requests ?? Number.MAX_SAFE_INTEGER,
         prompt: quota.prompt ?? Number.MAX_SAFE_INTEGER,
       };
-      const left = subtract(fullQuota, countUsage(use.team, quota));
-      if (coverage.isComplete(use.team, quota.span + grantLifetimeMs)) return left;
+      const reported = subtract(fullQuota, countUsage(use.team, quota));
+      const isCountable = isAloneCountable(quota);
+      const left = isCountable ? subtract(reported, countAlone(use.team, quota)) : reported;
+      const isAloneKnown = isCountable || coverage.aloneNodes().length === 0;
+      if (isAloneKnown && coverage.isHeardFromAll(use.team, quota.span + grantLifetimeMs)) return left;
       for (const node of coverage.takeUnasked()) needs.requestReport(node);
       return minimum(left, remainingShare(use, fullQuota));
     };
--- /dev/null
+++ b/test/quota-alone.test.ts
@@ -0,0 +1,99 @@
+/**
+ * A proxy that missed a response of the quota duty, and may have admitted some of its even share by itself: what it may have
+ * admitted counts, and where the quota states a slack it holds back nobody else.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { QuotaDuty } from '../src/duty/quota-duty.js';
+import type { Frame } from '../src/wire/frame.js';
+import { ManualClock } from './manual-clock.js';
+
+const names = ['a', 'b', 'c'];
+const collectMs = 1300;
+const silentAfterMs = 3000;
+const requests = 30;
+const none = { requests: 0, prompt: 0 };
+
+let clock: ManualClock;
+beforeEach(() => {
+  clock = ManualClock.install();
+});
+afterEach(() => clock.uninstall());
+
+const setUp = (slack: number | undefined, total = requests) => {
+  const quota = { span: 5000, requests: total, ...(slack === undefined ? {} : { slack }) };
+  const duty = QuotaDuty.of({ quotaOf: () => quota, roster: () => names, requestReport() {} });
+  const used: Record<string, number> = { a: 0, b: 0, c: 0 };
+  let serial = 0;
+  const send = (node: string, must: number, flags: { life: boolean; whole: boolean }): number => {
+    serial += 1;
+    const use: Frame.Use = {
+      team: 'team',
+      used: { requests: used[node]!, prompt: 0 },
+      holds: none,
+      wanted: none,
+      must: { requests: must, prompt: 0 },
+      proxies: names.length,
+    };
+    const frame = { kind: 'tokens', node, epoch: 0, batches: [], wanted: 0, serial, uses: [use], grants: [] };
+    const response = duty.receive({ ...frame, kind: 'tokens', ...flags }, 1);
+    const granted = response?.grants[0]?.requests ?? 0;
+    used[node]! += granted;
+    return granted;
+  };
+  const miss = (node: string) => send(node, 0, { life: false, whole: false });
+  const admitAll = (node: string): number => {
+    let admitted = 0;
+    while (send(node, 1, { life: true, whole: false }) === 1) admitted += 1;
+    return admitted;
+  };
+  duty.observeEpoch(1);
+  clock.advance(collectMs);
+  for (const node of names) {
+    send(node, 0, { life: true, whole: true });
+    send(node, 0, { life: true, whole: false });
+  }
+  return { send, miss, admitAll };
+};
+
+describe('a proxy that missed a response', () => {
+  it('holds back the others by the whole requests of its share only, where the quota states a slack', () => {
+    const { miss, admitAll } = setUp(6);
+    miss('c');
+    assert.equal(admitAll('a'), requests - requests / names.length);
+  });
+
+  it('of a quota under one request for each proxy holds back nobody', () => {
+    const { miss, admitAll } = setUp(6, 2);
+    for (const node of names) miss(node);
+    assert.equal(admitAll('a'), 2);
+  });
+
+  it('counts with what it reported, not in addition to it', () => {
+    const { send, miss, admitAll } = setUp(6);
+    assert.equal(send('c', 12, { life: true, whole: false }), 12);
+    miss('c');
+    assert.equal(admitAll('a'), requests - 12);
+  });
+
+  it('counts no longer once it has told all', () => {
+    const { send, miss, admitAll } = setUp(6);
+    miss('c');
+    send('c', 0, { life: true, whole: true });
+    send('c', 0, { life: true, whole: false });
+    assert.equal(admitAll('a'), requests);
+  });
+
+  it('counts with its share when it is silent, if it had admitted less', () => {
+    const { send, admitAll } = setUp(6);
+    send('c', 4, { life: true, whole: false });
+    clock.advance(silentAfterMs + 100);
+    assert.equal(admitAll('a'), requests - requests / names.length);
+  });
+
+  it('holds all others to their even shares where no slack is stated', () => {
+    const { miss, admitAll } = setUp(undefined);
+    miss('c');
+    assert.equal(admitAll('a'), requests / names.length);
+  });
+});
