--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -7,9 +7,9 @@
 const host = 'review.example';
 const service = 'officine-api';
 const key = 'key-of-nowu640';
-const ratePerS = 100;
+const ratePerS = 50;
 const burst = 20;
-const demandPerS = 400;
+const demandPerS = 200;
 const quota = { 'quota-window-s': 5, 'quota-overshoot': 0.1, 'quota-slack': 20 };
 /** For how long the region is gone. */
 const goneMs = 6000;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,9 +6,9 @@
 const host = 'review.example';
 const service = 'officine-api';
 const key = 'key-of-nowu640';
-const ratePerS = 100;
+const ratePerS = 50;
 const burst = 20;
-const demandPerS = 400;
+const demandPerS = 200;
 const quota = { 'quota-window-s': 5, 'quota-overshoot': 0.1, 'quota-slack': 20 };
 const killed = Number(process.env.KILLED ?? 5);
 const restartMs = 300;
