--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -6,6 +6,7 @@
 import { Instant } from '../../common/instant.js';
 import type { Compiled } from '../../manifest/compiled.js';
 import { Wall } from '../../manifest/wall.js';
+import type { Budget } from '../../upstream/budget.js';
 import type { Candidate } from '../../upstream/candidate.js';
 import type { Connection } from '../../upstream/connection.js';
 import type { Exchange } from '../../upstream/exchange.js';
@@ -112,7 +113,7 @@
       budget: needs.budget,
       pickNeeds: () => this.pickDependencies(),
       run: (pick, tier, hops) => this.run(pick, tier, hops, after),
-      onTryEnd: (trial, isExtra) => this.note(trial, isExtra),
+      onTryEnd: (trial, payment) => this.note(trial, payment),
     });
   }
 
@@ -224,11 +225,13 @@
     };
   }
 
-  private note(trial: UpstreamTry, isExtra: boolean): void {
+  private note(trial: UpstreamTry, payment: Budget.Payment | undefined): void {
     const { needs, call } = this;
     Outcome.record(needs, trial);
     const outcome = 'why' in trial ? `${trial.kind}_${trial.why}` : `${trial.kind}_${trial.status}`;
-    needs.meters.tries.inc({ group: trial.pick.group.name, outcome, extra: isExtra ? 'yes' : 'no' });
+    const { name: group } = trial.pick.group;
+    needs.meters.tries.inc({ group, outcome, extra: payment ? 'yes' : 'no' });
+    if (payment) needs.meters.extraTries.inc({ group, payment });
     if (trial.kind !== 'stream')
       needs.note('attempt ended', { request: call.id, to: trial.pick.server.instance, outcome });
   }
--- a/src/proxy/meters.ts
+++ b/src/proxy/meters.ts
@@ -39,6 +39,10 @@
         'outcome',
         'extra',
       ]),
+      extraTries: counter('extra_tries_total', 'tries beyond the first, by group and by what paid for them', [
+        'group',
+        'payment',
+      ]),
       refusals: counter('drops_total', 'requests dropped, by code', ['code']),
       darkServers: counter('servers_dark_total', 'times a server went dark to this proxy, by group', [
         'group',
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -20,8 +20,8 @@
 export type Budget = {
   /** Credits a fifth of a token for one request. */
   readonly earn: () => void;
-  /** Takes one token, or one try of the fixed allowance; returns false if neither is available. */
-  readonly spend: () => boolean;
+  /** Pays for one try with a token, or with a try of the fixed allowance; undefined if neither is available. */
+  readonly spend: () => Budget.Payment | undefined;
   /** Requests tokens from the pool if none is held and the last request is not too recent. */
   readonly requestTokens: () => void;
   /**
@@ -39,6 +39,8 @@
 
 /** Types of the retry budget. */
 export declare namespace Budget {
+  /** What paid for an extra try. */
+  type Payment = 'token' | 'allowance';
   /** Extra tries that all proxies together may make per window (in milliseconds), without earning them. */
   type Allowance = { readonly tries: number; readonly window: number; readonly proxies: () => number };
 }
@@ -82,17 +84,17 @@
       maxProxies = now;
       maxProxiesChangedAt = Instant.now();
     };
-    const spendAllowance = (): boolean => {
-      if (!allowance) return false;
+    const spendAllowance = (): 'allowance' | undefined => {
+      if (!allowance) return undefined;
       updateMaxProxies();
-      if (maxProxies === 0 || Instant.since(maxProxiesChangedAt) < settledAfterMs) return false;
+      if (maxProxies === 0 || Instant.since(maxProxiesChangedAt) < settledAfterMs) return undefined;
       const share = (allowance.tries * allowanceFraction) / maxProxies;
-      if (share < 1 && maxProxies > allowance.tries * maxSimultaneousFraction) return false;
+      if (share < 1 && maxProxies > allowance.tries * maxSimultaneousFraction) return undefined;
       const window = allowance.window / Math.min(1, share);
       allowedTriesAt = allowedTriesAt.filter((at) => Instant.since(at) < window);
-      if (allowedTriesAt.length >= Math.max(1, Math.floor(share))) return false;
+      if (allowedTriesAt.length >= Math.max(1, Math.floor(share))) return undefined;
       allowedTriesAt.push(Instant.now());
-      return true;
+      return 'allowance';
     };
     const purse = TokenPool.of();
     let epoch = 0;
@@ -108,7 +110,7 @@
     return {
       held: () => purse.total() / oneToken,
       earn: () => purse.add([{ amount: earnedPerRequest, age: 0 }]),
-      spend: () => purse.take(oneToken) !== undefined || spendAllowance(),
+      spend: () => (purse.take(oneToken) !== undefined ? 'token' : spendAllowance()),
       requestTokens,
       async waitForToken(span, signal) {
         const until = Instant.after(span);
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -58,8 +58,8 @@
     readonly budget: Budget;
     readonly pickNeeds: () => Candidate.Needs;
     readonly run: (pick: Candidate, tier: Candidate.Tier, hops: number) => Promise<UpstreamTry>;
-    /** Called after each try; `isExtra` is true if the try used a retry token. */
-    readonly onTryEnd: (result: UpstreamTry, isExtra: boolean) => void;
+    /** Called after each try, with what paid for it if it was an extra one. */
+    readonly onTryEnd: (result: UpstreamTry, payment: Budget.Payment | undefined) => void;
   };
   /** What the loop does next; `span` is in milliseconds. */
   type Step =
@@ -166,13 +166,15 @@
   }
   for (;;) {
     const isExtra = sent > 0;
-    if (isExtra && !plan.budget.spend()) {
+    let payment = isExtra ? plan.budget.spend() : undefined;
+    if (isExtra && !payment) {
       if (!isResumption) return finish('budget');
       const until = Instant.after(maxTokenWaitMs);
       do {
         if (isOver() || Instant.isPast(until)) return finish('budget');
         yield { kind: 'token', span: Instant.remaining(until) };
-      } while (!plan.budget.spend());
+        payment = plan.budget.spend();
+      } while (!payment);
       const rechosen = choose(tierIndex, true);
       if (!rechosen || (rechosen.index > tierIndex && hops >= rule.hops)) return finish('no_server');
       if (rechosen.index > tierIndex) hops += 1;
@@ -182,7 +184,7 @@
     tried.add(next.pick.server.instance);
     const result = yield { kind: 'try', pick: next.pick, tier: tiers[tierIndex]!, hops };
     if (!result) return finish();
-    plan.onTryEnd(result, isExtra);
+    plan.onTryEnd(result, payment);
     tries += 1;
     lastResult = result;
     const isUncharged =
--- a/test/budget-reserve.test.ts
+++ b/test/budget-reserve.test.ts
@@ -39,7 +39,7 @@
     earn(12);
     budget.maintain();
     clock.advance(1200);
-    assert.equal(budget.spend(), true);
+    assert.equal(budget.spend(), 'token');
   });
 
   it('passes on everything beyond a reserve of long-lived tokens, newest first', () => {
--- a/tools/experiment/policies.ts
+++ b/tools/experiment/policies.ts
@@ -45,8 +45,8 @@
   'no extra tries': [
     change(
       'budget',
-      'spend: () => purse.take(oneToken) !== undefined || spendAllowance()',
-      'spend: () => false',
+      "spend: () => (purse.take(oneToken) !== undefined ? 'token' : spendAllowance())",
+      'spend: () => undefined',
     ),
     // Who waits for a token would else be told at once that there is one, and ask again without an end.
     change('budget', 'purse.total() >= oneToken;', 'false;'),
--- a/tools/fuzz/player.ts
+++ b/tools/fuzz/player.ts
@@ -167,7 +167,7 @@
         document: documentOf(way),
         servers: servers.map(({ address }, index) => ({ instance: `i-${index}`, group: 'g', address })),
         dialect: way === 'platform' ? FuzzWords.dialect : Dialect,
-        alter: (needs) => alter({ ...needs, budget: { ...needs.budget, spend: () => true } }, way),
+        alter: (needs) => alter({ ...needs, budget: { ...needs.budget, spend: () => 'token' } }, way),
       });
       return { lab, servers, instances: ['i-0', 'i-1'] };
     };
--- a/tools/platform/day.ts
+++ b/tools/platform/day.ts
@@ -23,6 +23,8 @@
   readonly kinds: Readonly<Record<string, Day.Figures>>;
   readonly statuses: readonly number[];
   readonly notes: readonly string[];
+  /** Extra tries by group and by what paid for them, as counted by the fronts that ran at the end. */
+  readonly extraTries: Readonly<Record<string, number>>;
   readonly recording: Recording;
 };
 
@@ -171,6 +173,9 @@
 
 type Play = (fleet: PlatformFleet, random: Random) => Promise<void>;
 
+/** How long all servers of a service fail; longer than the window in which retries are counted. */
+const failingSpanMs = 12_000;
+
 const someEngine = (fleet: PlatformFleet, random: Random, service: string = names.model) =>
   random.pick(fleet.engines().filter((engine) => engine.terms.service === service && engine.isUp()));
 
@@ -198,6 +203,12 @@
     await pause(2500);
     engine.fault({ kind: 'none' });
   },
+  failing: async (fleet) => {
+    const engines = fleet.engines().filter((engine) => engine.terms.service === names.plain);
+    for (const engine of engines) engine.fault({ kind: 'grey', oneIn: 1 });
+    await pause(failingSpanMs);
+    for (const engine of engines) engine.fault({ kind: 'none' });
+  },
   health: async (fleet, random) => {
     someEngine(fleet, random).fault({ kind: 'health', says: 503 });
     await pause(2500);
@@ -322,6 +333,7 @@
       await pause(span / 2);
       await Promise.all(fleet.clients.map((client) => client.pause()));
       await fleet.operator.read();
+      const extraTries = await fleet.extraTries();
       for (const machine of fleet.machines)
         if (!machine.process().isUp()) notes.push(`${machine.name} has ended by itself`);
       return {
@@ -329,6 +341,7 @@
         kinds: Object.fromEntries(kinds.map((kind) => [kind.name, figuresOf(fleet.recording, kind)])),
         statuses: fleet.recording.orders.map((order) => order.status),
         notes,
+        extraTries,
         recording: fleet.recording,
       };
     } finally {
@@ -343,7 +356,7 @@
       `${name.padEnd(12)} ${String(occasions).padStart(6)} occasions ${breaches.length === 0 ? 'kept' : `BROKEN ${breaches.length}`}`,
   );
   process.stdout.write(
-    `${lines.join('\n')}\n${JSON.stringify(day.kinds, null, 1)}\n${day.notes.join('\n')}\n`,
+    `${lines.join('\n')}\n${JSON.stringify(day.kinds, null, 1)}\nextra tries: ${JSON.stringify(day.extraTries)}\n${day.notes.join('\n')}\n`,
   );
   for (const [name, { breaches }] of Object.entries(day.verdicts))
     for (const breach of breaches.slice(0, 5)) process.stdout.write(`${name}: ${breach}\n`);
--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -32,6 +32,8 @@
   readonly crash: (engine: Engine) => Promise<void>;
   readonly bounds: Verdict.Bounds;
   readonly isReady: () => Promise<boolean>;
+  /** Extra tries that the running fronts counted, by group and by what paid for them. */
+  readonly extraTries: () => Promise<Readonly<Record<string, number>>>;
   readonly stop: () => Promise<void>;
 };
 
@@ -71,6 +73,7 @@
   list: 8169,
   inner: [7720, 7735],
 };
+const extraTriesLine = /^bramblebend_extra_tries_total\{group="(.*?)",payment="(.*?)"\} (\d+)$/gm;
 const lag = 300;
 const warmup = { perSecond: 11, span: 1500 };
 const names = { model: 'llm', plain: 'orders', host: 'serve.example' };
@@ -286,6 +289,17 @@
         );
         return answers.every(Boolean);
       },
+      async extraTries() {
+        const fronts = spawned.filter((machine) => machine.role === 'front' && machine.process().isUp());
+        const sums: Record<string, number> = {};
+        for (const { address } of fronts) {
+          const ops = address.replace(`:${ports.front}`, `:${ports.readiness}`);
+          const answer = await request(`http://${ops}/metrics`);
+          for (const [, group, payment, count] of (await answer.body.text()).matchAll(extraTriesLine))
+            sums[`${group} ${payment}`] = (sums[`${group} ${payment}`] ?? 0) + Number(count);
+        }
+        return sums;
+      },
       async stop() {
         await Promise.all(clients.map((client) => client.stop()));
         await Promise.all(
