Retry budget: tokens and shares for each group of servers by itself

Cause: tokens were of one kind. Requests for any service earned them, and retries at any service spent them, so a failing service drew on what the traffic of all others earned; the fixed allowance was one for all services as well. Programs of the version before exchange tokens without a group among themselves. A try at a fallback group is paid from the first group of the rule, where its request earned. A resumed stream pays for the group of the server chosen at last.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -17,6 +17,7 @@
 import { ListDuty } from '../duty/list-duty.js';
 import { QuotaDuty } from '../duty/quota-duty.js';
 import { ReportDuty } from '../duty/report-duty.js';
+import { RetryLimits } from '../duty/retry-limits.js';
 import { Proposer } from '../epoch/proposer.js';
 import type { LogBuffer } from '../log/log-buffer.js';
 import { Children } from '../membership/children.js';
@@ -148,6 +149,7 @@
     const budget = BudgetDuty.of({
       quotas,
       allowance,
+      poolCapacity: () => RetryLimits.poolCapacity(startup.extra_tries, roster.names().length),
       hasRecentPrimary: isInTouch,
       own: startup.node,
       term: () => core?.term(),
@@ -155,6 +157,15 @@
       forward: (node, frame) => void peers.sendUp(node, frame),
       respond: sendDown,
     });
+    const pooledTokens = () => {
+      const groups = Object.entries(budget.pooled()).map(
+        ([name, amount]) => [name, amount / RetryLimits.oneToken] as const,
+      );
+      return {
+        pooled: groups.reduce((sum, [, tokens]) => sum + tokens, 0),
+        groups: Object.fromEntries(groups),
+      };
+    };
     const highest = () =>
       Epoch.of(
         Math.max(feed.stamp().epoch, store.state().stamp.epoch, ...roll.all().map((one) => one.stamp.epoch)),
@@ -260,7 +271,7 @@
     gauge('epoch', 'epoch of the register', () => running.term()?.epoch ?? 0);
     gauge('revision', 'revision of the state held', () => store.state().stamp.revision);
     gauge('leading', 'whether this core is the primary', () => (running.leading() ? 1 : 0));
-    gauge('tokens_pooled', 'tokens for extra tries in the pool here', () => budget.pooled() / 1000);
+    gauge('tokens_pooled', 'tokens for extra tries in the pools here', () => pooledTokens().pooled);
     gauge('views_waiting', 'children that wait for their turn to get a whole view', turns.queueLength);
     gauge('members', 'nodes on the roll', () => roll.all().length);
     gauge('servers', 'servers on the list held', () => store.state().platform.servers.length);
@@ -310,7 +321,7 @@
       directory,
       adapter,
       loads: () => ({ loads: reports?.loads() ?? [] }),
-      budget: () => ({ holder: budget.holder(), pooled: budget.pooled() / 1000 }),
+      budget: () => ({ holder: budget.holder(), ...pooledTokens() }),
       usage: () => ({ holder: budget.holder(), teams: quotas.usage() }),
       ownHttpAddress: () => http,
       isConnected: (one) => peers.clientAt(one.wire)?.downFor() === 0,
--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -1,6 +1,6 @@
 /**
- * The budget duty of a core: pools the retry tokens that proxies do not need and grants them to proxies that request some. A
- * duty is a role that one core at a time holds; the others forward its messages to the holder. A new holder starts with an
+ * The budget duty of a core: pools the retry tokens that proxies do not need, by group of servers, and grants them to proxies
+ * that request some. A duty is a role that one core at a time holds; the others forward its messages to the holder. A new holder starts with an
  * empty pool: tokens in transit may be lost, but are never duplicated. The same core also holds the quota duty; any core may
  * answer a question for quotas from its own allowance.
  */
@@ -8,14 +8,14 @@
 import type { CoreAllowance } from './core-allowance.js';
 import { DutyOrder } from './duty-order.js';
 import type { QuotaDuty } from './quota-duty.js';
-import { TokenPool } from './token-pool.js';
+import { TokenPools } from './token-pools.js';
 
 /** Pools and grants retry tokens. */
 export type BudgetDuty = {
   /** Handles a message of a proxy, or forwards it to the holder. */
   readonly receive: (frame: BudgetDuty.Tokens) => void;
-  /** Tokens in the pool, in thousandths. */
-  readonly pooled: () => number;
+  /** Tokens in the pools by group, in thousandths. */
+  readonly pooled: () => Readonly<Record<string, number>>;
   /** The node that holds the duty; undefined if none is known. */
   readonly holder: () => string | undefined;
 };
@@ -24,8 +24,12 @@
 export declare namespace BudgetDuty {
   /** A message about retry tokens or quotas. */
   type Tokens = Extract<Frame.Body, { kind: 'tokens' }>;
+  type Transfers = NonNullable<Tokens['transfers']>;
 }
 
+/** The name under which tokens of no group are pooled; no group has it. */
+const ungrouped = '';
+
 /** Creates the budget duty of a core. */
 export const BudgetDuty = {
   of(needs: {
@@ -36,6 +40,8 @@
     readonly respond: (frame: BudgetDuty.Tokens) => void;
     readonly quotas: QuotaDuty;
     readonly allowance: CoreAllowance;
+    /** The most tokens that the pool of a group may hold, in thousandths. */
+    readonly poolCapacity: () => number;
     /**
      * Whether word of a primary arrived recently. A core that is cut off considers itself the first live one. It then
      * grants no more than its own allowance, and the proxies below it admit up to their even shares. Retry tokens were
@@ -43,14 +49,14 @@
      */
     readonly hasRecentPrimary?: () => boolean;
   }): BudgetDuty {
-    let pool = TokenPool.of();
+    const pools = TokenPools.of(needs.poolCapacity);
     let epoch = 0;
     const holder = (): string | undefined => {
       const term = needs.term();
       return term && DutyOrder.firstLive(DutyOrder.of(term), needs.isLive);
     };
     const startTerm = (term: Frame.Term) => {
-      if (term.epoch !== epoch) pool = TokenPool.of();
+      if (term.epoch !== epoch) pools.clear();
       epoch = term.epoch;
     };
     const grantFromAllowance = (frame: BudgetDuty.Tokens, { epoch: termEpoch }: Frame.Term): boolean => {
@@ -67,9 +73,21 @@
       if (response?.listening === true && grantFromAllowance(frame, term)) return;
       if (response) needs.respond(response);
     };
+    /** Proxies of earlier versions keep one kind of token, in the fields of the frame itself; theirs go to each other. */
+    const exchangeUngrouped = (frame: BudgetDuty.Tokens, termEpoch: number): void => {
+      const batches = pools.exchange(ungrouped, frame.batches, frame.wanted);
+      if (batches) needs.respond({ ...frame, epoch: termEpoch, batches, wanted: 0 });
+    };
+    const exchange = (frame: BudgetDuty.Tokens, transfers: BudgetDuty.Transfers, termEpoch: number): void => {
+      const granted = transfers.flatMap(({ group, batches, wanted }) => {
+        const taken = group === ungrouped ? undefined : pools.exchange(group, batches, wanted);
+        return taken ? [{ group, batches: taken, wanted: 0 }] : [];
+      });
+      if (granted.length > 0) needs.respond({ ...frame, epoch: termEpoch, transfers: granted });
+    };
     return {
       holder,
-      pooled: () => pool.total(),
+      pooled: pools.totals,
       receive(frame) {
         const term = needs.term();
         const holderNode = holder();
@@ -81,11 +99,9 @@
         }
         if (isQuotaReport) return answerReport(frame, term);
         startTerm(term);
-        pool.add(frame.batches);
-        const wanted = Math.min(frame.wanted, pool.total());
-        const batches = wanted > 0 ? pool.take(wanted) : undefined;
-        const { epoch: grantEpoch } = term;
-        if (batches) needs.respond({ ...frame, epoch: grantEpoch, batches, wanted: 0 });
+        const { transfers = [] } = frame;
+        if (transfers.length > 0) exchange(frame, transfers, term.epoch);
+        else exchangeUngrouped(frame, term.epoch);
       },
     };
   },
--- a/src/duty/token-pool.ts
+++ b/src/duty/token-pool.ts
@@ -29,7 +29,8 @@
 /** Creates token pools. */
 export const TokenPool = {
   lifetimeMs,
-  of(): TokenPool {
+  /** `capacity` is the most that the pool holds, in thousandths of a token; the oldest tokens beyond it are dropped. */
+  of(capacity: () => number = () => Number.POSITIVE_INFINITY): TokenPool {
     let held: Held[] = [];
     const removeExpired = () => {
       if (held.length > 0 && Instant.since(held[0]!.born) > lifetimeMs)
@@ -41,8 +42,23 @@
         .filter((one) => Instant.since(one.born) <= lifetimeMs - minRemainingMs)
         .reduce((sum, one) => sum + one.amount, 0);
     };
+    const take = (amount: number, newest = false): readonly TokenPool.Batch[] | undefined => {
+      if (total() < amount) return undefined;
+      const taken: TokenPool.Batch[] = [];
+      let left = amount;
+      for (const one of newest ? [...held].reverse() : held) {
+        const part = Math.min(one.amount, left);
+        one.amount -= part;
+        left -= part;
+        if (part > 0) taken.push({ amount: part, age: Instant.since(one.born) });
+        if (left === 0) break;
+      }
+      held = held.filter((one) => one.amount > 0);
+      return taken;
+    };
     return {
       total,
+      take,
       add(batches) {
         for (const { amount, age } of batches) {
           if (!(amount > 0) || !(age >= 0) || age > lifetimeMs) continue;
@@ -51,20 +67,8 @@
           if (existing) existing.amount += amount;
           else held = [...held, { amount, born }].sort((a, b) => a.born - b.born);
         }
-      },
-      take(amount, newest = false) {
-        if (total() < amount) return undefined;
-        const taken: TokenPool.Batch[] = [];
-        let left = amount;
-        for (const one of newest ? [...held].reverse() : held) {
-          const part = Math.min(one.amount, left);
-          one.amount -= part;
-          left -= part;
-          if (part > 0) taken.push({ amount: part, age: Instant.since(one.born) });
-          if (left === 0) break;
-        }
-        held = held.filter((one) => one.amount > 0);
-        return taken;
+        const excess = total() - capacity();
+        if (excess > 0) take(excess);
       },
     };
   },
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -204,7 +204,7 @@
     const { instance } = pick.server;
     const onLost = (end: () => void) =>
       needs.prover.watch(instance, () => {
-        if (needs.budget.held() >= 1) end();
+        if (needs.budget.held(pick.group.name) >= 1) end();
       });
     return {
       pool: needs.pool,
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -60,26 +60,26 @@
     const feed = Feed.of();
     type TokenReport = Pick<
       Extract<Frame.Body, { kind: 'tokens' }>,
-      'batches' | 'wanted' | 'serial' | 'uses' | 'life' | 'whole'
+      'transfers' | 'serial' | 'uses' | 'life' | 'whole'
     >;
     const sendTokens = (report: TokenReport) =>
-      uplink.send({ kind: 'tokens', node: startup.node, epoch: 0, grants: [], ...report });
+      uplink.send({
+        kind: 'tokens',
+        node: startup.node,
+        epoch: 0,
+        batches: [],
+        wanted: 0,
+        grants: [],
+        ...report,
+      });
     const quotas = QuotaLimiter.of({
       proxies: () => roster.length,
-      send: (serial, uses, flags) => sendTokens({ batches: [], wanted: 0, serial, uses, ...flags }),
+      send: (serial, uses, flags) => sendTokens({ serial, uses, ...flags }),
     });
-    const extra = startup.extra_tries;
     const budget = Budget.of(
-      (batches, wanted) => sendTokens({ batches, wanted, serial: 0, uses: [] }),
-      extra && {
-        get tries() {
-          return extra.count;
-        },
-        get window() {
-          return extra.window;
-        },
-        proxies: () => roster.length,
-      },
+      (transfers) => sendTokens({ transfers, serial: 0, uses: [] }),
+      startup.extra_tries,
+      () => roster.length,
     );
     const maintenance = Timer.every(500, () => {
       budget.maintain();
@@ -105,7 +105,7 @@
     let compiled: Compiled | undefined;
     const meters = Meters.of({
       stamp: () => currentStamp(),
-      held: budget.held,
+      held: budget.heldInTotal,
       active: () => active,
       age: feed.age,
       keyLease: keyLease.remaining,
@@ -188,6 +188,7 @@
       if (!before) firstManifest.markArrived();
       setLimits(compiled.limits);
       ring.info('manifest applied', { stamp: Stamp.text(compiled.stamp) });
+      budget.retain(compiled.groups.keys());
       pool.retain(compiled);
       ejector.retain(compiled);
       prover.retain(compiled);
@@ -251,7 +252,7 @@
         dark: prover.unreachable(),
         leaving: departures.instances(),
         cold: [...new Set([...warmup.warming(), ...ramp.active()])],
-        tokens: budget.held(),
+        tokens: budget.heldInTotal(),
         parent: uplink.parent(),
         version: Version,
       }),
@@ -297,10 +298,10 @@
           startRamp(instance, age);
         }
       },
-      onTokens({ epoch, batches, serial, grants, ...flags }) {
+      onTokens({ epoch, transfers = [], serial, grants, ...flags }) {
         if (serial > 0) quotas.applyGrants(epoch, serial, grants, flags);
         else if (flags.whole) quotas.reportAll();
-        else budget.grant(epoch, batches);
+        else budget.grant(epoch, transfers);
       },
       note: ring.info,
     });
--- a/src/proxy/stream-response.ts
+++ b/src/proxy/stream-response.ts
@@ -118,13 +118,13 @@
 
   private createObserver(): StreamPump.Observer {
     const { needs, trial, events } = this;
-    const { server } = trial.pick;
+    const { server, group } = trial.pick;
     return {
       onEvent: (span) => needs.placement.prefillSpeed.recordEventGap(server.instance, span),
       onSilence: () => needs.prover.suspect(server),
       onLost: (end) =>
         needs.prover.watch(server.instance, () => {
-          if (events?.canResume() && needs.budget.held() >= 1) end();
+          if (events?.canResume() && needs.budget.held(group.name) >= 1) end();
         }),
     };
   }
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -7,12 +7,17 @@
 });
 const seeds = Guard.list(Guard.address, { min: 1, max: 3 });
 
+const extraTries = Guard.strictObject(
+  { count: Guard.number({ min: 0 }), window: Guard.integer({ min: 1 }) },
+  { ratio: Guard.number({ min: 0, max: 1 }) },
+);
+
 const proxy = Guard.strictObject(
   { node: name, zone: name, listen: Guard.address, ops: Guard.address, agent: Guard.address },
   {
     concurrent: Guard.integer({ min: 1, max: 1_000_000 }),
     drain: Guard.integer({ min: 0, max: 3_600_000 }),
-    extra_tries: Guard.strictObject({ count: Guard.number({ min: 0 }), window: Guard.integer({ min: 1 }) }),
+    extra_tries: extraTries,
     linger: Guard.integer({ min: 0, max: 3_600_000 }),
     key_lease: Guard.integer({ min: 1, max: 3_600_000 }),
     ready_path: Guard.string({ like: /^\/[^\s?#:*]*$/, as: 'a path that begins with /' }),
@@ -46,6 +51,7 @@
     platform: Guard.list(Guard.strictObject({ name, token }), { min: 1, max: 100 }),
   },
   {
+    extra_tries: extraTries,
     losses: Guard.integer({ min: 0, max: 4 }),
     initial: Guard.boolean,
     key_file: Guard.string({ max: 4096 }),
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -1,146 +1,112 @@
 /**
- * Retry budget of one proxy. Each real request earns a fifth of a token and each try after the first costs a whole one.
- * No token is created in any other way, so across all proxies the tokens allow extra tries for less than a fifth of the
- * requests. A proxy keeps a reserve of one token and passes surplus tokens to a shared pool, from which it refills the
- * reserve. A try that finds no token requests more; the resumption of a broken stream waits briefly for them. Grants
- * from an epoch older than the newest one seen are ignored.
+ * Retry budget of one proxy. Each group of servers has tokens of its own: a request for the group earns a share of a token, and
+ * each try after the first that goes to the group costs a whole one. No token is created in any other way, and none moves to
+ * another group. A proxy keeps a small reserve for each group and passes surplus tokens to a pool at the control plane,
+ * from which it refills the reserve. Grants from an epoch older than the newest one seen are ignored.
  *
- * In addition, operators may allow a fixed number of extra tries per window, summed over all proxies and regardless of
- * the traffic. Each proxy uses an even share of a part of that number, computed from the highest number of proxies it
- * has ever known, so that the sum stays below the limit despite restarts and network partitions. A share below one is
- * one try in a correspondingly longer window, provided that one try from every proxy at once stays within half of the
- * limit. While a proxy is still discovering others it uses no share, because the share would be too large.
+ * In addition, operators may allow a fixed number of extra tries per window and group, summed over all proxies and regardless
+ * of the traffic; each proxy uses its share of it (`retry-share`).
  */
 
-import { Instant } from '../common/instant.js';
-import { Timer } from '../common/timer.js';
-import { TokenPool } from '../duty/token-pool.js';
+import { RetryLimits } from '../duty/retry-limits.js';
+import type { TokenPool } from '../duty/token-pool.js';
+import { GroupBudget } from './group-budget.js';
+import { RetryShare } from './retry-share.js';
 
-/** The retry budget of one proxy. */
+/** The retry budget of one proxy; groups are given by name. */
 export type Budget = {
-  /** Credits a fifth of a token for one request. */
-  readonly earn: () => void;
-  /** Pays for one try with a token, or with a try of the fixed allowance; undefined if neither is available. */
-  readonly spend: () => Budget.Payment | undefined;
+  /** Credits the tokens that one request for the group earns. */
+  readonly earn: (group: string) => void;
+  /** Pays for one try with a token, or with a try of the fixed number; undefined if neither is available. */
+  readonly spend: (group: string) => Budget.Payment | undefined;
   /** Requests tokens from the pool if none is held and the last request is not too recent. */
-  readonly requestTokens: () => void;
+  readonly requestTokens: (group: string) => void;
   /**
    * Resolves once a token is held, or after `span` milliseconds or an abort without one; requests tokens from the pool
    * meanwhile.
    */
-  readonly waitForToken: (span: number, signal: AbortSignal) => Promise<void>;
-  /** Number of tokens held, including fractions. */
-  readonly held: () => number;
+  readonly waitForToken: (group: string, span: number, signal: AbortSignal) => Promise<void>;
+  /** Number of tokens held for a group, including fractions. */
+  readonly held: (group: string) => number;
+  /** Number of tokens held for all groups. */
+  readonly heldInTotal: () => number;
   /** Adds tokens from the pool; a grant from an old epoch is ignored. */
-  readonly grant: (epoch: number, batches: readonly TokenPool.Batch[]) => void;
-  /** Periodic work: refills the reserve from the pool or passes the surplus to it. */
+  readonly grant: (epoch: number, grants: readonly Budget.Transfer[]) => void;
+  /** Periodic work: refills the reserves from the pools or passes the surplus to them. */
   readonly maintain: () => void;
+  /** Keeps a reserve for these groups, and forgets others once nothing of theirs is in use. */
+  readonly retain: (groups: Iterable<string>) => void;
 };
 
 /** Types of the retry budget. */
 export declare namespace Budget {
   /** What paid for an extra try. */
   type Payment = 'token' | 'allowance';
-  /** Extra tries that all proxies together may make per window (in milliseconds), without earning them. */
-  type Allowance = { readonly tries: number; readonly window: number; readonly proxies: () => number };
+  /** Tokens of a group that are handed over, and the amount wanted in return, in thousandths of a token. */
+  type Transfer = {
+    readonly group: string;
+    readonly batches: readonly TokenPool.Batch[];
+    readonly wanted: number;
+  };
+  /** Transmits tokens and requests to the pool; returns false if it cannot. */
+  type Send = (transfers: readonly Transfer[]) => boolean;
 }
 
-/** Token amounts are counted in thousandths, so that fifths add up exactly. */
-const oneToken = 1000;
-/** Earned by each request, in thousandths of a token. */
-const earnedPerRequest = 200;
-const reserve = oneToken;
-/**
- * Remaining lifetime that a token needs to count toward the reserve, in milliseconds: a try may take this long before
- * it fails and a token is needed.
- */
-const minReserveLifetimeMs = 2000;
-/** Smallest amount exchanged with the pool, in thousandths of a token. */
-const minTransfer = 250;
-/** Smallest amount requested when a try finds no token, in thousandths of a token. */
-const minRequest = 3 * oneToken;
-/** Minimum interval between two requests to the pool, in milliseconds. */
-const requestIntervalMs = 50;
-/** Fraction of the fixed allowance that the shares of all proxies add up to. */
-const allowanceFraction = 0.35;
-/** Fraction of the fixed allowance that one try from every proxy at once may reach. */
-const maxSimultaneousFraction = 0.5;
-/** How long the highest known number of proxies must be unchanged before a share is used, in milliseconds. */
-const settledAfterMs = 2000;
+type Account = { readonly tokens: GroupBudget; readonly share: RetryShare.Log };
+
+const { oneToken } = RetryLimits;
 
 /** Creates retry budgets. */
 export const Budget = {
-  /** `send` transmits surplus batches and the requested amount to the pool; it returns false if it cannot. */
   of(
-    send: (batches: readonly TokenPool.Batch[], wanted: number) => boolean = () => false,
-    allowance?: Budget.Allowance,
+    send: Budget.Send = () => false,
+    limits: RetryLimits | undefined = undefined,
+    proxies: () => number = () => 0,
   ): Budget {
-    let maxProxies = 0;
-    let maxProxiesChangedAt = Instant.past;
-    let allowedTriesAt: Instant[] = [];
-    const updateMaxProxies = () => {
-      const now = allowance?.proxies() ?? 0;
-      if (now <= maxProxies) return;
-      maxProxies = now;
-      maxProxiesChangedAt = Instant.now();
-    };
-    const spendAllowance = (): 'allowance' | undefined => {
-      if (!allowance) return undefined;
-      updateMaxProxies();
-      if (maxProxies === 0 || Instant.since(maxProxiesChangedAt) < settledAfterMs) return undefined;
-      const share = (allowance.tries * allowanceFraction) / maxProxies;
-      if (share < 1 && maxProxies > allowance.tries * maxSimultaneousFraction) return undefined;
-      const window = allowance.window / Math.min(1, share);
-      allowedTriesAt = allowedTriesAt.filter((at) => Instant.since(at) < window);
-      if (allowedTriesAt.length >= Math.max(1, Math.floor(share))) return undefined;
-      allowedTriesAt.push(Instant.now());
-      return 'allowance';
-    };
-    const purse = TokenPool.of();
+    const share = RetryShare.of(limits, proxies);
+    const accounts = new Map<string, Account>();
+    let retained: ReadonlySet<string> = new Set();
     let epoch = 0;
-    let requestedAt = 0 as Instant;
-    let waiters = 0;
-    const wakeCallbacks = new Set<() => void>();
-    const hasToken = () => purse.total() >= oneToken;
-    const requestTokens = () => {
-      if (hasToken() || Instant.since(requestedAt) < requestIntervalMs) return;
-      requestedAt = Instant.now();
-      send([], Math.max(minRequest, waiters * oneToken));
+    const accountOf = (group: string): Account => {
+      const existing = accounts.get(group);
+      if (existing) return existing;
+      const request = (wanted: number) => void send([{ group, batches: [], wanted }]);
+      const account = { tokens: GroupBudget.of(request), share: share.logOf() };
+      accounts.set(group, account);
+      return account;
     };
+    const balanceAll = (): Budget.Transfer[] =>
+      [...accounts]
+        .map(([group, { tokens }]) => ({ group, ...tokens.balance() }))
+        .filter(({ batches, wanted }) => batches.length > 0 || wanted > 0);
     return {
-      held: () => purse.total() / oneToken,
-      earn: () => purse.add([{ amount: earnedPerRequest, age: 0 }]),
-      spend: () => (purse.take(oneToken) !== undefined ? 'token' : spendAllowance()),
-      requestTokens,
-      async waitForToken(span, signal) {
-        const until = Instant.after(span);
-        waiters += 1;
-        while (!hasToken() && !Instant.isPast(until) && !signal.aborted) {
-          requestTokens();
-          const pauseController = new AbortController();
-          const wake = () => pauseController.abort();
-          wakeCallbacks.add(wake);
-          signal.addEventListener('abort', wake, { once: true });
-          await Timer.sleep(Math.min(requestIntervalMs, Instant.remaining(until)), pauseController.signal);
-          signal.removeEventListener('abort', wake);
-          wakeCallbacks.delete(wake);
-        }
-        waiters -= 1;
+      earn: (group) => accountOf(group).tokens.earn(RetryLimits.earnedPerRequest(limits)),
+      spend(group) {
+        const account = accountOf(group);
+        if (account.tokens.takeToken()) return 'token';
+        return account.share.use() ? 'allowance' : undefined;
       },
-      grant(from, batches) {
+      requestTokens: (group) => accountOf(group).tokens.requestTokens(),
+      waitForToken: (group, span, signal) => accountOf(group).tokens.waitForToken(span, signal),
+      held: (group) => (accounts.get(group)?.tokens.held() ?? 0) / oneToken,
+      heldInTotal: () =>
+        [...accounts.values()].reduce((sum, { tokens }) => sum + tokens.held(), 0) / oneToken,
+      grant(from, grants) {
         if (from < epoch) return;
         epoch = from;
-        purse.add(batches);
-        for (const wake of [...wakeCallbacks]) wake();
+        for (const { group, batches } of grants) accountOf(group).tokens.add(batches);
       },
       maintain() {
-        updateMaxProxies();
-        const missing = reserve - purse.total();
-        if (missing >= minTransfer) send([], missing);
-        const surplus = purse.total(minReserveLifetimeMs) - reserve;
-        if (surplus < minTransfer) return;
-        const batches = purse.take(surplus, true);
-        if (batches && !send(batches, 0)) purse.add(batches);
+        share.observe();
+        const transfers = balanceAll();
+        if (transfers.length > 0 && !send(transfers))
+          for (const { group, batches } of transfers) accountOf(group).tokens.add(batches);
+        for (const [group, { tokens, share: log }] of accounts)
+          if (!retained.has(group) && !tokens.isInUse() && !log.isInUse()) accounts.delete(group);
+      },
+      retain(groups) {
+        retained = new Set(groups);
+        for (const group of retained) accountOf(group);
       },
     };
   },
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -2,7 +2,7 @@
  * The retry loop of one request. The generator `decide` yields the next step (send a try, pause, wait for a retry
  * token), is resumed with the result of that step and returns the final result; `Tries.run` performs the steps. A
  * request whose rule forbids a second execution (`isOnce`) is retried only if the server certainly did not run it. Once
- * the request has been sent, every further try costs a retry token, and one deadline and one hop limit apply to all
+ * the request has been sent, every further try costs a retry token of the group it goes to, and one deadline and one hop limit apply to all
  * tries together. A request without a token fails at once; only the resumption of a broken stream waits for one.
  */
 import { match } from 'ts-pattern';
@@ -63,11 +63,21 @@
   };
   /** What the loop does next; `span` is in milliseconds. */
   type Step =
-    | { readonly kind: 'try'; readonly pick: Candidate; readonly tier: Candidate.Tier; readonly hops: number }
+    | {
+        readonly kind: 'try';
+        readonly pick: Candidate;
+        readonly tier: Candidate.Tier;
+        readonly hops: number;
+        /** The group whose retry budget the request earns for. */
+        readonly account: string;
+      }
     | { readonly kind: 'pause'; readonly span: number }
-    | { readonly kind: 'token'; readonly span: number };
+    | { readonly kind: 'token'; readonly account: string; readonly span: number };
 }
 
+/** A server that was chosen, and the index of its tier. */
+type Choice = { readonly pick: Candidate; readonly index: number };
+
 /** Upper bound on how long a Retry-After header keeps a server out of selection, in milliseconds. */
 const maxServerRestMs = 5000;
 /** A try that could not be sent and costs no token ends the request once it has made more tries than this. */
@@ -118,7 +128,13 @@
   let lastResult: UpstreamTry | undefined;
   let retryAfter = 0;
 
-  const choose = (from: number, isUntried: boolean): { pick: Candidate; index: number } | undefined => {
+  /**
+   * The group whose retry budget counts a try: the one that it goes to, or the first group of the rule where the try goes to a
+   * fallback, since no request is for a fallback in the first place.
+   */
+  const accountOf = ({ pick, index }: Choice): string =>
+    tiers[index]!.step === rule.steps[0] ? pick.group.name : rule.steps[0]!.groups[0]!;
+  const choose = (from: number, isUntried: boolean): Choice | undefined => {
     const needs = plan.pickNeeds();
     for (let index = from; index < tiers.length; index += 1) {
       const eligible = Candidate.eligible(tiers[index]!, needs).filter(
@@ -165,24 +181,22 @@
     return finish('no_server');
   }
   for (;;) {
-    const isExtra = sent > 0;
-    let payment = isExtra ? plan.budget.spend() : undefined;
-    if (isExtra && !payment) {
-      if (!isResumption) return finish('budget');
-      const until = Instant.after(maxTokenWaitMs);
-      do {
-        if (isOver() || Instant.isPast(until)) return finish('budget');
-        yield { kind: 'token', span: Instant.remaining(until) };
-        payment = plan.budget.spend();
-      } while (!payment);
+    let payment = sent > 0 ? plan.budget.spend(accountOf(next)) : undefined;
+    const waitUntil = Instant.after(isResumption ? maxTokenWaitMs : 0);
+    while (sent > 0 && !payment) {
+      if (!isResumption || isOver() || Instant.isPast(waitUntil)) return finish('budget');
+      yield { kind: 'token', account: accountOf(next), span: Instant.remaining(waitUntil) };
       const rechosen = choose(tierIndex, true);
       if (!rechosen || (rechosen.index > tierIndex && hops >= rule.hops)) return finish('no_server');
       if (rechosen.index > tierIndex) hops += 1;
+      tierIndex = rechosen.index;
       next = rechosen;
+      payment = plan.budget.spend(accountOf(next));
     }
     tierIndex = next.index;
     tried.add(next.pick.server.instance);
-    const result = yield { kind: 'try', pick: next.pick, tier: tiers[tierIndex]!, hops };
+    const account = accountOf(next);
+    const result = yield { kind: 'try', pick: next.pick, tier: tiers[tierIndex]!, hops, account };
     if (!result) return finish();
     plan.onTryEnd(result, payment);
     tries += 1;
@@ -209,7 +223,7 @@
     const isHop = untried !== undefined && untried.index > tierIndex;
     if (untried && (!isHop || hops < rule.hops)) {
       if (!isUncharged) {
-        plan.budget.requestTokens();
+        plan.budget.requestTokens(accountOf(untried));
         yield { kind: 'pause', span: backOff(rule.retry, retries, plan.pickNeeds().random) };
         if (!isHop) retries += 1;
       }
@@ -221,7 +235,7 @@
         backOff(rule.retry, retries, plan.pickNeeds().random),
       );
       if (eligible.length === 0 || waitMs >= Instant.remaining(plan.deadline)) return finish();
-      plan.budget.requestTokens();
+      plan.budget.requestTokens(account);
       yield { kind: 'pause', span: waitMs };
       retries += 1;
     } else return finish();
@@ -243,11 +257,12 @@
       const step = loop.next(result);
       if (step.done) return step.value;
       if (step.value.kind === 'try') {
-        if (result === undefined && plan.previous.sent === 0) plan.budget.earn();
+        if (result === undefined && plan.previous.sent === 0) plan.budget.earn(step.value.account);
         result = await plan.run(step.value.pick, step.value.tier, step.value.hops);
       } else {
         const span = Math.min(step.value.span, Instant.remaining(plan.deadline));
-        if (step.value.kind === 'token') await plan.budget.waitForToken(span, plan.signal);
+        if (step.value.kind === 'token')
+          await plan.budget.waitForToken(step.value.account, span, plan.signal);
         else await Timer.sleep(span, plan.signal);
       }
     }
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -95,8 +95,11 @@
         readonly kind: 'tokens';
         readonly node: string;
         readonly epoch: number;
-        readonly batches: readonly { readonly amount: number; readonly age: number }[];
+        /** Retry tokens of no group, which programs before `transfers` exchange. */
+        readonly batches: readonly Batch[];
         readonly wanted: number;
+        /** Retry tokens by group of servers. */
+        readonly transfers?: readonly Transfer[];
         readonly serial: number;
         readonly uses: readonly Use[];
         readonly grants: readonly Grant[];
@@ -218,6 +221,10 @@
     readonly bound: number;
   };
   type Failed = { readonly instance: string; readonly count: number };
+  /** Retry tokens, in thousandths, and their age in milliseconds. */
+  type Batch = { readonly amount: number; readonly age: number };
+  /** Retry tokens of a group that are handed over, and the amount wanted in return. */
+  type Transfer = { readonly group: string; readonly batches: readonly Batch[]; readonly wanted: number };
   type Work = { readonly requests: number; readonly prompt: number };
   type Use = {
     readonly team: string;
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -85,6 +85,7 @@
       isLive: () => true,
       hasRecentPrimary: () => isInTouch,
       forward: () => {},
+      poolCapacity: () => 0,
       respond: ({ node }) => void answered.push(node),
       allowance: { grant: () => undefined, observeMembership() {} },
       quotas: {
--- a/test/budget-reserve.test.ts
+++ b/test/budget-reserve.test.ts
@@ -11,6 +11,7 @@
 const earnedPerRequest = 200;
 /** In thousandths of a token, as in the budget. */
 const oneToken = 1000;
+const group = 'llm';
 
 describe('token reserve', () => {
   let clock: ManualClock;
@@ -22,15 +23,18 @@
     clock = ManualClock.install();
     passedOn = 0;
     requestedAmount = 0;
-    budget = Budget.of((batches, wanted) => {
-      for (const batch of batches) passedOn += batch.amount;
-      requestedAmount += wanted;
+    budget = Budget.of((transfers) => {
+      for (const { group: of, batches, wanted } of transfers) {
+        assert.equal(of, group);
+        for (const batch of batches) passedOn += batch.amount;
+        requestedAmount += wanted;
+      }
       return true;
     });
   });
   afterEach(() => clock.uninstall());
   const earn = (count: number) => {
-    for (let index = 0; index < count; index += 1) budget.earn();
+    for (let index = 0; index < count; index += 1) budget.earn(group);
   };
 
   it('keeps fresh tokens instead of those that expire during a try', () => {
@@ -39,7 +43,7 @@
     earn(12);
     budget.maintain();
     clock.advance(1200);
-    assert.equal(budget.spend(), 'token');
+    assert.equal(budget.spend(group), 'token');
   });
 
   it('passes on everything beyond a reserve of long-lived tokens, newest first', () => {
@@ -49,7 +53,7 @@
     budget.maintain();
     assert.equal(passedOn, 12 * earnedPerRequest);
     clock.advance(TokenPool.lifetimeMs - 1000 + 1);
-    assert.equal(budget.held(), 0);
+    assert.equal(budget.held(group), 0);
   });
 
   it('requests only what is missing from the reserve', () => {
@@ -70,13 +74,13 @@
       earn(2);
       earnedTotal += 2 * earnedPerRequest;
       budget.maintain();
-      if (turn > 2 && budget.held() < 1) turnsWithoutToken += 1;
-      if (turn % 40 === 39 && budget.spend()) spent += oneToken;
+      if (turn > 2 && budget.held(group) < 1) turnsWithoutToken += 1;
+      if (turn % 40 === 39 && budget.spend(group)) spent += oneToken;
       clock.advance(500);
     }
     assert.equal(spent, 10 * oneToken);
     assert.ok(turnsWithoutToken <= 2 * 10, `${turnsWithoutToken} turns without a token`);
-    assert.ok(spent + passedOn + budget.held() * oneToken <= earnedTotal);
+    assert.ok(spent + passedOn + budget.held(group) * oneToken <= earnedTotal);
     assert.ok(passedOn > 0);
   });
 });
--- a/test/core-allowance.test.ts
+++ b/test/core-allowance.test.ts
@@ -142,6 +142,7 @@
       hasRecentPrimary: () => hasRecentPrimary,
       forward: (node) => void seen.push(`forwarded to ${node}`),
       respond: ({ fromAllowance }) => void seen.push(fromAllowance ? 'from its allowance' : 'as the holder'),
+      poolCapacity: () => 0,
       allowance: {
         grant: ({ uses }) => (uses.length > 0 ? [] : undefined),
         observeMembership() {},
--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -141,60 +141,74 @@
 });
 
 describe('retry budget', () => {
-  it('stays within its limit in any window over all proxies, each restarted twice within it', () => {
+  const group = 'llm';
+
+  it('uses its share of the fixed number in any window over all proxies, each restarted three times in a row', () => {
     const time = clock();
     const random = Random.of(11);
-    const tries = 60;
-    const window = 10_000;
-    const make = () => Budget.of(() => false, { tries, window, proxies: () => 4 });
-    const budgets = Array.from({ length: 4 }, make);
-    const starts = budgets.map(() => [] as number[]);
+    const limits = { count: 60, window: 10_000 };
+    const make = () =>
+      Budget.of(
+        () => false,
+        limits,
+        () => 4,
+      );
+    const nextLife = (deaths: number) => time.now() + (deaths % 3 === 0 ? 10_000 + random.below(6000) : 1000);
+    const lives = Array.from({ length: 4 }, () => ({ budget: make(), deaths: 0, endsAt: nextLife(0) }));
     const spent: number[] = [];
-    for (let step = 0; step < 4000; step += 1) {
+    for (let step = 0; step < 20_000; step += 1) {
       time.advance(10);
-      budgets.forEach((budget, index) => {
-        const recent = starts[index]!.filter((at) => time.now() - at < window);
-        if (recent.length < 2 && random.below(100) === 0) {
-          starts[index] = [...recent, time.now()];
-          budgets[index] = make();
-        } else if (random.below(2) === 0 && budget.spend()) spent.push(time.now());
-      });
+      for (const life of lives) {
+        if (time.now() >= life.endsAt) {
+          life.deaths += 1;
+          life.budget = make();
+          life.endsAt = nextLife(life.deaths);
+        } else if (random.below(2) === 0 && life.budget.spend(group)) spent.push(time.now());
+      }
     }
-    assert.ok(spent.length > 0);
-    assert.ok(maxInWindow(spent, window) <= tries, `${maxInWindow(spent, window)} in a window of ${tries}`);
+    const most = 0.35 * limits.count;
+    assert.ok(spent.length >= most, `${spent.length} in all`);
+    assert.ok(maxInWindow(spent, limits.window) <= most, `${maxInWindow(spent, limits.window)} in a window`);
   });
 
   it('grants nothing on its own while the roster fills, and adds to what was earned', () => {
     const time = clock();
     let proxies = 0;
-    const budget = Budget.of(() => false, { tries: 10, window: 1000, proxies: () => proxies });
-    assert.equal(budget.spend(), false);
+    const budget = Budget.of(
+      () => false,
+      { count: 10, window: 1000 },
+      () => proxies,
+    );
+    assert.equal(budget.spend(group), undefined);
     proxies = 1;
-    assert.equal(budget.spend(), false);
+    assert.equal(budget.spend(group), undefined);
     time.advance(1999);
-    assert.equal(budget.spend(), false);
+    assert.equal(budget.spend(group), undefined);
     proxies = 2;
     budget.maintain();
     time.advance(1999);
-    assert.equal(budget.spend(), false);
+    assert.equal(budget.spend(group), undefined);
     proxies = 1;
     time.advance(1);
-    for (let count = 0; count < 5; count += 1) budget.earn();
+    for (let count = 0; count < 5; count += 1) budget.earn(group);
     assert.deepEqual(
-      Array.from({ length: 4 }, () => budget.spend()),
-      [true, true, false, false],
+      Array.from({ length: 4 }, () => budget.spend(group)),
+      ['token', 'allowance', undefined, undefined],
     );
     time.advance(1000);
-    assert.equal(budget.spend(), true);
+    assert.equal(budget.spend(group), 'allowance');
   });
 
   it('gives each of many proxies its turn where an equal share rounds down to zero, without a burst', () => {
     const time = clock();
-    const tries = 200;
-    const window = 10_000;
+    const limits = { count: 200, window: 10_000 };
     let known = 1;
     const budgets = Array.from({ length: 80 }, () =>
-      Budget.of(() => false, { tries, window, proxies: () => known }),
+      Budget.of(
+        () => false,
+        limits,
+        () => known,
+      ),
     );
     const spent: number[] = [];
     const each = budgets.map(() => 0);
@@ -202,7 +216,7 @@
       time.advance(100);
       known = Math.min(80, known + 4);
       budgets.forEach((budget, index) => {
-        while (budget.spend()) {
+        while (budget.spend(group)) {
           spent.push(time.now());
           each[index]! += 1;
         }
@@ -210,15 +224,19 @@
     }
     assert.ok(Math.min(...each) >= 4, `${Math.min(...each)} tries of some proxy in a minute`);
     assert.ok(
-      maxInWindow(spent, window) <= tries / 2,
-      `${maxInWindow(spent, window)} in a window of ${tries}`,
+      maxInWindow(spent, limits.window) <= limits.count / 2,
+      `${maxInWindow(spent, limits.window)} in a window of ${limits.count}`,
+    );
+    const crowded = Budget.of(
+      () => false,
+      { count: 10, window: limits.window },
+      () => 80,
     );
-    const crowded = Budget.of(() => false, { tries: 10, window, proxies: () => 80 });
     crowded.maintain();
-    time.advance(window);
+    time.advance(limits.window);
     assert.equal(
-      crowded.spend(),
-      false,
+      crowded.spend(group),
+      undefined,
       'with more proxies than allowed tries, a proxy gets none on its own',
     );
   });
--- a/tools/experiment/front.ts
+++ b/tools/experiment/front.ts
@@ -5,7 +5,8 @@
 
 import { Instant } from '../../src/common/instant.js';
 import { Timer } from '../../src/common/timer.js';
-import { TokenPool } from '../../src/duty/token-pool.js';
+import { RetryLimits } from '../../src/duty/retry-limits.js';
+import { TokenPools } from '../../src/duty/token-pools.js';
 import { Compiled } from '../../src/manifest/compiled.js';
 import type { View } from '../../src/manifest/view.js';
 import { Budget } from '../../src/upstream/budget.js';
@@ -33,8 +34,8 @@
   readonly hearDark: (instance: string) => void;
   readonly hearFailures: (told: readonly FailureScores.Report[]) => void;
   readonly untold: () => readonly FailureScores.Report[];
-  /** Tokens for extra tries that the pool of all proxies grants. */
-  readonly grant: (batches: readonly TokenPool.Batch[]) => void;
+  /** Tokens for extra tries that the pools of all proxies grant. */
+  readonly grant: (transfers: readonly Budget.Transfer[]) => void;
   readonly stop: () => void;
 };
 
@@ -84,9 +85,9 @@
     readonly open: (instance: string, signal: AbortSignal) => Promise<boolean>;
     readonly keep: (instance: string) => void;
     readonly tellDark: (instance: string) => void;
-    readonly extraTries: { readonly count: number; readonly window: number };
-    /** Hands tokens that are not needed to the pool of all proxies, and asks it for others. */
-    readonly sendTokens: (batches: readonly TokenPool.Batch[], wanted: number) => boolean;
+    readonly extraTries: RetryLimits;
+    /** Hands tokens that are not needed to the pools of all proxies, and asks these for others. */
+    readonly sendTokens: Budget.Send;
   };
 }
 
@@ -146,11 +147,7 @@
       zone: needs.zone,
       unread: needs.unread,
     } as Placement.Needs & Pick<Front.Needs, 'unread'>),
-    budget: Budget.of(needs.sendTokens, {
-      tries: extraTries.count,
-      window: extraTries.window,
-      proxies: () => roster().length,
-    }),
+    budget: Budget.of(needs.sendTokens, extraTries, () => roster().length),
   };
   return { ...parts, prover: proverOf(needs, parts, compiled) };
 };
@@ -257,7 +254,7 @@
       },
       connectWithin: connectWithin.span,
       connectWhy: connectWithin.why,
-      onEnd: (end) => this.endWhenDark(instance, watch, end),
+      onEnd: (end) => this.endWhenDark(pick, watch, end),
     });
     place.release();
     if (trial.kind === 'stream') {
@@ -273,14 +270,14 @@
   }
 
   private endWhenDark(
-    instance: string,
+    { server, group }: Choice,
     watch: { onStop: () => void },
     end: (why: UpstreamTry.Reason) => void,
   ): void {
     const { parts, rule } = this;
     if (rule.isOnce) return;
-    watch.onStop = parts.prover.watch(instance, () => {
-      if (parts.budget.held() >= 1) end('reset');
+    watch.onStop = parts.prover.watch(server.instance, () => {
+      if (parts.budget.held(group.name) >= 1) end('reset');
     });
   }
 
@@ -310,7 +307,9 @@
 
 /** Proxies of the experiment, and the pool of tokens that a core keeps for them. */
 export const Front = {
-  purse: () => TokenPool.of(),
+  /** The pools of retry tokens for a number of proxies. */
+  pools: (limits: RetryLimits, proxies: number): TokenPools =>
+    TokenPools.of(() => RetryLimits.poolCapacity(limits, proxies)),
   compile: (view: View): Compiled => Compiled.of(view)!,
   of(needs: Front.Needs): Front {
     let compiled: Compiled | undefined;
@@ -328,6 +327,7 @@
           if (known?.isOpen === false && server.isOpen && group.warmup)
             parts.warmup.start(server.instance, group.warmup.span);
         }
+        parts.budget.retain(next.groups.keys());
         parts.placement.retain(next);
         parts.ejector.retain(next);
         parts.prover.retain(next);
@@ -341,7 +341,7 @@
       },
       hearFailures: parts.failures.addReported,
       untold: parts.failures.takeUnreported,
-      grant: (batches) => parts.budget.grant(1, batches),
+      grant: (transfers) => parts.budget.grant(1, transfers),
       stop() {
         tending.stop();
         parts.prover.stop();
--- a/tools/experiment/policies.ts
+++ b/tools/experiment/policies.ts
@@ -43,14 +43,14 @@
   'no ejection': [change('ejector', 'health.failures += 1;', 'return;')],
   'no bound for warming servers': [change('warmup', 'if (!group.warmup ||', 'if (group.warmup ||')],
   'no extra tries': [
+    change('budget', "if (account.tokens.takeToken()) return 'token';", 'if (account) return undefined;'),
+    // Who waits for a token would else be told at once that there is one, and ask again without an end.
+    change('group-budget', 'tokens.total() >= oneToken;', 'false;'),
     change(
       'budget',
-      "spend: () => (purse.take(oneToken) !== undefined ? 'token' : spendAllowance())",
-      'spend: () => undefined',
+      'held: (group) => (accounts.get(group)?.tokens.held() ?? 0) / oneToken',
+      'held: () => 0',
     ),
-    // Who waits for a token would else be told at once that there is one, and ask again without an end.
-    change('budget', 'purse.total() >= oneToken;', 'false;'),
-    change('budget', 'held: () => purse.total() / oneToken', 'held: () => 0'),
   ],
   'pending requests wait for a dark server': [
     change('health-checker', 'watchers.notify(server.instance);', ''),
--- a/tools/experiment/world.ts
+++ b/tools/experiment/world.ts
@@ -63,7 +63,7 @@
     Array.from({ length: zone.proxies }, (_none, index) => ({ zone, node: `${zone.name}-${index + 1}` })),
   );
   const roster = nodes.map(({ node }) => node);
-  const purse = script.Front.purse();
+  const pools = script.Front.pools(workload.extraTries, roster.length);
   const made: Place[] = [];
   for (const { zone, node } of nodes) {
     const connections = new Connections(timeline, connectionsKeptFor);
@@ -81,12 +81,13 @@
         });
       },
       extraTries: workload.extraTries,
-      sendTokens(batches, wanted) {
+      sendTokens(transfers) {
         timeline.after(onTheWay, () => {
-          purse.add(batches);
-          const amount = Math.min(wanted, purse.total());
-          const granted = amount > 0 ? purse.take(amount) : undefined;
-          if (granted) timeline.after(onTheWay, () => front.grant(granted));
+          const granted = transfers.flatMap(({ group, batches, wanted }) => {
+            const taken = pools.exchange(group, batches, wanted);
+            return taken ? [{ group, batches: taken, wanted: 0 }] : [];
+          });
+          if (granted.length > 0) timeline.after(onTheWay, () => front.grant(granted));
         });
         return true;
       },
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -6,6 +6,7 @@
 import type { Guard } from '../../src/common/guard.js';
 import { Instant } from '../../src/common/instant.js';
 import { Stamp } from '../../src/common/stamp.js';
+import { RetryLimits } from '../../src/duty/retry-limits.js';
 import { Compiled } from '../../src/manifest/compiled.js';
 import { Document } from '../../src/manifest/document.js';
 import { Dialect } from '../../src/proxy/dialect.js';
@@ -82,7 +83,9 @@
   const failures = FailureScores.of();
   const ramp = SlowStart.of(own, roster);
   const budget = Budget.of();
-  budget.grant(1, [{ amount: (terms.tokens ?? 1000) * 1000, age: 0 }]);
+  const amount = (terms.tokens ?? 1000) * RetryLimits.oneToken;
+  for (const group of newest()?.groups.keys() ?? [])
+    budget.grant(1, [{ group, batches: [{ amount, age: 0 }], wanted: 0 }]);
   const ejector = Ejector.of(() => {});
   const pool: Pool = Pool.of({
     newest,
@@ -130,7 +133,7 @@
     shares: Shares.of(),
     meters: Meters.of({
       stamp: () => newest()?.stamp ?? Stamp.none,
-      held: budget.held,
+      held: budget.heldInTotal,
       active,
       age: () => 0,
       keyLease: () => Number.POSITIVE_INFINITY,
