Retry budget: bound the tokens that exist, so that none reach back before the window

Tokens live for 5 s and the rule counts in windows of 10 s: right after a group begins to fail, retries paid from what was earned before the window came on top of the share and the allowance. The pool of a group now holds at most what shares, reserves and tokens in transit leave of the fixed number (a quarter of it, a twentieth at least); the oldest tokens beyond are dropped.

--- a/src/duty/retry-limits.ts
+++ b/src/duty/retry-limits.ts
@@ -25,6 +25,11 @@
 const sharedFraction = 0.35;
 /** Part of the fixed number that one try from every proxy at once may reach. */
 const maxSimultaneousFraction = 0.5;
+/** Part of the fixed number that is left for tokens on their way between proxies and the pool. */
+const inTransitFraction = 0.1;
+/** Bounds of the pool of a group, as parts of the fixed number. Two pools may exist for a moment during a takeover. */
+const minPoolFraction = 0.05;
+const maxPoolFraction = 0.25;
 
 /** What one proxy may try without a token: `tries` in any window of `window` milliseconds. */
 type Share = { readonly tries: number; readonly window: number };
@@ -44,6 +49,13 @@
   /** Earned by one request, in thousandths of a token. */
   earnedPerRequest: (limits: RetryLimits | undefined): number =>
     Math.floor((limits?.ratio ?? defaultRatio) * oneToken),
-  /** The most tokens that the pool of a group may hold, in thousandths. */
-  poolCapacity: (_limits: RetryLimits | undefined, _proxies: number): number => Number.POSITIVE_INFINITY,
+  /** The most tokens that the pool of a group may hold, in thousandths; unbounded without limits. */
+  poolCapacity(limits: RetryLimits | undefined, proxies: number): number {
+    if (!limits) return Number.POSITIVE_INFINITY;
+    const { count } = limits;
+    const shared = (shareOf(limits, Math.max(1, proxies))?.tries ?? 0) * proxies;
+    const free = count * (1 - inTransitFraction) - shared - (proxies * reserve) / oneToken;
+    const tokens = Math.max(count * minPoolFraction, Math.min(count * maxPoolFraction, free));
+    return Math.floor(tokens * oneToken);
+  },
 };
--- a/test/retry-budget-rule.test.ts
+++ b/test/retry-budget-rule.test.ts
@@ -157,4 +157,12 @@
       expectWithinLimits(fleet, `seed ${seed}`);
     }
   });
+
+  it('does not add tokens from before the window to the share and the fixed number', () => {
+    for (let seed = 1; seed <= 10; seed += 1)
+      expectWithinLimits(
+        play(seed, new Map([['only', { perSecond: 150, ...failing }]]), () => {}),
+        `seed ${seed}`,
+      );
+  });
 });
