Retry budget: a restarted proxy uses its share of the fixed number after a whole window

The record of what a proxy used of its share ends with the process, and a new life had a whole share again after 2 s: with proxies killed in series a window saw up to three shares of each. Now a process uses none until it has run for a window, so no window holds the use of two lives.

--- a/src/upstream/retry-share.ts
+++ b/src/upstream/retry-share.ts
@@ -3,6 +3,8 @@
  * fixed number although nobody coordinates them:
  * - The share follows from the highest number of proxies ever known, so it does not grow in a partition. While the proxy is
  *   still discovering others it uses none.
+ * - A process uses none until it has run for a whole window, because an earlier process of the same proxy may have used the
+ *   share right before it ended.
  */
 import { Instant } from '../common/instant.js';
 import { RetryLimits } from '../duty/retry-limits.js';
@@ -34,6 +36,7 @@
 export const RetryShare = {
   of(limits: RetryLimits | undefined, proxies: () => number): RetryShare {
     if (!limits) return unused;
+    const startedAt = Instant.now();
     let maxProxies = 0;
     let maxProxiesChangedAt = Instant.past;
     const observe = () => {
@@ -45,7 +48,7 @@
     const current = () => {
       observe();
       const isSettled = maxProxies > 0 && Instant.since(maxProxiesChangedAt) >= settledAfterMs;
-      if (!isSettled) return undefined;
+      if (!isSettled || Instant.since(startedAt) < limits.window) return undefined;
       return RetryLimits.shareOf(limits, maxProxies);
     };
     return {
--- a/test/retry-budget-rule.test.ts
+++ b/test/retry-budget-rule.test.ts
@@ -165,4 +165,20 @@
         `seed ${seed}`,
       );
   });
+
+  it('holds while proxies are killed in series and the holder of the pools changes', () => {
+    for (let seed = 1; seed <= 30; seed += 1) {
+      const random = Random.of(seed + 1000);
+      const perSecond = 20 + random.below(130);
+      const traffic = new Map([
+        ['busy', { perSecond: 100, ...healthy }],
+        ['failing', { perSecond, ...failing }],
+      ]);
+      const fleet = play(seed, traffic, (running) => {
+        if (random.below(10) === 0) running.restartProxy();
+        if (random.below(200) === 0) running.replaceHolder();
+      });
+      expectWithinLimits(fleet, `seed ${seed}`);
+    }
+  });
 });
