Soak: judge the retry budget and warming servers, let services fail, run without tenants

The soak left out two checks that hold for every machine, in touch or not (budget, failback), had no series in which a whole service fails, and with tenants most requests were refused before any server.

--- a/tools/platform/soak.ts
+++ b/tools/platform/soak.ts
@@ -27,14 +27,22 @@
 };
 
 export declare namespace Soak {
-  type Terms = { readonly seed: number; readonly seconds: number; readonly frontsPerZone: number };
+  type Terms = {
+    readonly seed: number;
+    readonly seconds: number;
+    readonly frontsPerZone: number;
+    /** Without tenants all requests are let in, so that many more reach the servers. */
+    readonly hasTenants?: boolean;
+  };
 }
 
 /** Checks that hold for machines out of touch as well. */
 const judged = [
   ...['twice', 'refused', 'unasked', 'labels', 'mixed', 'order', 'route', 'home', 'attempts'],
   ...['race', 'again', 'invalid', 'inForce', 'back', 'readBack', 'tenant', 'revoked', 'quota'],
+  ...['budget', 'failback'],
 ];
+const { names } = PlatformFleet;
 const zones = { 'a-1': 'a', 'b-1': 'b', 'c-1': 'c' };
 const pause = (spanMs: number) => new Promise<void>((resolve) => setTimeout(resolve, spanMs));
 
@@ -87,6 +95,7 @@
   constructor(
     private readonly fleet: PlatformFleet,
     private readonly random: Random,
+    private readonly hasTenants: boolean,
   ) {
     this.tenants = new Tenants(random);
   }
@@ -97,14 +106,15 @@
       perSecond: kind.perSecond * 2,
       headers: (random: Random) => ({
         ...kind.headers(random),
-        [Words.key]: random.pick(this.tenants.drawn.slice(-16)),
+        ...this.keyHeader(random.pick(this.tenants.drawn.slice(-16))),
       }),
     }));
   }
 
   async put(): Promise<number> {
     const base = this.revision === 2 ? 0 : this.revision - 1;
-    const next = { ...Day.configuration(this.revision), subscribers: this.tenants.current() };
+    const subscribers = this.hasTenants ? { subscribers: this.tenants.current() } : {};
+    const next = { ...Day.configuration(this.revision), ...subscribers };
     const status = await this.fleet.operator.put(next, base);
     if (status === 200) this.revision += 1;
     return status;
@@ -119,12 +129,17 @@
       this.repeat('server', 1500, () => this.strikeServer()),
       this.repeat('change', 1100, () => this.changeTenants()),
       this.repeat('hot', 2500, () => this.burst()),
+      this.repeat('failing', 3000, () => this.failService()),
     ];
     await pause(seconds * 1000);
     this.isOver = true;
     await Promise.all(series);
   }
 
+  private keyHeader(key: string): Record<string, string> {
+    return this.hasTenants ? { [Words.key]: key } : {};
+  }
+
   private async repeat(name: string, meanMs: number, step: () => Promise<void>): Promise<void> {
     while (!this.isOver) {
       await pause(meanMs * (0.5 + this.random.below(100) / 100));
@@ -175,6 +190,15 @@
     await this.fleet.retire(engine);
   }
 
+  /** All servers of one service fail most requests for a while. */
+  private async failService(): Promise<void> {
+    const service = this.random.pick([names.model, names.plain]);
+    const engines = this.fleet.engines().filter((engine) => engine.terms.service === service);
+    for (const engine of engines) engine.fault({ kind: 'grey', oneIn: 1 });
+    await pause(1000 + this.random.below(9000));
+    for (const engine of engines) engine.fault({ kind: 'none' });
+  }
+
   private async changeTenants(): Promise<void> {
     this.tenants.change();
     await this.put();
@@ -185,7 +209,7 @@
     const tenant = this.random.pick(this.tenants.current().slice(1));
     const key = tenant.credentials[0]!;
     const lookup = Day.kinds.at(-1)!;
-    const hot: Client.Kind = { ...lookup, headers: () => ({ [Words.key]: key }), retries: 0 };
+    const hot: Client.Kind = { ...lookup, headers: () => this.keyHeader(key), retries: 0 };
     for (let round = 0; round < 12; round += 1) {
       for (const client of this.fleet.clients)
         for (let count = 0; count < 3; count += 1) void client.call(hot);
@@ -203,19 +227,19 @@
 
 export const Soak = {
   judged,
-  async play({ seed, seconds, frontsPerZone }: Soak.Terms): Promise<Soak> {
+  async play({ seed, seconds, frontsPerZone, hasTenants = true }: Soak.Terms): Promise<Soak> {
     const random = Random.of(seed);
     const fleet = await PlatformFleet.start({
       folder: mkdtempSync(join(tmpdir(), 'bramblebend-soak-')),
       seed,
       zones,
       fronts: frontsPerZone,
-      servers: { [PlatformFleet.names.model]: 6, [PlatformFleet.names.plain]: 3 },
+      servers: { [names.model]: 6, [names.plain]: 3 },
       areClientsClinging: true,
     });
     const notes: string[] = [];
     try {
-      const run = new SoakRun(fleet, random);
+      const run = new SoakRun(fleet, random, hasTenants);
       notes.push(`first configuration: ${await run.put()}`);
       while (!(await fleet.isReady())) await pause(20);
       for (const client of fleet.clients) client.play(run.kinds());
@@ -247,7 +271,7 @@
   return broken.length > 0 || notes.length > 1;
 };
 
-type Flags = { seed: number; seeds: number; seconds: number; fronts: number };
+type Flags = { seed: number; seeds: number; seconds: number; fronts: number; tenants: string };
 
 if (process.argv[1] === fileURLToPath(import.meta.url))
   sade('soak', true)
@@ -255,10 +279,12 @@
     .option('--seeds', 'how many seeds, one after the other', 1)
     .option('--seconds', 'how long each runs', 30)
     .option('--fronts', 'fronts in each of the three zones', 2)
-    .action(async ({ seed, seeds, seconds, fronts }: Flags) => {
+    .option('--tenants', 'on, or off: then requests carry no key and have no limit', 'on')
+    .action(async ({ seed, seeds, seconds, fronts, tenants }: Flags) => {
+      const terms = { seconds, frontsPerZone: fronts, hasTenants: tenants !== 'off' };
       let bad = 0;
       for (let next = seed; next < seed + seeds; next += 1)
-        if (report(next, await Soak.play({ seed: next, seconds, frontsPerZone: fronts }))) bad += 1;
+        if (report(next, await Soak.play({ seed: next, ...terms }))) bad += 1;
       process.stdout.write(`${seeds} seeds, ${bad} with a rule broken\n`);
       process.exitCode = bad > 0 ? 1 : 0;
     })
