--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -205,8 +205,8 @@
   async budget(client: Client, options: Fleet): Promise<Commands> {
     const read = await readAll(client, ['/v1/budget', '/v1/nodes']);
     if (!read.bodies) return fail(read.failed);
-    const [{ holder, pooled }, { nodes }] = read.bodies as [
-      { holder?: string; pooled: number },
+    const [{ holder, pooled, groups = {} }, { nodes }] = read.bodies as [
+      { holder?: string; pooled: number; groups?: Readonly<Record<string, number>> },
       { nodes: readonly Node[] },
     ];
     const proxies = (await readEachHealth(nodes.filter((one) => one.program === 'proxy'))).sort(
@@ -219,7 +219,7 @@
       one.tokens === null ? 'no answer' : one.tokens.toFixed(1),
     ]);
     return toResult(
-      { holder: holder ?? null, pooled, proxies: held },
+      { holder: holder ?? null, pooled, groups, proxies: held },
       [['ZONE', 'HELD BY', 'TOKENS'], ['pool', holder ?? 'no holder', pooled.toFixed(1)], ...rows],
       options,
       noteUnreachable(proxies),
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -162,12 +162,13 @@
 
   it('shows the tokens for extra tries, in the pool and at each proxy', async () => {
     await Promise.all(Array.from({ length: 40 }, () => bench.chat('again')));
-    const { holder, pooled, proxies } = await until(
+    const { holder, pooled, groups, proxies } = await until(
       () => readJson('budget'),
       (seen) => seen.pooled > 0,
     );
     assert.ok(bench.kit.cores.some((core) => core.node === holder));
     assert.ok(pooled <= 8);
+    assert.deepEqual(Object.keys(groups), ['llm']);
     assert.equal(proxies.length, 3);
     assert.ok(proxies.every((one: { tokens: number | null }) => typeof one.tokens === 'number'));
     assert.deepEqual((await readTable('budget'))[0], ['ZONE', 'HELD BY', 'TOKENS']);
