--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -95,6 +95,7 @@
     ended: Array.from({ length: 10 }, (_none, index) => entry(`c${index}`)),
     runs: Array.from({ length: 10 }, (_none, index) => run(`c${index}`)),
     regionOf: (instance) => (instance === 'far' ? 'elsewhere' : 'here'),
+    groupOf: (instance) => (instance.startsWith('b') ? 'b' : 'a'),
     homes: { h: ['here'], others: ['here', 'elsewhere'] },
   };
   const planted: Record<keyof typeof Checkers, Checkers.Journals> = {
@@ -117,6 +118,20 @@
       })),
     },
   };
+  it('counts extra tries for each group of servers by itself', () => {
+    const more = (count: number, instance: string, from: number) =>
+      Array.from({ length: count }, (_none, index) =>
+        run(`c${from + index}`, { instance, event: 'arrived' }),
+      );
+    const sent = Array.from({ length: 50 }, (_none, index) => ({ at: 1, id: `c${index}`, home: 'h' }));
+    const runs = [...more(40, 'a1', 0), ...more(10, 'b1', 40), ...more(4, 'b2', 40)];
+    const { breaches } = Checkers.extraTriesFew({ ...clean, sent, runs });
+    assert.ok(
+      breaches.length > 0 && breaches.every((breach) => breach.startsWith('b: 4 extra tries for 10 ')),
+    );
+    const fewer = [...more(40, 'a1', 0), ...more(10, 'b1', 40), ...more(4, 'a2', 0)];
+    assert.deepEqual(Checkers.extraTriesFew({ ...clean, sent, runs: fewer }).breaches, []);
+  });
   for (const [name, check] of Object.entries(Checkers))
     it(`has a checker ${name} that catches a planted breach and passes a clean run`, () => {
       assert.deepEqual(check(clean).breaches, []);
--- a/tools/campaign/season.ts
+++ b/tools/campaign/season.ts
@@ -140,7 +140,12 @@
         made: world.made,
         cores: [...new Set([...cores, ...kit.cores])].map(machine),
         fronts: kit.fronts.map((front) => ({ ...machine(front), listen: front.listen })),
-        servers: all.map(({ instance, backEnd: { region, zone } }) => ({ instance, region, zone })),
+        servers: all.map(({ instance, backEnd: { group, region, zone } }) => ({
+          instance,
+          group,
+          region,
+          zone,
+        })),
         homes: Object.fromEntries(
           Object.entries(chosen.manifest.homes).map(([name, home]) => [name, home.regions]),
         ),
--- a/tools/campaign/verdicts.ts
+++ b/tools/campaign/verdicts.ts
@@ -35,6 +35,7 @@
     readonly fronts: readonly (Reach.Machine & { readonly listen: string })[];
     readonly servers: readonly {
       readonly instance: string;
+      readonly group: string;
       readonly region: string;
       readonly zone: string;
     }[];
@@ -82,6 +83,7 @@
       ended: calls.filter((entry) => entry.event === 'ended'),
       runs,
       regionOf: (instance) => servers.get(instance)?.region,
+      groupOf: (instance) => servers.get(instance)?.group,
       homes: facts.homes,
     };
     const held = Journal.read<Judge.Held>(join(folder, 'monitor.journal'));
--- a/tools/checkers.ts
+++ b/tools/checkers.ts
@@ -26,6 +26,7 @@
     readonly ended: readonly Caller.Entry[];
     readonly runs: readonly Run[];
     readonly regionOf: (instance: string) => string | undefined;
+    readonly groupOf: (instance: string) => string | undefined;
     readonly homes: Readonly<Record<string, readonly string[]>>;
   };
 }
@@ -43,17 +44,51 @@
 const lifetime = 5000;
 const windows = [5000, 10_000, 20_000, 60_000];
 
-const extraTries = ({ sent, runs }: Checkers.Journals): readonly number[] => {
+type GroupTries = {
+  /** When requests were sent that came to the group first, or to no server at all. */
+  readonly requests: readonly number[];
+  /** When tries beyond the first arrived at the group. */
+  readonly extras: readonly number[];
+};
+
+const ascending = (times: readonly number[]): number[] => [...times].sort((a, b) => a - b);
+
+/** The tries of each group of servers, which counts by itself. */
+const triesByGroup = ({ sent, runs, groupOf }: Checkers.Journals): ReadonlyMap<string, GroupTries> => {
   const known = new Set(sent.map((entry) => entry.id));
-  const met = new Set<string>();
-  return runs
-    .filter((run) => run.event === 'arrived' && known.has(run.caller ?? ''))
-    .sort((a, b) => a.at - b.at)
-    .flatMap((run) => {
-      const isExtra = met.has(run.caller!);
-      met.add(run.caller!);
-      return isExtra ? [run.at] : [];
-    });
+  const firstGroup = new Map<string, string>();
+  const extras = new Map<string, number[]>();
+  const arrived = runs.filter((run) => run.event === 'arrived' && known.has(run.caller ?? ''));
+  for (const run of [...arrived].sort((a, b) => a.at - b.at)) {
+    const group = groupOf(run.instance ?? '') ?? '';
+    if (!extras.has(group)) extras.set(group, []);
+    if (firstGroup.has(run.caller!)) extras.get(group)!.push(run.at);
+    else firstGroup.set(run.caller!, group);
+  }
+  return new Map(
+    [...extras].map(([group, times]) => {
+      const own = sent.filter(({ id }) => (firstGroup.get(id) ?? group) === group);
+      return [group, { requests: ascending(own.map(({ at }) => at)), extras: times }] as const;
+    }),
+  );
+};
+
+const judgeGroup = ({ requests, extras }: GroupTries, group: string): readonly string[] => {
+  const whole =
+    extras.length > share * requests.length + oneMore
+      ? [`${group}: ${extras.length} extra tries for ${requests.length} requests over the whole run`]
+      : [];
+  const inWindows = windows.flatMap((window) =>
+    extras.flatMap((start) => {
+      const end = start + window + 0.001;
+      const extra = countBetween(extras, start, end);
+      const real = countBetween(requests, start - lifetime, end);
+      return extra > share * real + oneMore
+        ? [`${group}: ${extra} extra tries for ${real} requests in the ${window} ms from ${start}`]
+        : [];
+    }),
+  );
+  return [...whole, ...inWindows];
 };
 
 export const Checkers = {
@@ -101,22 +136,10 @@
     };
   },
   extraTriesFew(journals) {
-    const extras = extraTries(journals);
-    const sent = journals.sent.map((entry) => entry.at).sort((a, b) => a - b);
-    const whole =
-      extras.length > share * sent.length + oneMore
-        ? [`${extras.length} extra tries for ${sent.length} requests over the whole run`]
-        : [];
-    const inWindows = windows.flatMap((window) =>
-      extras.flatMap((start) => {
-        const end = start + window + 0.001;
-        const extra = countBetween(extras, start, end);
-        const real = countBetween(sent, start - lifetime, end);
-        return extra > share * real + oneMore
-          ? [`${extra} extra tries for ${real} requests in the ${window} ms from ${start}`]
-          : [];
-      }),
-    );
-    return { occasions: extras.length, breaches: [...whole, ...inWindows] };
+    const groups = [...triesByGroup(journals)];
+    return {
+      occasions: groups.reduce((sum, [, { extras }]) => sum + extras.length, 0),
+      breaches: groups.flatMap(([group, tries]) => judgeGroup(tries, group)),
+    };
   },
 } as const satisfies Checkers;
--- a/tools/plants/plants.ts
+++ b/tools/plants/plants.ts
@@ -31,9 +31,9 @@
   {
     ...common,
     name: 'a stream that broke is begun again on another server',
-    file: 'src/proxy/filters/commit.js',
-    from: "finish(outgoing.destroyed ? 'client' : 'server');",
-    to: 'if (!outgoing.destroyed) { finish(\'server\'); return outgoing.end(\'data: {"choices":[{"delta":{"content":"other:0 "}}]}\\n\\n\'); }',
+    file: 'src/proxy/stream-response.js',
+    from: 'abortResponse(outgoing, this.chunks);',
+    to: 'if (result === \'server\' && !outgoing.destroyed) { this.chunks.end(Buffer.from(\'data: {"choices":[{"delta":{"content":"other:0 "}}]}\\n\\n\'), () => {}); return \'done\'; } abortResponse(outgoing, this.chunks);',
     judge: 'streamsWhole',
     only: ['serverCuts', 'serverKilled'],
   },
--- a/tools/report.ts
+++ b/tools/report.ts
@@ -28,11 +28,13 @@
   read(kit: FleetKit): Checkers.Journals {
     const calls = Journal.read<{ event: string } & Caller.Entry>(join(kit.folder, 'callers.journal'));
     const regions = new Map(kit.servers.map((server) => [server.instance, server.backEnd.region]));
+    const groups = new Map(kit.servers.map((server) => [server.instance, server.backEnd.group]));
     return {
       sent: calls.filter((entry) => entry.event === 'sent'),
       ended: calls.filter((entry) => entry.event === 'ended'),
       runs: kit.servers.flatMap((server) => Journal.read<Checkers.Run>(server.journal)),
       regionOf: (instance) => regions.get(instance),
+      groupOf: (instance) => groups.get(instance),
       homes: Object.fromEntries(
         Object.entries(kit.deployment.manifest.homes).map(([name, home]) => [name, home.regions]),
       ),
