--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -14,6 +14,7 @@
 import type { Warmup } from '../upstream/warmup.js';
 import type { Call } from './call.js';
 import type { Dialect } from './dialect.js';
+import type { Drain } from './drain.js';
 import type { FirstManifest } from './first-manifest.js';
 import type { KeyLease } from './key-lease.js';
 import type { Meters } from './meters.js';
@@ -33,6 +34,7 @@
     readonly compiled: () => Compiled | undefined;
     readonly firstManifest: FirstManifest;
     readonly keyLease: KeyLease;
+    readonly drain: Drain;
     /** Number of requests in progress. */
     readonly active: () => number;
     /** Requests in progress above which new ones are refused. */
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -30,6 +30,7 @@
 import type { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
 import { Dialect } from './dialect.js';
+import { Drain } from './drain.js';
 import { FirstManifest } from './first-manifest.js';
 import { KeyLease } from './key-lease.js';
 import { LeavingServers } from './leaving-servers.js';
@@ -54,6 +55,9 @@
   ) => Promise<Program>;
 };
 
+/** How long running requests may take after the signal unless the startup says otherwise, in milliseconds. */
+const defaultDrainMs = 30_000;
+
 /** Starts a proxy. */
 export const ProxyProgram: ProxyProgram = {
   async start(startup, ring, dialect = Dialect, join = undefined) {
@@ -101,7 +105,10 @@
     });
     const boot = Id.boot();
     let active = 0;
-    let isDraining = false;
+    const drain = Drain.of({
+      total: () => startup.drain ?? defaultDrainMs,
+      takesLong: () => startup.takes_long ?? Number.POSITIVE_INFINITY,
+    });
     let compiled: Compiled | undefined;
     const meters = Meters.of({
       stamp: () => currentStamp(),
@@ -205,7 +212,7 @@
     feed.watch(applyView);
     const ready = Ready.of({
       zone: startup.zone,
-      isDraining: () => isDraining,
+      isDraining: drain.isDraining,
       compiled: () => compiled,
       listSerial: () => feed.view().platform.serial,
     });
@@ -215,6 +222,7 @@
         compiled: () => compiled,
         firstManifest,
         keyLease,
+        drain,
         active: () => active,
         maxConcurrent: startup.concurrent ?? 512,
         dialect,
@@ -236,7 +244,6 @@
       },
       {
         isReady,
-        isDraining: () => isDraining,
         change(by) {
           active += by;
         },
@@ -312,10 +319,10 @@
     return {
       ready: { listen: Address.text(listening), ops: Address.text(opsAt) },
       async drain() {
-        isDraining = true;
+        drain.begin();
         uplink.announce();
         await Timer.sleep(startup.linger ?? 0);
-        const late = Timer.after((startup.drain ?? 30_000) - (startup.linger ?? 0), () =>
+        const late = Timer.after((startup.drain ?? defaultDrainMs) - (startup.linger ?? 0), () =>
           server.closeAllConnections(),
         );
         const idle = Timer.every(100, () => server.closeIdleConnections());
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -13,6 +13,7 @@
 import { Attempt } from './filters/attempt.js';
 import { Commit } from './filters/commit.js';
 import { Home } from './filters/home.js';
+import { LastRequests } from './filters/last-requests.js';
 import { ListModels } from './filters/list-models.js';
 import { MatchRule } from './filters/match-rule.js';
 import { Quota } from './filters/quota.js';
@@ -61,7 +62,6 @@
 type Probes = {
   /** The reason why the proxy is not ready; undefined when it is ready. */
   readonly isReady: () => string | undefined;
-  readonly isDraining: () => boolean;
   /** Changes the number of active requests by the given amount. */
   readonly change: (by: number) => void;
 };
@@ -128,6 +128,7 @@
   Admit.filter(needs),
   ...(needs.dialect.isOpenAi ? [ListModels.filter()] : []),
   MatchRule.filter(),
+  LastRequests.filter(needs),
   Home.filter(),
   Quota.filter(needs),
   Attempt.filter(needs),
@@ -148,7 +149,7 @@
     closeWithConnection(incoming, outgoing);
     outgoing.once('close', () => probes.change(-1));
     probes.change(1);
-    if (probes.isDraining() || isOutdated(incoming.socket)) outgoing.shouldKeepAlive = false;
+    if (needs.drain.isDraining() || isOutdated(incoming.socket)) outgoing.shouldKeepAlive = false;
     try {
       await runFilters(filters, call);
       Quota.refundIfNotRun(call);
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -19,6 +19,7 @@
     drain: Guard.integer({ min: 0, max: 3_600_000 }),
     extra_tries: extraTries,
     linger: Guard.integer({ min: 0, max: 3_600_000 }),
+    takes_long: Guard.integer({ min: 0, max: 3_600_000 }),
     key_lease: Guard.integer({ min: 1, max: 3_600_000 }),
     warmup_overshoot: Guard.number({ min: 1 }),
     ready_path: Guard.string({ like: /^\/[^\s?#:*]*$/, as: 'a path that begins with /' }),
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -10,6 +10,7 @@
 import { Compiled } from '../../src/manifest/compiled.js';
 import { Document } from '../../src/manifest/document.js';
 import { Dialect } from '../../src/proxy/dialect.js';
+import { Drain } from '../../src/proxy/drain.js';
 import type { Filter } from '../../src/proxy/filter.js';
 import { FirstManifest } from '../../src/proxy/first-manifest.js';
 import { KeyLease } from '../../src/proxy/key-lease.js';
@@ -108,6 +109,7 @@
       verifiedAt: () => Instant.past,
       onChange() {},
     }),
+    drain: Drain.of({ total: () => 0, takesLong: () => 0 }),
     active,
     maxConcurrent: 512,
     dialect: terms.dialect ?? Dialect,
@@ -166,7 +168,6 @@
     const needs = terms.alter ? terms.alter(made.needs) : made.needs;
     const { server, setLimits: limit } = ProxyServer.of(needs, {
       isReady: () => undefined,
-      isDraining: () => false,
       change(by) {
         active += by;
       },
