Retry tokens: one exchange of transfers, one empty frame, less work on each request

Read once more, with no change of behaviour. The exchange of a list of transfers with the pools stood in the budget duty, the experiment and a test: the pools do it. The frame with nothing in it stood in the proxy, the quota duty and two tests: Frame.emptyTokens. The default ratio and the drain's length are stated once. A pool without a capacity adds nothing up when tokens come in, and a try that is paid for reads no clock for a wait.

--- a/src/duty/budget-duty.ts
+++ b/src/duty/budget-duty.ts
@@ -1,8 +1,8 @@
 /**
  * The budget duty of a core: pools the retry tokens that proxies do not need, by group of servers, and grants them to proxies
- * that request some. A duty is a role that one core at a time holds; the others forward its messages to the holder. A new holder starts with an
- * empty pool: tokens in transit may be lost, but are never duplicated. The same core also holds the quota duty; any core may
- * answer a question for quotas from its own allowance.
+ * that request some. A duty is a role that one core at a time holds; the others forward its messages to the holder. A new
+ * holder starts with empty pools: tokens in transit may be lost, but are never duplicated. The same core also holds the quota
+ * duty; any core may answer a question for quotas from its own allowance.
  */
 import type { Frame } from '../wire/frame.js';
 import type { CoreAllowance } from './core-allowance.js';
@@ -24,7 +24,6 @@
 export declare namespace BudgetDuty {
   /** A message about retry tokens or quotas. */
   type Tokens = Extract<Frame.Body, { kind: 'tokens' }>;
-  type Transfers = NonNullable<Tokens['transfers']>;
 }
 
 /** The name under which tokens of no group are pooled; no group has it. */
@@ -75,14 +74,16 @@
     };
     /** Proxies of earlier versions keep one kind of token, in the fields of the frame itself; theirs go to each other. */
     const exchangeUngrouped = (frame: BudgetDuty.Tokens, termEpoch: number): void => {
-      const batches = pools.exchange(ungrouped, frame.batches, frame.wanted);
-      if (batches) needs.respond({ ...frame, epoch: termEpoch, batches, wanted: 0 });
+      const { batches, wanted } = frame;
+      const [granted] = pools.exchange([{ group: ungrouped, batches, wanted }]);
+      if (granted) needs.respond({ ...frame, epoch: termEpoch, batches: granted.batches, wanted: 0 });
     };
-    const exchange = (frame: BudgetDuty.Tokens, transfers: BudgetDuty.Transfers, termEpoch: number): void => {
-      const granted = transfers.flatMap(({ group, batches, wanted }) => {
-        const taken = group === ungrouped ? undefined : pools.exchange(group, batches, wanted);
-        return taken ? [{ group, batches: taken, wanted: 0 }] : [];
-      });
+    const exchange = (
+      frame: BudgetDuty.Tokens,
+      transfers: readonly Frame.Transfer[],
+      termEpoch: number,
+    ): void => {
+      const granted = pools.exchange(transfers.filter(({ group }) => group !== ungrouped));
       if (granted.length > 0) needs.respond({ ...frame, epoch: termEpoch, transfers: granted });
     };
     return {
--- a/src/duty/quota-duty.ts
+++ b/src/duty/quota-duty.ts
@@ -11,7 +11,7 @@
  * proxy may be admitting that much by itself.
  */
 import { Instant } from '../common/instant.js';
-import type { Frame } from '../wire/frame.js';
+import { Frame } from '../wire/frame.js';
 import { QuotaCoverage } from './quota-coverage.js';
 import { UsageWindow } from './usage-window.js';
 
@@ -80,16 +80,7 @@
   left >= proxies / 2 ? Math.max(1, left / (2 * proxies)) : 0;
 
 /** Requests a full report from a proxy. A proxy of an earlier version takes it for an empty grant. */
-const reportRequest = {
-  kind: 'tokens',
-  epoch: 0,
-  batches: [],
-  wanted: 0,
-  serial: 0,
-  uses: [],
-  grants: [],
-  whole: true,
-} as const satisfies Omit<QuotaDuty.Tokens, 'node'>;
+const reportRequest: Omit<QuotaDuty.Tokens, 'node'> = { ...Frame.emptyTokens, whole: true };
 
 /** Creates the quota duty of a core. */
 export const QuotaDuty = {
--- a/src/duty/retry-limits.ts
+++ b/src/duty/retry-limits.ts
@@ -43,6 +43,7 @@
 
 /** Computes what follows from the limits. */
 export const RetryLimits = {
+  defaultRatio,
   oneToken,
   reserve,
   shareOf,
--- a/src/duty/token-pool.ts
+++ b/src/duty/token-pool.ts
@@ -3,6 +3,7 @@
  * are counted in thousandths of a token, so that fractions such as a fifth add up exactly.
  */
 import { Instant } from '../common/instant.js';
+import type { Frame } from '../wire/frame.js';
 
 /** A pool of tokens with their ages. */
 export type TokenPool = {
@@ -17,7 +18,7 @@
 /** Amounts of tokens. */
 export declare namespace TokenPool {
   /** An amount in thousandths of a token, and its age in milliseconds. */
-  type Batch = { readonly amount: number; readonly age: number };
+  type Batch = Frame.Batch;
 }
 
 type Held = { amount: number; readonly born: Instant };
@@ -30,7 +31,7 @@
 export const TokenPool = {
   lifetimeMs,
   /** `capacity` is the most that the pool holds, in thousandths of a token; the oldest tokens beyond it are removed. */
-  of(capacity: () => number = () => Number.POSITIVE_INFINITY): TokenPool {
+  of(capacity?: () => number): TokenPool {
     let held: Held[] = [];
     const removeExpired = () => {
       if (held.length > 0 && Instant.since(held[0]!.born) > lifetimeMs)
@@ -67,7 +68,7 @@
           if (existing) existing.amount += amount;
           else held = [...held, { amount, born }].sort((a, b) => a.born - b.born);
         }
-        const excess = total() - capacity();
+        const excess = capacity ? total() - capacity() : 0;
         if (excess > 0) take(excess);
       },
     };
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -27,7 +27,7 @@
 import { Pool } from '../upstream/pool.js';
 import { SlowStart } from '../upstream/slow-start.js';
 import { Warmup } from '../upstream/warmup.js';
-import type { Frame } from '../wire/frame.js';
+import { Frame } from '../wire/frame.js';
 import type { Link } from '../wire/link.js';
 import { Dialect } from './dialect.js';
 import { Drain } from './drain.js';
@@ -67,15 +67,7 @@
       'transfers' | 'serial' | 'uses' | 'life' | 'whole'
     >;
     const sendTokens = (report: TokenReport) =>
-      uplink.send({
-        kind: 'tokens',
-        node: startup.node,
-        epoch: 0,
-        batches: [],
-        wanted: 0,
-        grants: [],
-        ...report,
-      });
+      uplink.send({ ...Frame.emptyTokens, node: startup.node, ...report });
     const quotas = QuotaLimiter.of({
       proxies: () => roster.length,
       send: (serial, uses, flags) => sendTokens({ serial, uses, ...flags }),
@@ -105,8 +97,9 @@
     });
     const boot = Id.boot();
     let active = 0;
+    const drainMs = () => startup.drain ?? defaultDrainMs;
     const drain = Drain.of({
-      total: () => startup.drain ?? defaultDrainMs,
+      total: drainMs,
       takesLong: () => startup.takes_long ?? Number.POSITIVE_INFINITY,
     });
     let compiled: Compiled | undefined;
@@ -322,9 +315,7 @@
         drain.begin();
         uplink.announce();
         await Timer.sleep(startup.linger ?? 0);
-        const late = Timer.after((startup.drain ?? defaultDrainMs) - (startup.linger ?? 0), () =>
-          server.closeAllConnections(),
-        );
+        const late = Timer.after(drainMs() - (startup.linger ?? 0), () => server.closeAllConnections());
         const idle = Timer.every(100, () => server.closeIdleConnections());
         await new Promise<void>((resolve) => {
           server.close(() => resolve());
--- a/src/upstream/budget.ts
+++ b/src/upstream/budget.ts
@@ -9,7 +9,7 @@
  */
 
 import { RetryLimits } from '../duty/retry-limits.js';
-import type { TokenPool } from '../duty/token-pool.js';
+import type { TokenPools } from '../duty/token-pools.js';
 import { GroupBudget } from './group-budget.js';
 import { RetryShare } from './retry-share.js';
 
@@ -31,7 +31,7 @@
   /** Number of tokens held for all groups. */
   readonly heldInTotal: () => number;
   /** Adds tokens from the pool; a grant from an old epoch is ignored. */
-  readonly grant: (epoch: number, grants: readonly Budget.Transfer[]) => void;
+  readonly grant: (epoch: number, grants: readonly TokenPools.Transfer[]) => void;
   /** Periodic work: refills the reserves from the pools or passes the surplus to them. */
   readonly maintain: () => void;
   /** Keeps a reserve for these groups, and forgets others once nothing of theirs is in use. */
@@ -42,14 +42,8 @@
 export declare namespace Budget {
   /** What paid for an extra try. */
   type Payment = 'token' | 'allowance';
-  /** Tokens of a group that are handed over, and the amount wanted in return, in thousandths of a token. */
-  type Transfer = {
-    readonly group: string;
-    readonly batches: readonly TokenPool.Batch[];
-    readonly wanted: number;
-  };
   /** Transmits tokens and requests to the pool; returns false if it cannot. */
-  type Send = (transfers: readonly Transfer[]) => boolean;
+  type Send = (transfers: readonly TokenPools.Transfer[]) => boolean;
 }
 
 type Account = { readonly tokens: GroupBudget; readonly share: RetryShare.Log };
@@ -75,7 +69,7 @@
       accounts.set(group, account);
       return account;
     };
-    const balanceAll = (): Budget.Transfer[] =>
+    const balanceAll = (): TokenPools.Transfer[] =>
       [...accounts]
         .map(([group, { tokens }]) => ({ group, ...tokens.balance() }))
         .filter(({ batches, wanted }) => batches.length > 0 || wanted > 0);
--- a/src/upstream/tries.ts
+++ b/src/upstream/tries.ts
@@ -2,8 +2,9 @@
  * The retry loop of one request. The generator `decide` yields the next step (send a try, pause, wait for a retry
  * token), is resumed with the result of that step and returns the final result; `Tries.run` performs the steps. A
  * request whose rule forbids a second execution (`isOnce`) is retried only if the server certainly did not run it. Once
- * the request has been sent, every further try costs a retry token of the group it goes to, and one deadline and one hop limit apply to all
- * tries together. A request without a token fails at once; only the resumption of a broken stream waits for one.
+ * the request has been sent, every further try costs a retry token of the group it goes to, and one deadline and one hop
+ * limit apply to all tries together. A request without a token fails at once; only the resumption of a broken stream waits
+ * for one.
  */
 import { match } from 'ts-pattern';
 import type { Id } from '../common/id.js';
@@ -182,16 +183,19 @@
   }
   for (;;) {
     let payment = sent > 0 ? plan.budget.spend(accountOf(next)) : undefined;
-    const waitUntil = Instant.after(isResumption ? maxTokenWaitMs : 0);
-    while (sent > 0 && !payment) {
-      if (!isResumption || isOver() || Instant.isPast(waitUntil)) return finish('budget');
-      yield { kind: 'token', account: accountOf(next), span: Instant.remaining(waitUntil) };
-      const rechosen = choose(tierIndex, true);
-      if (!rechosen || (rechosen.index > tierIndex && hops >= rule.hops)) return finish('no_server');
-      if (rechosen.index > tierIndex) hops += 1;
-      tierIndex = rechosen.index;
-      next = rechosen;
-      payment = plan.budget.spend(accountOf(next));
+    if (sent > 0 && !payment) {
+      if (!isResumption) return finish('budget');
+      const until = Instant.after(maxTokenWaitMs);
+      do {
+        if (isOver() || Instant.isPast(until)) return finish('budget');
+        yield { kind: 'token', account: accountOf(next), span: Instant.remaining(until) };
+        const rechosen = choose(tierIndex, true);
+        if (!rechosen || (rechosen.index > tierIndex && hops >= rule.hops)) return finish('no_server');
+        if (rechosen.index > tierIndex) hops += 1;
+        tierIndex = rechosen.index;
+        next = rechosen;
+        payment = plan.budget.spend(accountOf(next));
+      } while (!payment);
     }
     tierIndex = next.index;
     tried.add(next.pick.server.instance);
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -251,9 +251,21 @@
 const maxFrameBytes = 32 * 1024 * 1024;
 let unknownFrames = 0;
 
+/** A message about retry tokens or quotas without its sender, and with nothing in it. */
+const emptyTokens: Omit<Extract<Frame.Body, { kind: 'tokens' }>, 'node'> = {
+  kind: 'tokens',
+  epoch: 0,
+  batches: [],
+  wanted: 0,
+  serial: 0,
+  uses: [],
+  grants: [],
+};
+
 /** Encodes and decodes frames. */
 export const Frame = {
   maxBytes: maxFrameBytes,
+  emptyTokens,
   /** The frame with its length prefix of four bytes; throws when it exceeds the limit. */
   encode(stamp: Stamp, frame: Frame.Body, sentAt = 0): Buffer {
     const { kind, ...body } = frame;
--- a/test/budget-duty.test.ts
+++ b/test/budget-duty.test.ts
@@ -32,17 +32,7 @@
   });
   /** Sends a frame over the wire format and returns the response. */
   const ask = (more: Partial<BudgetDuty.Tokens>): BudgetDuty.Tokens | undefined => {
-    const frame = {
-      kind: 'tokens',
-      node: 'p',
-      epoch: 0,
-      batches: [],
-      wanted: 0,
-      serial: 0,
-      uses: [],
-      grants: [],
-    };
-    const bytes = Frame.encode(Stamp.none, { ...frame, ...more } as BudgetDuty.Tokens).subarray(4);
+    const bytes = Frame.encode(Stamp.none, { ...Frame.emptyTokens, node: 'p', ...more }).subarray(4);
     responses.length = 0;
     duty.receive(Frame.decode(bytes) as BudgetDuty.Tokens);
     return responses[0];
--- a/test/joining.test.ts
+++ b/test/joining.test.ts
@@ -16,7 +16,7 @@
 import { Relays } from '../src/news/relays.js';
 import { Ranges } from '../src/repair/ranges.js';
 import { ViewCache } from '../src/repair/view-cache.js';
-import type { Frame } from '../src/wire/frame.js';
+import { Frame } from '../src/wire/frame.js';
 import { Link } from '../src/wire/link.js';
 import { LinkServer } from '../src/wire/link-server.js';
 import { Protocol } from '../src/wire/protocol.js';
@@ -44,16 +44,7 @@
   return { stamp, platform, manifest: { ...stamp, document } } as unknown as View;
 };
 
-const echo = {
-  kind: 'tokens',
-  node: 'child',
-  epoch: 0,
-  batches: [],
-  wanted: 0,
-  serial: 0,
-  uses: [],
-  grants: [],
-} as const;
+const echo = { ...Frame.emptyTokens, node: 'child' };
 
 const openParent = async (feed: Feed, turns: TransferQueue) => {
   const roll = MemberTable.of(() =>
--- a/test/retry-budget-rule.test.ts
+++ b/test/retry-budget-rule.test.ts
@@ -8,6 +8,7 @@
 import { RetryLimits } from '../src/duty/retry-limits.js';
 import { TokenPools } from '../src/duty/token-pools.js';
 import { Budget } from '../src/upstream/budget.js';
+import type { Frame } from '../src/wire/frame.js';
 import { countBetween } from '../tools/count-between.js';
 import { Random } from '../tools/random.js';
 import { ManualClock } from './manual-clock.js';
@@ -79,11 +80,8 @@
     this.messages.push({ at: this.now + transitMs, deliver });
   }
 
-  private exchange(index: number, budget: Budget, transfers: readonly Budget.Transfer[]): void {
-    const granted = transfers.flatMap(({ group, batches, wanted }) => {
-      const taken = this.pools.exchange(group, batches, wanted);
-      return taken ? [{ group, batches: taken, wanted: 0 }] : [];
-    });
+  private exchange(index: number, budget: Budget, transfers: readonly Frame.Transfer[]): void {
+    const granted = this.pools.exchange(transfers);
     this.send(() => {
       if (this.budgets[index] === budget) budget.grant(1, granted);
     });
--- a/tools/experiment/front.ts
+++ b/tools/experiment/front.ts
@@ -24,6 +24,7 @@
 import { Tries } from '../../src/upstream/tries.js';
 import type { UpstreamTry } from '../../src/upstream/upstream-try.js';
 import { Warmup } from '../../src/upstream/warmup.js';
+import type { Frame } from '../../src/wire/frame.js';
 
 /** A proxy that decides, without sockets. */
 export type Front = {
@@ -35,7 +36,7 @@
   readonly hearFailures: (told: readonly FailureScores.Report[]) => void;
   readonly untold: () => readonly FailureScores.Report[];
   /** Tokens for extra tries that the pools of all proxies grant. */
-  readonly grant: (transfers: readonly Budget.Transfer[]) => void;
+  readonly grant: (transfers: readonly Frame.Transfer[]) => void;
   readonly stop: () => void;
 };
 
--- a/tools/experiment/world.ts
+++ b/tools/experiment/world.ts
@@ -83,10 +83,7 @@
       extraTries: workload.extraTries,
       sendTokens(transfers) {
         timeline.after(onTheWay, () => {
-          const granted = transfers.flatMap(({ group, batches, wanted }) => {
-            const taken = pools.exchange(group, batches, wanted);
-            return taken ? [{ group, batches: taken, wanted: 0 }] : [];
-          });
+          const granted = pools.exchange(transfers);
           if (granted.length > 0) timeline.after(onTheWay, () => front.grant(granted));
         });
         return true;
--- a/tools/platform/day.ts
+++ b/tools/platform/day.ts
@@ -203,12 +203,7 @@
     await pause(2500);
     engine.fault({ kind: 'none' });
   },
-  failing: async (fleet) => {
-    const engines = fleet.engines().filter((engine) => engine.terms.service === names.plain);
-    for (const engine of engines) engine.fault({ kind: 'grey', oneIn: 1 });
-    await pause(failingSpanMs);
-    for (const engine of engines) engine.fault({ kind: 'none' });
-  },
+  failing: (fleet) => fleet.failService(names.plain, failingSpanMs),
   health: async (fleet, random) => {
     someEngine(fleet, random).fault({ kind: 'health', says: 503 });
     await pause(2500);
--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -31,6 +31,8 @@
   readonly retire: (engine: Engine) => Promise<void>;
   readonly crash: (engine: Engine) => Promise<void>;
   readonly bounds: Verdict.Bounds;
+  /** Lets all servers of a service answer every request with a failure for a while. */
+  readonly failService: (service: string, spanMs: number) => Promise<void>;
   readonly isReady: () => Promise<boolean>;
   /** Extra tries that the running fronts counted, by group and by what paid for them. */
   readonly extraTries: () => Promise<Readonly<Record<string, number>>>;
@@ -220,6 +222,9 @@
       engines.delete(engine.terms.instance);
       list.remove(engine);
     };
+    const frontMachines = () => spawned.filter((machine) => machine.role === 'front');
+    const operationsAt = ({ address }: PlatformFleet.Machine) =>
+      address.replace(`:${ports.front}`, `:${ports.readiness}`);
     const pause = (span: number) => new Promise<void>((resolve) => setTimeout(resolve, span));
 
     const controls = zones.slice(0, 3).map((zone) => spawn('control', zone, 1));
@@ -276,25 +281,26 @@
         quotaOvershoot: bounds['quota-overshoot'],
         quotaSlack: bounds['quota-slack'],
       },
+      async failService(service, spanMs) {
+        const failing = [...engines.values()].filter((engine) => engine.terms.service === service);
+        for (const engine of failing) engine.fault({ kind: 'grey', oneIn: 1 });
+        await pause(spanMs);
+        for (const engine of failing) engine.fault({ kind: 'none' });
+      },
       async isReady() {
         const answers = await Promise.all(
-          spawned
-            .filter((machine) => machine.role === 'front')
-            .map(async (machine) => {
-              const address = machine.address.replace(`:${ports.front}`, `:${ports.readiness}`);
-              const answer = await request(`http://${address}${Words.paths.readiness}`);
-              await answer.body.dump();
-              return answer.statusCode === 200;
-            }),
+          frontMachines().map(async (machine) => {
+            const answer = await request(`http://${operationsAt(machine)}${Words.paths.readiness}`);
+            await answer.body.dump();
+            return answer.statusCode === 200;
+          }),
         );
         return answers.every(Boolean);
       },
       async extraTries() {
-        const fronts = spawned.filter((machine) => machine.role === 'front' && machine.process().isUp());
         const sums: Record<string, number> = {};
-        for (const { address } of fronts) {
-          const ops = address.replace(`:${ports.front}`, `:${ports.readiness}`);
-          const answer = await request(`http://${ops}/metrics`);
+        for (const machine of frontMachines().filter((one) => one.process().isUp())) {
+          const answer = await request(`http://${operationsAt(machine)}/metrics`);
           for (const [, group, payment, count] of (await answer.body.text()).matchAll(extraTriesLine))
             sums[`${group} ${payment}`] = (sums[`${group} ${payment}`] ?? 0) + Number(count);
         }
--- a/tools/platform/soak.ts
+++ b/tools/platform/soak.ts
@@ -190,13 +190,11 @@
     await this.fleet.retire(engine);
   }
 
-  /** All servers of one service fail most requests for a while. */
-  private async failService(): Promise<void> {
-    const service = this.random.pick([names.model, names.plain]);
-    const engines = this.fleet.engines().filter((engine) => engine.terms.service === service);
-    for (const engine of engines) engine.fault({ kind: 'grey', oneIn: 1 });
-    await pause(1000 + this.random.below(9000));
-    for (const engine of engines) engine.fault({ kind: 'none' });
+  private failService(): Promise<void> {
+    return this.fleet.failService(
+      this.random.pick([names.model, names.plain]),
+      1000 + this.random.below(9000),
+    );
   }
 
   private async changeTenants(): Promise<void> {
