--- /dev/null
+++ b/test/hostile-control.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Clients that do not behave, at the ports of a control node: orders that stop just before their end or hold far more values
+ * than bytes suggest, answers that nobody reads, and more connections than the machine has descriptors. Guards against a control
+ * node that runs out of memory or descriptors (issue 52).
+ */
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { HostileKit } from './hostile-kit.js';
+import { PlatformKit } from './platform-kit.js';
+
+const pieceBytes = 64 * 1024;
+const orderBytes = 16 * 1024 * 1024;
+
+describe('a control node with clients that do not behave', { timeout: 170_000 }, () => {
+  let fleet: HostileKit;
+  let crowd: Socket[];
+
+  beforeEach(async () => {
+    fleet = await HostileKit.start();
+    crowd = [];
+  });
+  afterEach(async () => {
+    for (const socket of crowd) socket.destroy();
+    await fleet.end();
+  });
+
+  const orderHead = (framing: string, base: number): string =>
+    `POST /configuration/replace HTTP/1.1\r\nhost: control\r\nbase-revision: ${base}\r\ncontent-type: application/json\r\n${framing}\r\n\r\n`;
+
+  /** The newest configuration is read back, and a new one is taken, while the crowd holds its connections. */
+  const operate = async (revision = 2): Promise<void> => {
+    const { core, kit } = fleet;
+    await PlatformKit.waitUntil(async () => {
+      const read = await kit.call(core, 'GET', '/configuration/read').catch(() => undefined);
+      return read?.status === 200 ? true : undefined;
+    }, 'the configuration is read at the pressed core');
+    const { status } = await kit.sendCommand(
+      '/configuration/replace',
+      HostileKit.configurationText(revision),
+      { 'base-revision': String(revision - 1) },
+    );
+    assert.equal(status, 200);
+  };
+
+  it('holds orders that stop just before their end', async () => {
+    const { core } = fleet;
+    crowd = await HostileKit.openMany(14, core.http);
+    await Promise.all(
+      crowd.map((socket) =>
+        HostileKit.send(
+          socket,
+          (function* () {
+            yield orderHead(`content-length: ${orderBytes}`, 1);
+            for (let index = 1; index < orderBytes / pieceBytes; index += 1)
+              yield Buffer.alloc(pieceBytes, ' ');
+          })(),
+        ),
+      ),
+    );
+    await HostileKit.settle(core, core.http);
+    await operate();
+    HostileKit.check(core);
+  });
+
+  it('holds orders in chunks of one byte', async () => {
+    const { core } = fleet;
+    const [size, perPiece] = [256 * 1024, 4096];
+    const piece = '1\r\n \r\n'.repeat(perPiece);
+    crowd = await HostileKit.openMany(24, core.http);
+    await Promise.all(
+      crowd.map((socket) =>
+        HostileKit.send(
+          socket,
+          (function* () {
+            yield orderHead('transfer-encoding: chunked', 1);
+            for (let sent = 0; sent < size; sent += perPiece) yield piece;
+          })(),
+        ),
+      ),
+    );
+    await HostileKit.settle(core, core.http);
+    await operate();
+    HostileKit.check(core);
+  });
+
+  it('gets an order of many small values', async () => {
+    const { core } = fleet;
+    const value = '{},';
+    const body = `{"revision":2,"route-table":[${value.repeat(Math.floor((orderBytes - 100) / value.length))}{}]}`;
+    crowd = await HostileKit.openMany(1, core.http);
+    const [socket] = crowd;
+    let answer = '';
+    socket!.on('data', (bytes) => {
+      answer += String(bytes);
+    });
+    await HostileKit.send(socket!, [orderHead(`content-length: ${body.length}`, 1), body]);
+    await PlatformKit.waitUntil(
+      () => (answer !== '' || socket!.destroyed ? true : undefined),
+      'the order is answered or its connection closed',
+    );
+    assert.doesNotMatch(answer, /^HTTP\/1\.1 200/);
+    await HostileKit.settle(core, core.http);
+    await operate();
+    HostileKit.check(core);
+  });
+
+  it('gives answers that nobody reads', async () => {
+    const { core, kit } = fleet;
+    const note = 'n'.repeat(1_500_000);
+    const { status } = await kit.sendCommand(
+      '/configuration/replace',
+      HostileKit.configurationText(2, { note }),
+      { 'base-revision': '1' },
+    );
+    assert.equal(status, 200);
+    crowd = await HostileKit.openMany(30, core.http);
+    const question = 'GET /configuration/read HTTP/1.1\r\nhost: control\r\n\r\n';
+    for (const socket of crowd) {
+      socket.pause();
+      socket.write(question.repeat(20));
+    }
+    await HostileKit.settle(core, core.http);
+    await operate(3);
+    HostileKit.check(core);
+  });
+
+  it('has more connections than descriptors', async () => {
+    const { core } = fleet;
+    crowd = await HostileKit.openMany(450, core.http);
+    await HostileKit.settle(core, core.http);
+    await operate();
+    HostileKit.check(core);
+  });
+
+  it('has more connections than descriptors at its directory', async () => {
+    const { core } = fleet;
+    crowd = await HostileKit.openMany(450, core.directory);
+    await HostileKit.settle(core, core.directory);
+    await PlatformKit.waitUntil(async () => {
+      const found = await fleet.kit
+        .call(
+          { ...core, http: core.directory },
+          'GET',
+          '/resolution?name=nony24.example&region=sto&zone=sto-a',
+        )
+        .catch(() => undefined);
+      return found?.status === 200 ? true : undefined;
+    }, 'the directory answers');
+    await HostileKit.settle(core, core.http);
+    await operate();
+    HostileKit.check(core);
+  });
+});
--- /dev/null
+++ b/test/hostile-kit.ts
@@ -0,0 +1,223 @@
+/**
+ * Crowds of clients that do not behave, against a small fleet of whole programs whose settings state little memory and few
+ * descriptors. What is judged does not depend on the speed of the machine: the process lives, its highest memory and its open
+ * descriptors stay within the settings, and one ordinary request is answered while the crowd still holds its connections.
+ */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { readdirSync, readFileSync } from 'node:fs';
+import { connect, type Socket } from 'node:net';
+import { request } from 'undici';
+import type { Process } from '../tools/process.js';
+import { AnsweringServer } from './answering-server.js';
+import { ListServer } from './list-server.js';
+import { PlatformKit } from './platform-kit.js';
+
+/** A fleet with one server and a configuration in force. */
+export type HostileKit = {
+  readonly kit: PlatformKit;
+  readonly front: PlatformKit.Front;
+  readonly core: PlatformKit.Core;
+  readonly end: () => Promise<void>;
+};
+
+/** What the settings of these tests state. */
+const limits = { 'memory-mb': 192, 'file-descriptors': 500 };
+/** Descriptors that the platform keeps for files; sockets share the rest. */
+const fileDescriptors = 200;
+const maxBodyBytes = 4 * 1024 * 1024;
+const host = 'nony24.example';
+const path = '/lohu930/2f';
+/** How long the server takes for a request on the slow path, in milliseconds. */
+const slowMs = 2500;
+const slowPath = '/lohu930/slow';
+const flags = ['--max-old-space-size=160'];
+
+const configurationText = (revision: number, more: object = {}): string =>
+  JSON.stringify({
+    revision,
+    'route-table': [
+      {
+        name: 'r-1',
+        'origin-host': host,
+        'path-prefix': '/lohu930/',
+        'route-class': 'safe',
+        'timeout-ms': 15_000,
+        'target-latency-ms': 1200,
+        priority: 1,
+        'target-service': 'huvo11a',
+        'max-attempts': 2,
+      },
+    ],
+    services: [{ name: 'huvo11a', 'health-path': '/health', 'max-connections': 360, protocol: 'h1' }],
+    limits: {
+      'max-header-bytes': 16_384,
+      'max-body-bytes': maxBodyBytes,
+      'header-timeout-ms': 3000,
+      'idle-timeout-ms': 15_000,
+    },
+    ...more,
+  });
+
+const startServer = (): Promise<AnsweringServer> =>
+  AnsweringServer.start((incoming, outgoing) => {
+    incoming.resume();
+    incoming.once('end', () => {
+      const answer = () => {
+        outgoing.writeHead(200, {
+          'instance-id': 'i-1',
+          'attempt-id': String(incoming.headers['attempt-id'] ?? ''),
+          'server-seal': 'seal',
+          'content-type': 'application/json',
+        });
+        outgoing.end('{}');
+      };
+      if (incoming.url === slowPath) setTimeout(answer, slowMs);
+      else answer();
+    });
+  });
+
+const readStatus = (process: Process, name: string): number =>
+  Number(new RegExp(`${name}:\\s+(\\d+) kB`).exec(readFileSync(`/proc/${process.pid}/status`, 'utf8'))?.[1]) /
+  1024;
+
+let requests = 0;
+
+/** How often the queues of a port are read, in milliseconds, and how many times in a row they must stand still. */
+const settlePollMs = 50;
+const calmPolls = 6;
+
+/** The most descriptors that were seen open in each process. */
+const highestDescriptors = new WeakMap<Process, number>();
+
+/** Counts the open descriptors of a process; returns the most that were seen. */
+const noteDescriptors = (process: Process): number => {
+  const open = process.isUp() ? readdirSync(`/proc/${process.pid}/fd`).length : 0;
+  const highest = Math.max(open, highestDescriptors.get(process) ?? 0);
+  highestDescriptors.set(process, highest);
+  return highest;
+};
+
+/** The bytes that wait unread on each connection at an address. */
+const unreadAt = (address: string): string => {
+  const [ip, port] = address.split(':');
+  const reversed = ip!.split('.').reverse();
+  const hexadecimal = (value: number, digits: number) =>
+    value.toString(16).toUpperCase().padStart(digits, '0');
+  const local = `${reversed.map((part) => hexadecimal(Number(part), 2)).join('')}:${hexadecimal(Number(port), 4)}`;
+  return readFileSync('/proc/net/tcp', 'utf8')
+    .split('\n')
+    .map((line) => line.trim().split(/\s+/))
+    .filter((fields) => fields[1] === local)
+    .map((fields) => `${fields[2]} ${fields[4]}`)
+    .join();
+};
+
+/** Starts fleets and crowds. */
+export const HostileKit = {
+  limits,
+  maxBodyBytes,
+  host,
+  path,
+  slowPath,
+  configurationText,
+
+  async start(): Promise<HostileKit> {
+    const server = await startServer();
+    const kit = await PlatformKit.start({ fronts: ['sto-a'], limits, flags });
+    kit.list.instances = [ListServer.instance('i-1', 'sto-a', { address: server.address })];
+    const { status } = await kit.sendCommand('/configuration/replace', configurationText(1), {
+      'base-revision': '0',
+    });
+    assert.equal(status, 200);
+    const [front, core] = [kit.fronts[0]!, await kit.findPrimary()];
+    await PlatformKit.waitUntil(
+      async () => ((await HostileKit.ask(front)) === 200 ? true : undefined),
+      'the first request is served',
+    );
+    return {
+      kit,
+      front,
+      core,
+      async end() {
+        await kit.stop();
+        AnsweringServer.end();
+      },
+    };
+  },
+
+  /** One ordinary request at a front; its status. */
+  async ask(front: PlatformKit.Front): Promise<number> {
+    requests += 1;
+    const response = await request(`http://${front.listen}${path}`, {
+      method: 'POST',
+      headers: { host, 'attempt-id': `ordinary-${requests}`, 'remaining-time': '5000' },
+      body: 'x'.repeat(800),
+    }).catch(() => undefined);
+    await response?.body.dump();
+    return response?.statusCode ?? 0;
+  },
+
+  /** An ordinary client asks, again where it is refused, until it is served. */
+  askUntilServed: (front: PlatformKit.Front): Promise<true> =>
+    PlatformKit.waitUntil(
+      async () => ((await HostileKit.ask(front)) === 200 ? true : undefined),
+      'an ordinary request is served',
+    ),
+
+  /** The head of a request for the given path, whose body follows. */
+  head: (framing: string, target = path): string =>
+    `POST ${target} HTTP/1.1\r\nhost: ${host}\r\nattempt-id: hostile-${++requests}\r\nremaining-time: 15000\r\n${framing}\r\n\r\n`,
+
+  /** Opens a connection; errors on it are ignored. */
+  async open(address: string): Promise<Socket> {
+    const [ip, port] = address.split(':');
+    const socket = connect(Number(port), ip!);
+    socket.on('error', () => {});
+    await Promise.race([once(socket, 'connect'), once(socket, 'close')]);
+    return socket;
+  },
+
+  /** Opens one connection after another. */
+  async openMany(count: number, address: string): Promise<Socket[]> {
+    const sockets: Socket[] = [];
+    for (let index = 0; index < count; index += 1) sockets.push(await HostileKit.open(address));
+    return sockets;
+  },
+
+  /** Writes pieces until all are handed to the system, or until the connection is closed by the other side. */
+  async send(socket: Socket, pieces: Iterable<Uint8Array | string>): Promise<void> {
+    socket.resume();
+    for (const piece of pieces) {
+      if (socket.destroyed || !socket.writable) return;
+      if (!socket.write(piece))
+        await Promise.race([once(socket, 'drain'), once(socket, 'close')]).catch(() => {});
+    }
+  },
+
+  /** Waits until the process has read what was sent to its port, or reads no more of it. */
+  async settle(machine: PlatformKit.Machine, address: string): Promise<void> {
+    let before = '';
+    let calm = 0;
+    await PlatformKit.waitUntil(async () => {
+      await new Promise<void>((resolve) => setTimeout(resolve, settlePollMs));
+      noteDescriptors(machine.process!);
+      const queues = unreadAt(address);
+      calm = queues === before ? calm + 1 : 0;
+      before = queues;
+      return calm >= calmPolls ? true : undefined;
+    }, 'the crowd has sent all that is read of it');
+  },
+
+  /** The process lives, and its highest memory and its sockets are within the settings. */
+  check({ process }: PlatformKit.Machine): void {
+    assert.ok(process!.isUp(), 'the process has ended');
+    const memoryMb = readStatus(process!, 'VmHWM');
+    if (globalThis.process.env.SHOW)
+      console.log('#', memoryMb, readdirSync(`/proc/${process!.pid}/fd`).length);
+    assert.ok(memoryMb <= limits['memory-mb'], `memory ${memoryMb.toFixed(0)} of ${limits['memory-mb']} MB`);
+    const open = noteDescriptors(process!);
+    const most = limits['file-descriptors'] - fileDescriptors;
+    assert.ok(open <= most, `${open} of ${most} descriptors`);
+  },
+};
--- a/test/platform-kit.ts
+++ b/test/platform-kit.ts
@@ -117,7 +117,14 @@
     }
   },
   async start(
-    options: { readonly fronts?: readonly string[]; readonly bounds?: object } = {},
+    options: {
+      readonly fronts?: readonly string[];
+      readonly bounds?: object;
+      /** What the settings say of each machine's memory and descriptors. */
+      readonly limits?: object;
+      /** Flags of the runtime. */
+      readonly flags?: readonly string[];
+    } = {},
   ): Promise<PlatformKit> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-platform-'));
     const list = await ListServer.start();
@@ -156,6 +163,7 @@
     });
     const common = {
       ...(options.bounds ? { bounds: options.bounds } : {}),
+      ...(options.limits ? { limits: options.limits } : {}),
       'seed-nodes': cores.map((core) => core.http),
       'platform-api': { address: list.address, 'rate-per-s': 50, 'max-lag-ms': 800 },
     };
@@ -165,6 +173,7 @@
       return Process.start(machine.node, main, [role], {
         log: join(folder, `${machine.node}.log`),
         env: { BRAMBLEBEND_SETTINGS: file },
+        ...(options.flags ? { nodeArgs: options.flags } : {}),
       });
     };
     const startCore = async (core: PlatformKit.Core) => {
