Proxy: bound the memory of request bodies that do not come to their end

Seen: clients that stop just before the end of a body and stay ended a front, or took it far over its memory (48 of 4 MiB: 262 MB of 192; 24 of single bytes as chunks: no ordinary request answered in 20 s; a single body in chunks of one byte: 194 MB of 192).

Cause: each body was kept as the list of its chunks, up to 512 bodies, with no bound on their sum; a chunk of one byte is an object of about 200. A read of such chunks also takes as long as thousands of requests.

Now: every body reserves its bytes from one budget of the process, a sixth of the machine's memory as the settings state it. When that is full, what has occupied most for longest is refused (503, not run, Retry-After) in favour of the newcomer; bodies over 64 KiB leave a quarter to smaller ones. Small chunks are copied together, and connections that send many are read one in each turn of the event loop. A request whose body has stood still for a second also gives way where a proxy serves as many as it may.

The crowds' code moved to tools/platform/hostile-crowd, with the same counts and bytes.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -15,6 +15,7 @@
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
 import { ViewConfirmation } from '../news/view-confirmation.js';
+import { Overload } from '../overload/overload.js';
 import { Metrics } from '../startup/metrics.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
@@ -27,7 +28,9 @@
 import { PingClock } from '../wire/ping-clock.js';
 
 /** The agent program. */
-export type Agent = { readonly start: (startup: Agent.Startup, log: LogBuffer) => Promise<Agent.Running> };
+export type Agent = {
+  readonly start: (startup: Agent.Startup, log: LogBuffer, overload?: Overload) => Promise<Agent.Running>;
+};
 
 /** Settings and the running program. */
 export declare namespace Agent {
@@ -38,7 +41,7 @@
 
 /** Starts the agent. */
 export const Agent: Agent = {
-  async start(startup, log) {
+  async start(startup, log, overload = Overload.of(startup)) {
     const feed = Feed.of();
     const confirmation = ViewConfirmation.of(feed, () => log.info('view confirmed', { stamp: feed.stamp() }));
     const boot = Id.boot();
@@ -134,6 +137,7 @@
       () => linkServer.refusedCount() + (proxyLinkServer?.refusedCount() ?? 0),
     );
     gauge('frames_unknown', 'frames dropped since their kind is not known here', Frame.unknownCount);
+    overload.addMetrics(metrics);
     gauge('news_dropped', 'news dropped as not newer', feed.ignoredCount);
     const ops = Ops.of({
       isReady: () => (isDraining ? 'draining' : undefined),
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -3,6 +3,7 @@
  * decide synchronously returns its result without a promise.
  */
 import type { Compiled } from '../manifest/compiled.js';
+import type { Overload } from '../overload/overload.js';
 import type { Budget } from '../upstream/budget.js';
 import type { Ejector } from '../upstream/ejector.js';
 import type { FailureScores } from '../upstream/failure-scores.js';
@@ -39,6 +40,8 @@
     readonly active: () => number;
     /** Requests in progress above which new ones are refused. */
     readonly maxConcurrent: number;
+    /** Bounds on what clients make this process hold. */
+    readonly overload: Overload;
     readonly dialect: Dialect;
     readonly zone: string;
     readonly pool: Pool;
--- a/src/proxy/filters/admit.ts
+++ b/src/proxy/filters/admit.ts
@@ -2,10 +2,9 @@
  * Admit filter: refuses requests beyond the capacity of this proxy, identifies the team by its API key, and reads the
  * body up to the largest size limit of the rules that could match, within their timeout.
  */
-import type { IncomingMessage } from 'node:http';
 import { Instant } from '../../common/instant.js';
-import { Timer } from '../../common/timer.js';
 import type { Compiled } from '../../manifest/compiled.js';
+import type { BodyReader } from '../../overload/body-reader.js';
 import type { Call } from '../call.js';
 import type { Filter } from '../filter.js';
 import { Prompt } from '../prompt.js';
@@ -15,33 +14,11 @@
 /** Whether a rule may match a call. */
 export type Admit = { readonly mayMatch: (rule: Compiled.Rule) => boolean };
 
-type BodyError = 'long' | 'late' | 'left';
-
 const readHost = (headers: NodeJS.Dict<string | string[]>): string =>
   String(headers.host ?? '')
     .replace(/:\d+$/, '')
     .toLowerCase();
 
-const readBody = (incoming: IncomingMessage, maxBytes: number, until: Instant): Promise<Buffer | BodyError> =>
-  new Promise((resolve) => {
-    if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return resolve('long');
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const finish = (how: Buffer | BodyError) => {
-      late.stop();
-      if (typeof how === 'string') incoming.pause();
-      resolve(how);
-    };
-    const late = Timer.after(Instant.remaining(until), () => finish('late'));
-    incoming.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > maxBytes) finish('long');
-      else chunks.push(chunk);
-    });
-    incoming.once('end', () => finish(Buffer.concat(chunks)));
-    incoming.once('close', () => finish('left'));
-  });
-
 /** Compares the path first: it rules out nearly all rules, of which there may be thousands. */
 const isCandidate = (
   rule: Compiled.Rule,
@@ -70,11 +47,15 @@
   return refusal;
 };
 
+/** Whether this proxy serves as many requests as it may; one whose body does not arrive gives way. */
+const isCrowded = ({ active, maxConcurrent, overload }: Filter.Dependencies): boolean =>
+  active() > maxConcurrent && !overload.memory.shedOldest(staleBodyMs);
+
 /** Identifies the team and its cache isolation, or returns the refusal. */
 const identify = (needs: Filter.Dependencies, call: Call): Responses | undefined => {
   const compiled = needs.compiled();
   if (!compiled) return noManifest;
-  if (needs.active() > needs.maxConcurrent) return crowded;
+  if (isCrowded(needs)) return crowded;
   const key = compiled.hasKeys ? call.dialect.apiKey(call.incoming.headers) : undefined;
   if (key !== undefined && !needs.keyLease.isValid()) return countRefusal(needs, unverifiedKeys);
   const team = key === undefined ? compiled.anonymousTeam : compiled.findTeamByKey(key);
@@ -107,15 +88,36 @@
   text: 'the body did not come in the time that the whole request has',
 };
 
-const receiveBody = async (call: Call, candidates: readonly Compiled.Rule[]): Promise<Filter.Step> => {
+/** Age of an incomplete body from which on its request gives way to others, in milliseconds. */
+const staleBodyMs = 1000;
+const noMemory = Responses.unavailable('memory', 'this proxy holds as much of requests as it may');
+
+const refuseBody = (
+  needs: Filter.Dependencies,
+  call: Call,
+  failure: BodyReader.Failure,
+  maxBytes: number,
+): Filter.Step => {
+  if (failure === 'long') return Responses.refuse(call, Responses.bodyTooLong(maxBytes));
+  if (failure === 'shed') return Responses.refuse(call, countRefusal(needs, noMemory));
+  return Responses.refuse(call, tooSlow);
+};
+
+const receiveBody = async (
+  needs: Filter.Dependencies,
+  call: Call,
+  candidates: readonly Compiled.Rule[],
+): Promise<Filter.Step> => {
   const maxBytes = Math.max(...candidates.map((rule) => rule.maxBodyBytes));
   const total = Math.min(
     call.requestInfo.timeLeft ?? Instant.never,
     Math.max(...candidates.map((rule) => rule.timeouts.total)),
   );
-  const body = await readBody(call.incoming, maxBytes, Instant.after(total, call.arrivedAt));
-  if (body === 'long') return Responses.refuse(call, Responses.bodyTooLong(maxBytes));
-  if (typeof body === 'string') return Responses.refuse(call, tooSlow);
+  const body = await needs.overload.bodies.read(call.incoming, call.outgoing, {
+    maxBytes,
+    until: Instant.after(total, call.arrivedAt),
+  });
+  if (typeof body === 'string') return refuseBody(needs, call, body, maxBytes);
   call.body = body;
   const prompt = readPrompt(call, body);
   if (!prompt)
@@ -136,7 +138,7 @@
   call.candidateRules = candidates;
   const isRefusedByAll = candidates.length > 0 && candidates.every((rule) => MatchRule.lacksKey(call, rule));
   if (isRefusedByAll) return Responses.refuse(call, countRefusal(needs, Responses.invalidKey));
-  return candidates.length === 0 ? 'next' : receiveBody(call, candidates);
+  return candidates.length === 0 ? 'next' : receiveBody(needs, call, candidates);
 };
 
 /** Creates the admit filter. */
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -15,6 +15,7 @@
 import { Uplink } from '../membership/uplink.js';
 import { Feed } from '../news/feed.js';
 import { ViewConfirmation } from '../news/view-confirmation.js';
+import { Overload } from '../overload/overload.js';
 import { Ops } from '../startup/ops.js';
 import type { Program } from '../startup/program.js';
 import type { Startup } from '../startup/startup.js';
@@ -53,15 +54,19 @@
     ring: LogBuffer,
     dialect?: Dialect,
     join?: (terms: Link.Options) => Link,
+    overload?: Overload,
   ) => Promise<Program>;
 };
 
 /** How long running requests may take after the signal unless the startup says otherwise, in milliseconds. */
 const defaultDrainMs = 30_000;
 
+/** Requests served at once unless the startup says otherwise. */
+const defaultConcurrent = 512;
+
 /** Starts a proxy. */
 export const ProxyProgram: ProxyProgram = {
-  async start(startup, ring, dialect = Dialect, join = undefined) {
+  async start(startup, ring, dialect = Dialect, join = undefined, overload = Overload.of(startup)) {
     const feed = Feed.of();
     type TokenReport = Pick<
       Extract<Frame.Body, { kind: 'tokens' }>,
@@ -111,6 +116,7 @@
       age: feed.age,
       keyLease: keyLease.remaining,
     });
+    overload.addMetrics(meters.metrics);
     const ejector = Ejector.of((server, span, why) => {
       meters.ejections.inc({ group: server.group });
       ring.info('server ejected', { instance: server.instance, span, why });
@@ -218,7 +224,8 @@
         keyLease,
         drain,
         active: () => active,
-        maxConcurrent: startup.concurrent ?? 512,
+        maxConcurrent: startup.concurrent ?? defaultConcurrent,
+        overload,
         dialect,
         zone: startup.zone,
         placement,
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -12,9 +12,13 @@
   { ratio: Guard.number({ min: 0, max: 1 }) },
 );
 
+/** What the machine gives the process: memory in MB, and descriptors. */
+const machine = { memory: Guard.number({ min: 64 }), descriptors: Guard.integer({ min: 256 }) };
+
 const proxy = Guard.strictObject(
   { node: name, zone: name, listen: Guard.address, ops: Guard.address, agent: Guard.address },
   {
+    ...machine,
     concurrent: Guard.integer({ min: 1, max: 1_000_000 }),
     drain: Guard.integer({ min: 0, max: 3_600_000 }),
     extra_tries: extraTries,
@@ -26,14 +30,10 @@
   },
 );
 
-const agent = Guard.strictObject({
-  node: name,
-  zone: name,
-  wire: Guard.address,
-  feed: Guard.address,
-  ops: Guard.address,
-  seeds,
-});
+const agent = Guard.strictObject(
+  { node: name, zone: name, wire: Guard.address, feed: Guard.address, ops: Guard.address, seeds },
+  machine,
+);
 
 const token = Guard.string({ min: 8, max: 256 });
 const operator = Guard.strictObject(
@@ -53,6 +53,7 @@
     platform: Guard.list(Guard.strictObject({ name, token }), { min: 1, max: 100 }),
   },
   {
+    ...machine,
     extra_tries: extraTries,
     losses: Guard.integer({ min: 0, max: 4 }),
     initial: Guard.boolean,
--- a/test/hostile-control.test.ts
+++ b/test/hostile-control.test.ts
@@ -6,10 +6,10 @@
 import assert from 'node:assert/strict';
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { HostileCrowd } from '../tools/platform/hostile-crowd.js';
 import { HostileKit } from './hostile-kit.js';
 import { PlatformKit } from './platform-kit.js';
 
-const pieceBytes = 64 * 1024;
 const orderBytes = 16 * 1024 * 1024;
 
 describe('a control node with clients that do not behave', { timeout: 170_000 }, () => {
@@ -43,58 +43,32 @@
     assert.equal(status, 200);
   };
 
-  it('holds orders that stop just before their end', async () => {
+  const hold = async (count: number, pieces: HostileCrowd.Pieces): Promise<void> => {
     const { core } = fleet;
-    crowd = await HostileKit.openMany(14, core.http);
-    await Promise.all(
-      crowd.map((socket) =>
-        HostileKit.send(
-          socket,
-          (function* () {
-            yield orderHead(`content-length: ${orderBytes}`, 1);
-            for (let index = 1; index < orderBytes / pieceBytes; index += 1)
-              yield Buffer.alloc(pieceBytes, ' ');
-          })(),
-        ),
-      ),
-    );
+    crowd = await HostileCrowd.openMany(count, core.http);
+    await Promise.all(crowd.map((socket) => HostileCrowd.send(socket, pieces())));
     await HostileKit.settle(core, core.http);
     await operate();
     HostileKit.check(core);
-  });
+  };
 
-  it('holds orders in chunks of one byte', async () => {
-    const { core } = fleet;
-    const [size, perPiece] = [256 * 1024, 4096];
-    const piece = '1\r\n \r\n'.repeat(perPiece);
-    crowd = await HostileKit.openMany(24, core.http);
-    await Promise.all(
-      crowd.map((socket) =>
-        HostileKit.send(
-          socket,
-          (function* () {
-            yield orderHead('transfer-encoding: chunked', 1);
-            for (let sent = 0; sent < size; sent += perPiece) yield piece;
-          })(),
-        ),
-      ),
-    );
-    await HostileKit.settle(core, core.http);
-    await operate();
-    HostileKit.check(core);
-  });
+  it('holds orders that stop just before their end', () =>
+    hold(14, () => HostileCrowd.withLength(orderHead(`content-length: ${orderBytes}`, 1), orderBytes)));
+
+  it('holds orders in chunks of one byte', () =>
+    hold(24, () => HostileCrowd.smallChunks(orderHead('transfer-encoding: chunked', 1), 256 * 1024)));
 
   it('gets an order of many small values', async () => {
     const { core } = fleet;
     const value = '{},';
     const body = `{"revision":2,"route-table":[${value.repeat(Math.floor((orderBytes - 100) / value.length))}{}]}`;
-    crowd = await HostileKit.openMany(1, core.http);
+    crowd = await HostileCrowd.openMany(1, core.http);
     const [socket] = crowd;
     let answer = '';
     socket!.on('data', (bytes) => {
       answer += String(bytes);
     });
-    await HostileKit.send(socket!, [orderHead(`content-length: ${body.length}`, 1), body]);
+    await HostileCrowd.send(socket!, [orderHead(`content-length: ${body.length}`, 1), body]);
     await PlatformKit.waitUntil(
       () => (answer !== '' || socket!.destroyed ? true : undefined),
       'the order is answered or its connection closed',
@@ -114,7 +88,7 @@
       { 'base-revision': '1' },
     );
     assert.equal(status, 200);
-    crowd = await HostileKit.openMany(30, core.http);
+    crowd = await HostileCrowd.openMany(30, core.http);
     const question = 'GET /configuration/read HTTP/1.1\r\nhost: control\r\n\r\n';
     for (const socket of crowd) {
       socket.pause();
@@ -127,7 +101,7 @@
 
   it('has more connections than descriptors', async () => {
     const { core } = fleet;
-    crowd = await HostileKit.openMany(450, core.http);
+    crowd = await HostileCrowd.openMany(450, core.http);
     await HostileKit.settle(core, core.http);
     await operate();
     HostileKit.check(core);
@@ -135,7 +109,7 @@
 
   it('has more connections than descriptors at its directory', async () => {
     const { core } = fleet;
-    crowd = await HostileKit.openMany(450, core.directory);
+    crowd = await HostileCrowd.openMany(450, core.directory);
     await HostileKit.settle(core, core.directory);
     await PlatformKit.waitUntil(async () => {
       const found = await fleet.kit
--- a/test/hostile-front.test.ts
+++ b/test/hostile-front.test.ts
@@ -7,17 +7,9 @@
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { HostileCrowd } from '../tools/platform/hostile-crowd.js';
 import { HostileKit } from './hostile-kit.js';
 
-const chunkBytes = 64 * 1024;
-
-function* repeat(piece: Uint8Array, count: number): Generator<Uint8Array> {
-  for (let index = 0; index < count; index += 1) yield piece;
-}
-
-const chunk = (bytes: number): Buffer =>
-  Buffer.concat([Buffer.from(`${bytes.toString(16)}\r\n`), Buffer.alloc(bytes, 'a'), Buffer.from('\r\n')]);
-
 describe('a front with clients that do not behave', { timeout: 170_000 }, () => {
   let fleet: HostileKit;
   let crowd: Socket[];
@@ -34,34 +26,29 @@
 
   /** Each of the crowd sends its pieces and stays open; an ordinary client asks meanwhile. */
   const press = async (count: number, pieces: () => Iterable<Uint8Array | string>): Promise<void> => {
-    crowd = await HostileKit.openMany(count, fleet.front.listen);
-    await Promise.all(crowd.map((socket) => HostileKit.send(socket, pieces())));
+    crowd = await HostileCrowd.openMany(count, fleet.front.listen);
+    await Promise.all(crowd.map((socket) => HostileCrowd.send(socket, pieces())));
     await HostileKit.settle(fleet.front, fleet.front.listen);
     await HostileKit.askUntilServed(fleet.front);
     HostileKit.check(fleet.front);
   };
 
   it('holds bodies in large chunks that stop just before their end', () =>
-    press(48, function* () {
-      yield HostileKit.head(chunked);
-      yield* repeat(chunk(chunkBytes), HostileKit.maxBodyBytes / chunkBytes - 1);
-    }));
+    press(48, () => HostileCrowd.largeChunks(HostileKit.head(chunked), HostileKit.maxBodyBytes)));
 
   it('holds bodies with a length that stop just before their end', () =>
-    press(48, function* () {
-      yield HostileKit.head(`content-length: ${HostileKit.maxBodyBytes}`);
-      yield* repeat(Buffer.alloc(chunkBytes, 'a'), HostileKit.maxBodyBytes / chunkBytes - 1);
-    }));
+    press(48, () =>
+      HostileCrowd.withLength(
+        HostileKit.head(`content-length: ${HostileKit.maxBodyBytes}`),
+        HostileKit.maxBodyBytes,
+      ),
+    ));
 
   it('holds bodies in chunks of one byte', () =>
-    press(24, function* () {
-      const [size, perPiece] = [256 * 1024, 4096];
-      yield HostileKit.head(chunked);
-      yield* repeat(Buffer.from('1\r\na\r\n'.repeat(perPiece)), size / perPiece);
-    }));
+    press(24, () => HostileCrowd.smallChunks(HostileKit.head(chunked), 256 * 1024)));
 
   it('has more connections than descriptors', async () => {
-    crowd = await HostileKit.openMany(450, fleet.front.listen);
+    crowd = await HostileCrowd.openMany(450, fleet.front.listen);
     await HostileKit.settle(fleet.front, fleet.front.listen);
     await HostileKit.askUntilServed(fleet.front);
     HostileKit.check(fleet.front);
@@ -71,7 +58,7 @@
     press(450, () => [HostileKit.head('content-length: 2'), 'a']));
 
   it('has more connections than descriptors at its operations port', async () => {
-    crowd = await HostileKit.openMany(450, fleet.front.ready);
+    crowd = await HostileCrowd.openMany(450, fleet.front.ready);
     await HostileKit.settle(fleet.front, fleet.front.ready);
     await HostileKit.askUntilServed(fleet.front);
     HostileKit.check(fleet.front);
@@ -83,14 +70,17 @@
       for (let index = 0; index < 1500; index += 1) yield HostileKit.head('content-length: 0', '/unknown');
     }));
 
+  it('has a request under way on each of many connections', () =>
+    press(250, () => [HostileKit.head('content-length: 0', HostileKit.slowPath)]));
+
   it('serves a single body of the largest size', async () => {
-    crowd = await HostileKit.openMany(1, fleet.front.listen);
+    crowd = await HostileCrowd.openMany(1, fleet.front.listen);
     const [socket] = crowd;
     let answer = '';
     socket!.on('data', (bytes) => {
       answer += String(bytes);
     });
-    await HostileKit.send(socket!, [
+    await HostileCrowd.send(socket!, [
       HostileKit.head(`content-length: ${HostileKit.maxBodyBytes}\r\nconnection: close`),
       Buffer.alloc(HostileKit.maxBodyBytes, 'a'),
     ]);
@@ -99,13 +89,13 @@
   });
 
   it('serves a single body in chunks of one byte', async () => {
-    crowd = await HostileKit.openMany(1, fleet.front.listen);
+    crowd = await HostileCrowd.openMany(1, fleet.front.listen);
     const [socket] = crowd;
     let answer = '';
     socket!.on('data', (bytes) => {
       answer += String(bytes);
     });
-    await HostileKit.send(socket!, [
+    await HostileCrowd.send(socket!, [
       HostileKit.head(`${chunked}\r\nconnection: close`),
       '1\r\na\r\n'.repeat(256 * 1024),
       '0\r\n\r\n',
--- a/test/hostile-kit.ts
+++ b/test/hostile-kit.ts
@@ -4,10 +4,9 @@
  * descriptors stay within the settings, and one ordinary request is answered while the crowd still holds its connections.
  */
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { readdirSync, readFileSync } from 'node:fs';
-import { connect, type Socket } from 'node:net';
+import { readFileSync } from 'node:fs';
 import { request } from 'undici';
+import { ProcessUse } from '../tools/platform/process-use.js';
 import type { Process } from '../tools/process.js';
 import { AnsweringServer } from './answering-server.js';
 import { ListServer } from './list-server.js';
@@ -77,10 +76,6 @@
     });
   });
 
-const readStatus = (process: Process, name: string): number =>
-  Number(new RegExp(`${name}:\\s+(\\d+) kB`).exec(readFileSync(`/proc/${process.pid}/status`, 'utf8'))?.[1]) /
-  1024;
-
 let requests = 0;
 
 /** How often the queues of a port are read, in milliseconds, and how many times in a row they must stand still. */
@@ -92,7 +87,7 @@
 
 /** Counts the open descriptors of a process; returns the most that were seen. */
 const noteDescriptors = (process: Process): number => {
-  const open = process.isUp() ? readdirSync(`/proc/${process.pid}/fd`).length : 0;
+  const open = ProcessUse.of(process.pid)?.descriptors ?? 0;
   const highest = Math.max(open, highestDescriptors.get(process) ?? 0);
   highestDescriptors.set(process, highest);
   return highest;
@@ -169,32 +164,6 @@
   head: (framing: string, target = path): string =>
     `POST ${target} HTTP/1.1\r\nhost: ${host}\r\nattempt-id: hostile-${++requests}\r\nremaining-time: 15000\r\n${framing}\r\n\r\n`,
 
-  /** Opens a connection; errors on it are ignored. */
-  async open(address: string): Promise<Socket> {
-    const [ip, port] = address.split(':');
-    const socket = connect(Number(port), ip!);
-    socket.on('error', () => {});
-    await Promise.race([once(socket, 'connect'), once(socket, 'close')]);
-    return socket;
-  },
-
-  /** Opens one connection after another. */
-  async openMany(count: number, address: string): Promise<Socket[]> {
-    const sockets: Socket[] = [];
-    for (let index = 0; index < count; index += 1) sockets.push(await HostileKit.open(address));
-    return sockets;
-  },
-
-  /** Writes pieces until all are handed to the system, or until the connection is closed by the other side. */
-  async send(socket: Socket, pieces: Iterable<Uint8Array | string>): Promise<void> {
-    socket.resume();
-    for (const piece of pieces) {
-      if (socket.destroyed || !socket.writable) return;
-      if (!socket.write(piece))
-        await Promise.race([once(socket, 'drain'), once(socket, 'close')]).catch(() => {});
-    }
-  },
-
   /** Waits until the process has read what was sent to its port, or reads no more of it. */
   async settle(machine: PlatformKit.Machine, address: string): Promise<void> {
     let before = '';
@@ -212,9 +181,7 @@
   /** The process lives, and its highest memory and its sockets are within the settings. */
   check({ process }: PlatformKit.Machine): void {
     assert.ok(process!.isUp(), 'the process has ended');
-    const memoryMb = readStatus(process!, 'VmHWM');
-    if (globalThis.process.env.SHOW)
-      console.log('#', memoryMb, readdirSync(`/proc/${process!.pid}/fd`).length);
+    const memoryMb = ProcessUse.of(process!.pid)!.peakMemoryMb;
     assert.ok(memoryMb <= limits['memory-mb'], `memory ${memoryMb.toFixed(0)} of ${limits['memory-mb']} MB`);
     const open = noteDescriptors(process!);
     const most = limits['file-descriptors'] - fileDescriptors;
--- a/test/hostile-links.test.ts
+++ b/test/hostile-links.test.ts
@@ -4,11 +4,11 @@
  */
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { HostileCrowd } from '../tools/platform/hostile-crowd.js';
 import { HostileKit } from './hostile-kit.js';
 import type { PlatformKit } from './platform-kit.js';
 
 const wirePort = 7720;
-const pieceBytes = 64 * 1024;
 const frameBytes = 31 * 1024 * 1024;
 
 describe('ports between nodes with clients that do not behave', { timeout: 170_000 }, () => {
@@ -25,26 +25,9 @@
   });
 
   const wire = ({ ip }: PlatformKit.Machine): string => `${ip}:${wirePort}`;
-  const frameHead = (): Buffer => {
-    const head = Buffer.alloc(4);
-    head.writeUInt32BE(frameBytes);
-    return head;
-  };
-
   const pressWithFrames = async (machine: PlatformKit.Machine): Promise<void> => {
-    crowd = await HostileKit.openMany(12, wire(machine));
-    await Promise.all(
-      crowd.map((socket) =>
-        HostileKit.send(
-          socket,
-          (function* () {
-            yield frameHead();
-            for (let sent = 0; sent < frameBytes - pieceBytes; sent += pieceBytes)
-              yield Buffer.alloc(pieceBytes);
-          })(),
-        ),
-      ),
-    );
+    crowd = await HostileCrowd.openMany(12, wire(machine));
+    await Promise.all(crowd.map((socket) => HostileCrowd.send(socket, HostileCrowd.frame(frameBytes))));
     await HostileKit.settle(machine, wire(machine));
     await HostileKit.askUntilServed(fleet.front);
     HostileKit.check(machine);
@@ -55,7 +38,7 @@
   it('a control node holds frames that stop just before their end', () => pressWithFrames(fleet.core));
 
   const pressWithLinks = async (machine: PlatformKit.Machine): Promise<void> => {
-    crowd = await HostileKit.openMany(450, wire(machine));
+    crowd = await HostileCrowd.openMany(450, wire(machine));
     await HostileKit.settle(machine, wire(machine));
     await HostileKit.askUntilServed(fleet.front);
     HostileKit.check(machine);
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -9,6 +9,7 @@
 import { RetryLimits } from '../../src/duty/retry-limits.js';
 import { Compiled } from '../../src/manifest/compiled.js';
 import { Document } from '../../src/manifest/document.js';
+import { Overload } from '../../src/overload/overload.js';
 import { Dialect } from '../../src/proxy/dialect.js';
 import { Drain } from '../../src/proxy/drain.js';
 import type { Filter } from '../../src/proxy/filter.js';
@@ -140,6 +141,7 @@
       age: () => 0,
       keyLease: () => Number.POSITIVE_INFINITY,
     }),
+    overload: Overload.of({}),
     note() {},
   };
   return { needs, prover };
