Connections: bound them over all HTTP ports of a process, and close the one that rested longest

Seen: a front and a control node took every connection at each of their HTTP ports: 476 and 489 descriptors of 300 that the settings leave to sockets; 250 requests under way at once took 526.

Cause: no port had a bound; requests at servers were bounded by a number (512) that no machine's limit led to.

At the bound the connection that has rested for longest gives way, then one whose client does not read, then the oldest incomplete body; a newcomer is closed only where none can. A connection whose client reads nothing for 30 s is closed.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -152,7 +152,7 @@
         children: children.count(),
         version: Version,
       }),
-    }).server();
+    }).server(overload);
     opsAddress = Address.text(await Listen(ops, Address.checked(startup.ops)));
     return {
       ready: {
--- a/src/control/directory-http.ts
+++ b/src/control/directory-http.ts
@@ -2,6 +2,7 @@
 
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
+import type { Overload } from '../overload/overload.js';
 import type { Adapter } from './adapter.js';
 import { ReadDirectory } from './queries/read-directory.js';
 
@@ -11,8 +12,17 @@
 /** Builds the HTTP server of the directory. */
 export const DirectoryHttp = {
   /** Builds the server from the paths that the installation defines. */
-  of(directory: NonNullable<Adapter['directory']>, needs: ReadDirectory.Dependencies): DirectoryHttp {
+  of(
+    directory: NonNullable<Adapter['directory']>,
+    needs: ReadDirectory.Dependencies,
+    { connections }: Overload,
+  ): DirectoryHttp {
     const app = directory.app((zone) => ReadDirectory.find(needs, zone));
-    return createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
+    const server = createAdaptorServer({
+      fetch: app.fetch,
+      overrideGlobalObjects: false,
+    }) as Server;
+    connections.attach(server);
+    return server;
   },
 };
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -11,6 +11,7 @@
 import { Revision } from '../common/revision.js';
 import { Check } from '../manifest/check.js';
 import type { MemberTable } from '../membership/member-table.js';
+import type { Overload } from '../overload/overload.js';
 import type { Startup } from '../startup/startup.js';
 import type { Adapter } from './adapter.js';
 import { Evacuate } from './commands/evacuate.js';
@@ -47,6 +48,7 @@
     readonly operations: Hono;
     readonly directory: ReadDirectory.Dependencies;
     readonly adapter: Adapter;
+    readonly overload: Overload;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
 }
@@ -249,6 +251,7 @@
       overrideGlobalObjects: false,
       serverOptions: { headersTimeout: 10_000, requestTimeout: 30_000, connectionsCheckingInterval: 2000 },
     }) as Server;
+    needs.overload.connections.attach(server);
     return { server, close: forwarder.close };
   },
 };
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -25,6 +25,7 @@
 import { TransferQueue } from '../membership/transfer-queue.js';
 import { Feed } from '../news/feed.js';
 import { Relays } from '../news/relays.js';
+import { Overload } from '../overload/overload.js';
 import { Backup } from '../replica/backup.js';
 import { TransferMeter } from '../replica/transfer-meter.js';
 import { Metrics } from '../startup/metrics.js';
@@ -82,6 +83,7 @@
     const { register, store, horizon } = await DataFolder.open(startup.data, logBuffer.error, seal);
     const feed = Feed.of();
     const boot = Id.boot();
+    const overload = Overload.of(startup);
     let wire = startup.wire;
     let http = startup.http;
     let core: Core | undefined;
@@ -279,6 +281,7 @@
     gauge('transfer_bytes_received', 'bytes of snapshots and tails taken in', () => counts().bytesReceived);
     gauge('snapshots_taken', 'snapshots synced here', () => counts().snapshotsTaken);
     gauge('tails_taken', 'tails of changes synced here', () => counts().tailsTaken);
+    overload.addMetrics(metrics);
     gauge('news_dropped', 'news dropped as not newer', feed.ignoredCount);
     const ops = Ops.of({
       metrics,
@@ -317,11 +320,12 @@
       ownHttpAddress: () => http,
       isConnected: (one) => peers.clientAt(one.wire)?.downFor() === 0,
       operations: ops.app,
+      overload,
       note: logBuffer.info,
     });
     const { server } = controlHttp;
     http = Address.text(await Listen(server, Address.checked(startup.http)));
-    const directoryServer = adapter.directory && DirectoryHttp.of(adapter.directory, directory);
+    const directoryServer = adapter.directory && DirectoryHttp.of(adapter.directory, directory, overload);
     if (directoryServer) await Listen(directoryServer, Address.checked(adapter.directory!.address));
     const list =
       adapter.list &&
--- /dev/null
+++ b/src/overload/connection-limiter.ts
@@ -0,0 +1,128 @@
+/**
+ * Bounds the connections that clients keep open at all HTTP ports of a process. When the bound is reached, the connection that
+ * has rested for longest is closed in favour of a new one; if none rests, a request whose body does not arrive to its end, or a
+ * response that is not read, gives way.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { Timer } from '../common/timer.js';
+
+/** Bounds connections. */
+export type ConnectionLimiter = {
+  /** Counts the connections of a server. */
+  readonly attach: (server: Server) => void;
+  readonly openCount: () => number;
+  /** How many connections were closed because of the bounds. */
+  readonly closedCount: () => number;
+};
+
+export declare namespace ConnectionLimiter {
+  type Options = {
+    readonly maxConnections: number;
+    /** Sheds the oldest body or response that is not complete; false if there is none. */
+    readonly shedOldest: () => boolean;
+  };
+}
+
+type Connection = {
+  activeRequests: number;
+  /** Bytes handed to the system when they were last looked at, and for how many looks they have stood still. */
+  sentBytes: number;
+  stalledLooks: number;
+};
+
+/** How often connections are looked at whose client does not read, in milliseconds. */
+const stallCheckMs = 1000;
+/** Looks in a row without progress after which such a connection is closed. */
+const maxStalledLooks = 30;
+
+class Limiter implements ConnectionLimiter {
+  /** In the order in which they came to rest. */
+  private readonly connections = new Map<Socket, Connection>();
+  private closed = 0;
+  private readonly servers = new Set<Server>();
+  private timer: Timer | undefined;
+
+  constructor(private readonly options: ConnectionLimiter.Options) {}
+
+  readonly openCount = () => this.connections.size;
+  readonly closedCount = () => this.closed;
+
+  readonly attach = (server: Server): void => {
+    server.prependListener('connection', this.add);
+    server.prependListener('request', this.begin);
+    this.servers.add(server);
+    this.timer ??= Timer.every(stallCheckMs, () => this.closeStalled());
+    server.once('close', () => {
+      this.servers.delete(server);
+      if (this.servers.size > 0) return;
+      this.timer?.stop();
+      this.timer = undefined;
+    });
+  };
+
+  private readonly add = (socket: Socket): void => {
+    if (this.connections.size >= this.options.maxConnections && !this.makeRoom()) {
+      this.close(socket);
+      return;
+    }
+    const connection = { activeRequests: 0, sentBytes: 0, stalledLooks: 0 };
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
+  };
+
+  private readonly begin = ({ socket }: IncomingMessage, outgoing: ServerResponse): void => {
+    const connection = this.connections.get(socket);
+    if (!connection) return;
+    connection.activeRequests += 1;
+    outgoing.once('close', () => this.rest(socket, connection));
+  };
+
+  private rest(socket: Socket, connection: Connection): void {
+    connection.activeRequests -= 1;
+    if (connection.activeRequests > 0 || !this.connections.delete(socket)) return;
+    this.connections.set(socket, connection);
+  }
+
+  private makeRoom(): boolean {
+    for (const [socket, { activeRequests }] of this.connections)
+      if (activeRequests === 0) {
+        this.connections.delete(socket);
+        this.close(socket);
+        return true;
+      }
+    return this.closeMostStalled() || this.options.shedOldest();
+  }
+
+  private closeMostStalled(): boolean {
+    let most: Socket | undefined;
+    let looks = 0;
+    for (const [socket, { stalledLooks }] of this.connections)
+      if (stalledLooks > looks) {
+        most = socket;
+        looks = stalledLooks;
+      }
+    if (most) this.close(most);
+    return most !== undefined;
+  }
+
+  private closeStalled(): void {
+    for (const [socket, connection] of this.connections) {
+      const sentBytes = socket.bytesWritten - socket.writableLength;
+      const isStalled = socket.writableLength > 0 && sentBytes === connection.sentBytes;
+      connection.stalledLooks = isStalled ? connection.stalledLooks + 1 : 0;
+      connection.sentBytes = sentBytes;
+      if (connection.stalledLooks >= maxStalledLooks) this.close(socket);
+    }
+  }
+
+  private close(socket: Socket): void {
+    this.closed += 1;
+    socket.destroy();
+  }
+}
+
+/** Creates limiters. */
+export const ConnectionLimiter = {
+  of: (options: ConnectionLimiter.Options): ConnectionLimiter => new Limiter(options),
+};
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -3,6 +3,7 @@
  * connections, all derived from the memory and the descriptors of its machine.
  */
 import { BodyReader } from './body-reader.js';
+import { ConnectionLimiter } from './connection-limiter.js';
 import { MemoryBudget } from './memory-budget.js';
 import { ProcessLimits } from './process-limits.js';
 
@@ -11,6 +12,9 @@
   /** Bytes of request bodies and of responses that are not read. */
   readonly memory: MemoryBudget;
   readonly bodies: BodyReader;
+  readonly connections: ConnectionLimiter;
+  /** Requests that may be at servers at once. */
+  readonly maxRequests: number;
   readonly addMetrics: (metrics: Overload.Gauges) => void;
 };
 
@@ -20,11 +24,17 @@
 }
 
 const addMetrics = (overload: Omit<Overload, 'addMetrics'>, { gauge }: Overload.Gauges): void => {
-  const { memory } = overload;
+  const { memory, connections } = overload;
   gauge('held_bytes', 'bytes of bodies and unread responses held for clients', memory.usedBytes);
   gauge('held_bytes_limit', 'the most bytes held for clients', () => memory.limitBytes);
   gauge('held_shed', 'bodies and responses given up to make room', memory.shedCount);
   gauge('held_refused', 'reservations of bytes that were refused', memory.refusedCount);
+  gauge('client_connections', 'connections of clients, over all ports', connections.openCount);
+  gauge(
+    'client_connections_closed',
+    'connections of clients closed because of a bound',
+    connections.closedCount,
+  );
 };
 
 /** Creates the protection of a process. */
@@ -35,6 +45,11 @@
     const overload = {
       memory,
       bodies: BodyReader.of(memory),
+      connections: ConnectionLimiter.of({
+        maxConnections: limits.connections,
+        shedOldest: memory.shedOldest,
+      }),
+      maxRequests: limits.requests,
     };
     return { ...overload, addMetrics: (metrics) => addMetrics(overload, metrics) };
   },
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -224,7 +224,7 @@
         keyLease,
         drain,
         active: () => active,
-        maxConcurrent: startup.concurrent ?? defaultConcurrent,
+        maxConcurrent: Math.min(startup.concurrent ?? defaultConcurrent, overload.maxRequests),
         overload,
         dialect,
         zone: startup.zone,
@@ -250,6 +250,7 @@
         },
       },
     );
+    overload.connections.attach(server);
     const listening = await Listen(server, Address.checked(startup.listen));
     const ops = Ops.of({
       isReady,
@@ -268,7 +269,7 @@
         parent: uplink.parent(),
         version: Version,
       }),
-    }).server();
+    }).server(overload);
     const opsAt = await Listen(ops, Address.checked(startup.ops));
     const roll = MemberTable.of(() => ({
       node: startup.node,
--- a/src/startup/ops.ts
+++ b/src/startup/ops.ts
@@ -3,10 +3,11 @@
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { LogBuffer } from '../log/log-buffer.js';
+import type { Overload } from '../overload/overload.js';
 import type { Metrics } from './metrics.js';
 
 /** The HTTP application of the operations port, and a server for it. */
-export type Ops = { readonly app: Hono; readonly server: () => Server };
+export type Ops = { readonly app: Hono; readonly server: (overload: Overload) => Server };
 
 /** Creates operations ports. */
 export const Ops = {
@@ -36,8 +37,14 @@
     app.get('/log', (context) => context.json(options.ring.entries()));
     return {
       app,
-      server: () =>
-        createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as unknown as Server,
+      server({ connections }) {
+        const server = createAdaptorServer({
+          fetch: app.fetch,
+          overrideGlobalObjects: false,
+        }) as Server;
+        connections.attach(server);
+        return server;
+      },
     };
   },
 };
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -15,7 +15,7 @@
   overload: ['common'],
   wire: ['common'],
   manifest: ['common'],
-  startup: ['common', 'log'],
+  startup: ['common', 'log', 'overload'],
   store: ['common', 'manifest'],
   epoch: ['common', 'wire', 'store'],
   news: ['common', 'manifest', 'wire'],
