Connections: close one whose client floods it with requests without waiting for answers

Seen: 80 connections with 1,500 small requests each, behind a slow first one: a front of 160 MB of heap ended.

Cause: the parser makes requests of all of a read (64 KB hold 1,365 of them), and each waits with its response behind the first one of its connection.

There is no public way to stop a parser; the test would show a Node.js in which this one no longer works.

--- a/src/overload/connection-limiter.ts
+++ b/src/overload/connection-limiter.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds the connections that clients keep open at all HTTP ports of a process. When the bound is reached, the connection that
  * has rested for longest is closed in favour of a new one; if none rests, a request whose body does not arrive to its end, or a
- * response that is not read, gives way.
+ * response that is not read, gives way. A client that sends many requests without waiting for answers is disconnected.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -31,15 +31,34 @@
   stalledLooks: number;
 };
 
+/** Unanswered requests on one connection above which it is closed. */
+const maxPipelined = 32;
+/** Requests that wait behind another on their connection, over all of them, above which such a connection is closed. */
+const maxWaiting = 1024;
 /** How often connections are looked at whose client does not read, in milliseconds. */
 const stallCheckMs = 1000;
 /** Looks in a row without progress after which such a connection is closed. */
 const maxStalledLooks = 30;
 
+/** The parser of an HTTP connection; `onIncoming` is called for each head and says how to go on. */
+type Parser = { onIncoming?: () => number };
+
+/** Tells a parser that what follows is not HTTP. */
+const notHttp = 2;
+
+/**
+ * Stops the parser of a connection in the middle of what it was given. It would go on making requests of all of that, also
+ * after the connection is closed.
+ */
+const stopParser = (socket: Socket & { readonly parser?: Parser | null }): void => {
+  if (socket.parser) socket.parser.onIncoming = () => notHttp;
+};
+
 class Limiter implements ConnectionLimiter {
   /** In the order in which they came to rest. */
   private readonly connections = new Map<Socket, Connection>();
   private closed = 0;
+  private waiting = 0;
   private readonly servers = new Set<Server>();
   private timer: Timer | undefined;
 
@@ -68,17 +87,30 @@
     }
     const connection = { activeRequests: 0, sentBytes: 0, stalledLooks: 0 };
     this.connections.set(socket, connection);
-    socket.once('close', () => this.connections.delete(socket));
+    socket.once('close', () => this.forget(socket, connection));
   };
 
   private readonly begin = ({ socket }: IncomingMessage, outgoing: ServerResponse): void => {
     const connection = this.connections.get(socket);
     if (!connection) return;
     connection.activeRequests += 1;
+    if (connection.activeRequests > 1) this.waiting += 1;
+    const isFlood =
+      connection.activeRequests > maxPipelined ||
+      (connection.activeRequests > 1 && this.waiting > maxWaiting);
+    if (isFlood) {
+      stopParser(socket);
+      this.close(socket);
+    }
     outgoing.once('close', () => this.rest(socket, connection));
   };
 
+  private forget(socket: Socket, { activeRequests }: Connection): void {
+    if (this.connections.delete(socket) && activeRequests > 1) this.waiting -= activeRequests - 1;
+  }
+
   private rest(socket: Socket, connection: Connection): void {
+    if (connection.activeRequests > 1 && this.connections.has(socket)) this.waiting -= 1;
     connection.activeRequests -= 1;
     if (connection.activeRequests > 0 || !this.connections.delete(socket)) return;
     this.connections.set(socket, connection);
