Control: bound the memory of orders and of answers that nobody reads

Seen: 14 orders that stop just before their end: 299 MB of 192; orders in chunks of one byte: no end within 20 s; one order of 5.6 million empty objects: the node ended; 600 questions for a configuration of 1.5 MB on 30 connections that read nothing: 887 MB.

Cause: each handler read its body whole with nothing over them all; parsed JSON takes up to twenty times its text; an answer waits in the process until its client reads it.

Now: a gate before all handlers reads bodies from the budget of the process, reserves what parsing will take by counting values (413 too_many_values where that can never fit), and handles 32 requests at once; the rest gets 503, not taken, Retry-After. Answers over 1 KiB count until they are read; the one that has waited unread for longest loses its connection. The operations port and the directory do the same.

--- a/src/control/directory-http.ts
+++ b/src/control/directory-http.ts
@@ -2,6 +2,7 @@
 
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
+import { HeldResponse } from '../overload/held-response.js';
 import type { Overload } from '../overload/overload.js';
 import type { Adapter } from './adapter.js';
 import { ReadDirectory } from './queries/read-directory.js';
@@ -15,12 +16,13 @@
   of(
     directory: NonNullable<Adapter['directory']>,
     needs: ReadDirectory.Dependencies,
-    { connections }: Overload,
+    { connections, memory }: Overload,
   ): DirectoryHttp {
     const app = directory.app((zone) => ReadDirectory.find(needs, zone));
     const server = createAdaptorServer({
       fetch: app.fetch,
       overrideGlobalObjects: false,
+      serverOptions: { ServerResponse: HeldResponse.of(memory) },
     }) as Server;
     connections.attach(server);
     return server;
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -7,10 +7,10 @@
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import { type Context, Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import { Revision } from '../common/revision.js';
 import { Check } from '../manifest/check.js';
 import type { MemberTable } from '../membership/member-table.js';
+import { HeldResponse } from '../overload/held-response.js';
 import type { Overload } from '../overload/overload.js';
 import type { Startup } from '../startup/startup.js';
 import type { Adapter } from './adapter.js';
@@ -27,6 +27,7 @@
 import { ReadManifest } from './queries/read-manifest.js';
 import { ReadServers } from './queries/read-servers.js';
 import { ReadStatus } from './queries/read-status.js';
+import { RequestGate } from './request-gate.js';
 import { Responses } from './responses.js';
 import type { Rights } from './rights.js';
 
@@ -58,7 +59,6 @@
 
 /** Text that a request to form the cores by force must repeat, since it loses state. */
 const forceConfirmation = 'what only the missing core holds';
-const maxBodyBytes = 16 * 1024 * 1024;
 
 /** Compares digests in constant time, so that response times reveal nothing about a token. */
 const isSameToken = (a: string, b: string): boolean => {
@@ -77,6 +77,7 @@
     const { startup, office, core, roll } = needs;
     const app = new Hono<Env>();
     const { toResponse } = PrimaryForwarder;
+    const gate = RequestGate.of(needs.overload);
     const { node } = startup;
     const forwarder = PrimaryForwarder.of({
       node,
@@ -112,7 +113,7 @@
         if (!isLocal && !core.leading()) return forwarder.forward(context);
         if (context.req.method !== 'GET') {
           try {
-            context.set('body', await context.req.json());
+            context.set('body', JSON.parse(RequestGate.body(context).toString('utf8')));
           } catch {
             return toResponse(context, Responses.fail(400, 'bad_json', 'the body is no JSON'));
           }
@@ -128,15 +129,7 @@
       by: context.var.person,
       isSealed: startup.key_file !== undefined,
     });
-    const refuseTooLong = (context: Context) =>
-      context.json(Responses.fail(413, 'body_too_long', 'the body is too long').body, 413);
-    const limitWhileReading = bodyLimit({ maxSize: maxBodyBytes, onError: refuseTooLong });
-    // A stated length is checked without reading the body; the library's limit first builds a complete fetch request.
-    app.use((context, next) => {
-      if (context.req.header('transfer-encoding') !== undefined) return limitWhileReading(context, next);
-      const length = Number.parseInt(context.req.header('content-length') ?? '0', 10);
-      return length > maxBodyBytes ? Promise.resolve(refuseTooLong(context)) : next();
-    });
+    app.use(gate.handle);
     app.get(
       '/v1/manifest',
       serve(operators, (context) => ReadManifest.run(office, { by: context.var.person })),
@@ -249,7 +242,12 @@
     const server = createAdaptorServer({
       fetch: app.fetch,
       overrideGlobalObjects: false,
-      serverOptions: { headersTimeout: 10_000, requestTimeout: 30_000, connectionsCheckingInterval: 2000 },
+      serverOptions: {
+        ServerResponse: HeldResponse.of(needs.overload.memory),
+        headersTimeout: 10_000,
+        requestTimeout: 30_000,
+        connectionsCheckingInterval: 2000,
+      },
     }) as Server;
     needs.overload.connections.attach(server);
     return { server, close: forwarder.close };
--- a/src/control/primary-forwarder.ts
+++ b/src/control/primary-forwarder.ts
@@ -11,6 +11,7 @@
 import type { Frame } from '../wire/frame.js';
 import { HttpClient } from '../wire/http-client.js';
 import type { Core } from './core.js';
+import { RequestGate } from './request-gate.js';
 import { Responses } from './responses.js';
 
 /** Runs requests at the primary: here or by forwarding them. */
@@ -98,7 +99,7 @@
         });
         const { pathname, search } = new URL(context.req.url);
         try {
-          const body = method === 'GET' ? undefined : Buffer.from(await context.req.arrayBuffer());
+          const body = method === 'GET' ? undefined : RequestGate.body(context);
           const response = await client.call(primary.http, {
             path: `${pathname}${search}`,
             method,
--- a/src/control/responses.ts
+++ b/src/control/responses.ts
@@ -2,7 +2,7 @@
 
 /** A response: its status, JSON body and further headers. */
 export type Responses = {
-  readonly status: 200 | 400 | 401 | 403 | 404 | 409 | 412 | 413 | 422 | 428 | 503;
+  readonly status: 200 | 400 | 401 | 403 | 404 | 408 | 409 | 412 | 413 | 422 | 428 | 503;
   readonly body: object | Uint8Array<ArrayBuffer>;
   readonly headers?: Readonly<Record<string, string>>;
 };
--- a/src/startup/ops.ts
+++ b/src/startup/ops.ts
@@ -3,6 +3,7 @@
 import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { LogBuffer } from '../log/log-buffer.js';
+import { HeldResponse } from '../overload/held-response.js';
 import type { Overload } from '../overload/overload.js';
 import type { Metrics } from './metrics.js';
 
@@ -37,10 +38,11 @@
     app.get('/log', (context) => context.json(options.ring.entries()));
     return {
       app,
-      server({ connections }) {
+      server({ connections, memory }) {
         const server = createAdaptorServer({
           fetch: app.fetch,
           overrideGlobalObjects: false,
+          serverOptions: { ServerResponse: HeldResponse.of(memory) },
         }) as Server;
         connections.attach(server);
         return server;
