Links: bound the frames that are not complete or not sent, and links that do not say who they are

Seen: 12 connections to the port between nodes with 31 MB of a frame each: 345 MB of 192 at a front, 300 at a control node; 450 connections that say nothing: 476 and 487 descriptors of 300.

Cause: any of 1,024 links may hold a frame of 32 MiB, and each chunk of it was joined to all before it; frames that a peer does not read may wait up to 64 MiB a link.

Chunks are joined once.

--- a/src/agent/program.ts
+++ b/src/agent/program.ts
@@ -88,6 +88,7 @@
       verifiedAge: () => Instant.since(feed.verifiedAt()),
       pingsWhenBusy: true,
       serve,
+      overload,
       note: log.info,
     };
     const linkServer = await LinkServer.open({ ...linkOptions, address: Address.checked(startup.wire) });
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -213,6 +213,7 @@
       age,
       verifiedAge,
       pingsWhenBusy: true,
+      overload,
       note: logBuffer.info,
       serve: (link, hello, frames) =>
         hello.aim === 'core'
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -1,6 +1,6 @@
 /**
  * What protects one process against more than it can hold: a bound on the bytes of bodies and unread responses, on client
- * connections, all derived from the memory and the descriptors of its machine.
+ * connections, on frames of links and on links, all derived from the memory and the descriptors of its machine.
  */
 import { BodyReader } from './body-reader.js';
 import { ConnectionLimiter } from './connection-limiter.js';
@@ -13,6 +13,9 @@
   readonly memory: MemoryBudget;
   readonly bodies: BodyReader;
   readonly connections: ConnectionLimiter;
+  /** Bytes of frames, in and out. */
+  readonly linkMemory: MemoryBudget;
+  readonly maxLinks: number;
   /** Requests that may be at servers at once. */
   readonly maxRequests: number;
   readonly addMetrics: (metrics: Overload.Gauges) => void;
@@ -24,11 +27,13 @@
 }
 
 const addMetrics = (overload: Omit<Overload, 'addMetrics'>, { gauge }: Overload.Gauges): void => {
-  const { memory, connections } = overload;
+  const { memory, linkMemory, connections } = overload;
   gauge('held_bytes', 'bytes of bodies and unread responses held for clients', memory.usedBytes);
   gauge('held_bytes_limit', 'the most bytes held for clients', () => memory.limitBytes);
   gauge('held_shed', 'bodies and responses given up to make room', memory.shedCount);
   gauge('held_refused', 'reservations of bytes that were refused', memory.refusedCount);
+  gauge('link_bytes', 'bytes of frames held that are not complete or not sent', linkMemory.usedBytes);
+  gauge('link_shed', 'links closed to make room for frames', linkMemory.shedCount);
   gauge('client_connections', 'connections of clients, over all ports', connections.openCount);
   gauge(
     'client_connections_closed',
@@ -49,6 +54,8 @@
         maxConnections: limits.connections,
         shedOldest: memory.shedOldest,
       }),
+      linkMemory: MemoryBudget.of(limits.linkBytes),
+      maxLinks: limits.links,
       maxRequests: limits.requests,
     };
     return { ...overload, addMetrics: (metrics) => addMetrics(overload, metrics) };
--- a/src/wire/link-server.ts
+++ b/src/wire/link-server.ts
@@ -8,6 +8,7 @@
 import { Listen } from '../common/listen.js';
 import type { Stamp } from '../common/stamp.js';
 import { Timer } from '../common/timer.js';
+import { Overload } from '../overload/overload.js';
 import type { Frame } from './frame.js';
 import { Link } from './link.js';
 
@@ -28,6 +29,8 @@
     readonly age: () => number;
     readonly verifiedAge?: () => number;
     readonly pingsWhenBusy?: boolean;
+    /** Bounds on the links and on the bytes that they hold. */
+    readonly overload?: Pick<Overload, 'linkMemory' | 'maxLinks'>;
     readonly serve: (link: Link, hello: Hello, frames: AsyncGenerator<Frame, void, void>) => Promise<void>;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   };
@@ -35,8 +38,6 @@
 
 /** How long a new link may take to send its hello, in milliseconds. */
 const helloTimeoutMs = 3000;
-/** The most links that are open at the same time; further ones are rejected. */
-const maxLinks = 1024;
 /** How long a link may receive nothing before it is closed, in milliseconds. */
 const silenceTimeoutMs = 1200;
 /** Interval of pings, in milliseconds: several fit into the silence that closes a link. */
@@ -55,7 +56,10 @@
 /** Serves links. */
 export const LinkServer = {
   /** Serves one link until it ends; false when it sent no hello or an invalid frame. */
-  async serveLink(link: Link, options: Pick<LinkServer.Options, 'age' | 'serve' | 'note'>): Promise<boolean> {
+  async serveLink(
+    link: Link,
+    options: Pick<LinkServer.Options, 'age' | 'serve' | 'note'> & { readonly onHello?: () => void },
+  ): Promise<boolean> {
     const helloTimer = Timer.after(helloTimeoutMs, () =>
       link.close(Failure.of('silence', 'no hello in time')),
     );
@@ -63,6 +67,7 @@
     try {
       const hello = await receiveHello(frames);
       helloTimer.stop();
+      options.onHello?.();
       if (hello.aim === 'core') link.send({ kind: 'ping', age: options.age() });
       await options.serve(link, hello, frames);
       return true;
@@ -76,14 +81,28 @@
   },
   /** Starts listening. */
   async open(options: LinkServer.Options): Promise<LinkServer> {
+    const { linkMemory, maxLinks } = options.overload ?? Overload.of({});
     const links = new Set<Link>();
     let refusedLinks = 0;
+    /** Links that have not said who they are, in the order in which they were opened. */
+    const unknownLinks = new Set<Link>();
     const serveAndCount = async (link: Link) => {
-      if (!(await LinkServer.serveLink(link, options))) refusedLinks += 1;
+      const onHello = () => void unknownLinks.delete(link);
+      if (!(await LinkServer.serveLink(link, { ...options, onHello }))) refusedLinks += 1;
+      unknownLinks.delete(link);
       links.delete(link);
     };
+    /** Closes the oldest link that has not said who it is; false if there is none. */
+    const closeOldestUnknown = (): boolean => {
+      const [oldest] = unknownLinks;
+      if (!oldest) return false;
+      unknownLinks.delete(oldest);
+      links.delete(oldest);
+      oldest.close(Failure.of('link', 'closed in favour of a newer link'));
+      return true;
+    };
     const server = createServer((socket) => {
-      if (links.size >= maxLinks) {
+      if (links.size >= maxLinks && !closeOldestUnknown()) {
         refusedLinks += 1;
         socket.destroy();
         return;
@@ -95,8 +114,10 @@
         pingEvery: pingIntervalMs,
         silence: silenceTimeoutMs,
         pingsWhenBusy: options.pingsWhenBusy ?? false,
+        memory: linkMemory,
       });
       links.add(link);
+      unknownLinks.add(link);
       void serveAndCount(link);
     });
     const address = await Listen(server, options.address);
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -9,8 +9,11 @@
 import type { Stamp } from '../common/stamp.js';
 import { StateMachine } from '../common/state-machine.js';
 import { Timer } from '../common/timer.js';
+import type { MemoryBudget } from '../overload/memory-budget.js';
 import { Frame } from './frame.js';
+import { FrameReader } from './frame-reader.js';
 import { PingClock } from './ping-clock.js';
+import { UnsentBytes } from './unsent-bytes.js';
 
 /** One end of a link. */
 export type Link = {
@@ -45,6 +48,8 @@
     readonly silence?: number;
     /** Sends pings also while other frames are sent, since pings carry the age of the last message from the primary. */
     readonly pingsWhenBusy?: boolean;
+    /** The budget for frames that have not arrived or not been sent completely. */
+    readonly memory?: MemoryBudget;
   };
 }
 
@@ -53,24 +58,28 @@
 /** After this time without an answer another connection attempt is started, in milliseconds. */
 const redialIntervalMs = 300;
 
-/** Splits the byte stream into frames, each with a length prefix of four bytes. */
-async function* read(socket: Socket, clock: PingClock): AsyncGenerator<Frame, void, void> {
-  let buffered: Buffer = Buffer.alloc(0);
-  for await (const chunk of socket as AsyncIterable<Buffer>) {
-    buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-    while (buffered.length >= 4) {
-      const length = buffered.readUInt32BE(0);
-      if (length > Frame.maxBytes) throw Failure.of('frame', 'frame exceeds the size limit', { length });
-      if (buffered.length < 4 + length) break;
-      const frame = Frame.decode(buffered.subarray(4, 4 + length));
-      buffered = buffered.subarray(4 + length);
-      if (!frame) continue;
-      clock.record(frame);
-      yield frame;
-    }
+const unreadByPeer = Failure.of('link', 'no memory for frames that the peer does not read');
+
+/** The received frames, until the link is closed. */
+async function* read(
+  socket: Socket,
+  clock: PingClock,
+  { memory }: Link.Options,
+): AsyncGenerator<Frame, void, void> {
+  const reader = FrameReader.of(memory, () => socket.destroy(Failure.of('frame', 'no memory for a frame')));
+  try {
+    for await (const chunk of socket as AsyncIterable<Buffer>)
+      for (const bytes of reader.push(chunk)) {
+        const frame = Frame.decode(bytes);
+        if (!frame) continue;
+        clock.record(frame);
+        yield frame;
+      }
+  } finally {
+    reader.release();
   }
-  if (buffered.length > 0)
-    throw Failure.of('frame', 'the link was closed within a frame', { length: buffered.length });
+  const length = reader.partialLength();
+  if (length > 0) throw Failure.of('frame', 'the link was closed within a frame', { length });
 }
 
 /** Opens links. */
@@ -89,9 +98,11 @@
       state.transitionTo('closed');
       pings.stop();
       silenceTimer.stop();
+      unsent.release();
       socket.destroy(cause);
       resolveClosed();
     };
+    const unsent = UnsentBytes.of(socket, options.memory, () => close(unreadByPeer));
     const send = (body: Frame.Body): boolean => {
       if (state.is('closed') || socket.destroyed) return false;
       if (socket.writableLength > 2 * Frame.maxBytes) {
@@ -101,6 +112,10 @@
         return false;
       }
       socket.write(Frame.encode(options.stamp(), clock.complete(body), clock.sentAt()));
+      if (!unsent.isRoom()) {
+        close(unreadByPeer);
+        return false;
+      }
       if (!options.pingsWhenBusy) pings.restart();
       return true;
     };
@@ -122,6 +137,7 @@
       if (state.is('open')) silenceTimer.restart();
     });
     socket.pause();
+    socket.on('drain', unsent.release);
     socket.on('close', () => close());
     socket.on('error', () => close());
     return {
@@ -138,7 +154,7 @@
       isLocal: false,
       async *frames() {
         try {
-          yield* read(socket, clock);
+          yield* read(socket, clock, options);
         } finally {
           close();
         }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -13,7 +13,7 @@
   common: [],
   log: ['common'],
   overload: ['common'],
-  wire: ['common'],
+  wire: ['common', 'overload'],
   manifest: ['common'],
   startup: ['common', 'log', 'overload'],
   store: ['common', 'manifest'],
