Refusals: let a client that is still sending read its response

Cause: the connection was closed with unread bytes, which resets it.

Now: after a refusal of a request that is still arriving only the sending side is closed; what still comes is discarded for 2 s and 16 MiB at most, past the parser (RFC 9112, 9.6).

--- a/src/control/request-gate.ts
+++ b/src/control/request-gate.ts
@@ -6,6 +6,7 @@
 import type { Context, MiddlewareHandler } from 'hono';
 import { Instant } from '../common/instant.js';
 import { JsonCost } from '../overload/json-cost.js';
+import { LingeringClose } from '../overload/lingering-close.js';
 import type { Overload } from '../overload/overload.js';
 import { Responses } from './responses.js';
 
@@ -44,6 +45,8 @@
     let refused = 0;
     const refuse = (context: Context, response: Responses): Response => {
       refused += 1;
+      const connection = connectionOf(context);
+      if (connection?.incoming.complete === false) LingeringClose.prepare(connection.incoming.socket);
       return respond(context, response);
     };
     /** Reserves what parsing the body takes until its response is closed; returns the refusal if there is no room. */
--- /dev/null
+++ b/src/overload/lingering-close.ts
@@ -0,0 +1,42 @@
+/**
+ * Ends a connection whose client is still sending a refused request. Closing it with unread bytes would reset it, and the client
+ * might never read the response. So only the sending side is closed at first; what still comes is discarded, within a bound of
+ * time and of bytes (RFC 9112, section 9.6).
+ */
+import type { Socket } from 'node:net';
+import { Timer } from '../common/timer.js';
+
+/** Ends connections of refused requests. */
+export type LingeringClose = {
+  /** Replaces the way in which the HTTP server ends a connection after its last response. */
+  readonly prepare: (socket: Socket) => void;
+};
+
+/** How long a client may go on sending after its response, in milliseconds. */
+const maxLingerMs = 2000;
+/** How many bytes of it are discarded before the connection is closed. */
+const maxDiscardedBytes = 16 * 1024 * 1024;
+
+const linger = (socket: Socket): void => {
+  let discarded = 0;
+  const timer = Timer.after(maxLingerMs, () => socket.destroy());
+  socket.once('close', timer.stop);
+  socket.once('end', () => socket.destroy());
+  // The bytes no longer pass through the parser of HTTP.
+  socket.removeAllListeners('data');
+  socket.on('data', (bytes: Buffer) => {
+    discarded += bytes.length;
+    if (discarded > maxDiscardedBytes) socket.destroy();
+  });
+  socket.resume();
+  socket.end();
+};
+
+/** Ends connections of refused requests. */
+export const LingeringClose: LingeringClose = {
+  prepare(socket) {
+    socket.destroySoon = () => {
+      if (!socket.destroyed) linger(socket);
+    };
+  },
+};
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -3,6 +3,7 @@
  * did not and never will; "unknown" means that it may have.
  */
 import { Stamp } from '../common/stamp.js';
+import { LingeringClose } from '../overload/lingering-close.js';
 import type { Call } from './call.js';
 
 /** An error response of the proxy itself. */
@@ -63,6 +64,7 @@
     }
     // The rest of the request body was not read, so the connection cannot be reused.
     const isClosing = !incoming.complete;
+    if (isClosing) LingeringClose.prepare(incoming.socket);
     const { status, headers, body } = dialect.errorResponse({
       id,
       ...response,
