Soak: crowds that do not behave, in overlapping series, against the limits of each machine

What each process holds is looked at ten times a second against the memory and the descriptors of its settings.

--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -56,6 +56,7 @@
     /** Flags of the runtime, beside the bound of its memory. */
     readonly flags?: readonly string[];
   };
+  type Limits = typeof limits;
   type Machine = {
     readonly name: string;
     readonly role: 'front' | 'control';
@@ -77,6 +78,8 @@
 };
 const extraTriesLine = /^bramblebend_extra_tries_total\{group="(.*?)",payment="(.*?)"\} (\d+)$/gm;
 const lag = 300;
+/** What the settings state of each machine. */
+const limits = { 'cpu-fraction': 1, 'cpu-cores': 1, 'memory-mb': 350, 'file-descriptors': 4100 };
 const warmup = { perSecond: 11, span: 1500 };
 const names = { model: 'llm', plain: 'orders', host: 'serve.example' };
 
@@ -106,6 +109,8 @@
 /** Starts fleets. */
 export const PlatformFleet = {
   names,
+  limits,
+  wirePort: ports.inner[0]!,
   warmup,
   async start(terms: PlatformFleet.Terms): Promise<PlatformFleet> {
     const recording = Recording.of();
@@ -165,7 +170,7 @@
             'seed-nodes': seeds,
             'initial-start': isFirst,
             counted: role === 'control',
-            limits: { 'cpu-fraction': 1, 'cpu-cores': 1, 'memory-mb': 350, 'file-descriptors': 4100 },
+            limits,
             'data-directory': role === 'control' ? data : null,
             resilience: { machines: 1, zones: 1, regions: 1 },
             bounds,
--- a/tools/platform/hostile-crowd.ts
+++ b/tools/platform/hostile-crowd.ts
@@ -36,6 +36,8 @@
 const open = async (address: string): Promise<Socket> => {
   const [ip, port] = address.split(':');
   const socket = connect(Number(port), ip!);
+  // Each wait for room adds listeners, until the event that it waits for.
+  socket.setMaxListeners(0);
   socket.on('error', () => {});
   await within(Promise.race([once(socket, 'connect'), once(socket, 'close')]), crowdPatienceMs);
   return socket;
--- a/tools/platform/soak.ts
+++ b/tools/platform/soak.ts
@@ -1,6 +1,7 @@
 /**
  * A seeded soak of whole programs with tenants: clients go on using their open connections until these are closed, while
- * several series of signals, restarts, faults of servers and changes of the configuration run beside each other. At its end the
+ * several series of signals, restarts, faults of servers, changes of the configuration and crowds that do not behave run
+ * beside each other. At its end the
  * checks that hold for every machine, in touch or not, judge the recordings. By hand:
  * node dist/tools/platform/soak.js --seed 1 --seeds 50 --seconds 30
  */
@@ -14,6 +15,7 @@
 import type { Client } from './client.js';
 import { Day } from './day.js';
 import { PlatformFleet } from './fleet.js';
+import { HostileSeries } from './hostile-series.js';
 import type { Operator } from './operator.js';
 import { Recording } from './recording.js';
 import type { Verdict } from './verdict.js';
@@ -33,6 +35,8 @@
     readonly frontsPerZone: number;
     /** Without tenants all requests are let in, so that many more reach the servers. */
     readonly hasTenants?: boolean;
+    /** Whether crowds that do not behave press machines meanwhile. */
+    readonly hasHostile?: boolean;
   };
 }
 
@@ -44,6 +48,10 @@
 ];
 const { names } = PlatformFleet;
 const zones = { 'a-1': 'a', 'b-1': 'b', 'c-1': 'c' };
+/** Mean pauses between crowds, in milliseconds, of series that overlap. */
+const hostileSeries = [400, 700, 1200];
+/** Keeps the crowds' choices apart from those of the other series. */
+const hostileSeedOffset = 1_000_003;
 const pause = (spanMs: number) => new Promise<void>((resolve) => setTimeout(resolve, spanMs));
 
 /** The tenants, with keys that come and go, and limits that change. */
@@ -96,6 +104,8 @@
     private readonly fleet: PlatformFleet,
     private readonly random: Random,
     private readonly hasTenants: boolean,
+    private readonly hasHostile: boolean,
+    private readonly hostile: HostileSeries,
   ) {
     this.tenants = new Tenants(random);
   }
@@ -111,6 +121,9 @@
     }));
   }
 
+  /** A key of the tenant without a limit. */
+  readonly currentKey = (): string => this.tenants.current()[0]!.credentials[0]!;
+
   async put(): Promise<number> {
     const base = this.revision === 2 ? 0 : this.revision - 1;
     const subscribers = this.hasTenants ? { subscribers: this.tenants.current() } : {};
@@ -130,6 +143,10 @@
       this.repeat('change', 1100, () => this.changeTenants()),
       this.repeat('hot', 2500, () => this.burst()),
       this.repeat('failing', 3000, () => this.failService()),
+      this.repeat('watch', 100, async () => this.hostile.watch()),
+      ...(this.hasHostile
+        ? hostileSeries.map((mean) => this.repeat('hostile', mean, this.hostile.press))
+        : []),
     ];
     await pause(seconds * 1000);
     this.isOver = true;
@@ -225,7 +242,13 @@
 
 export const Soak = {
   judged,
-  async play({ seed, seconds, frontsPerZone, hasTenants = true }: Soak.Terms): Promise<Soak> {
+  async play({
+    seed,
+    seconds,
+    frontsPerZone,
+    hasTenants = true,
+    hasHostile = false,
+  }: Soak.Terms): Promise<Soak> {
     const random = Random.of(seed);
     const fleet = await PlatformFleet.start({
       folder: mkdtempSync(join(tmpdir(), 'bramblebend-soak-')),
@@ -236,8 +259,17 @@
       areClientsClinging: true,
     });
     const notes: string[] = [];
+    let currentKey = () => 'none';
+    const hostile = HostileSeries.of(fleet, Random.of(seed + hostileSeedOffset), {
+      host: names.host,
+      path: '/question/hostile',
+      key: () => currentKey(),
+      wirePort: PlatformFleet.wirePort,
+      limits: PlatformFleet.limits,
+    });
     try {
-      const run = new SoakRun(fleet, random, hasTenants);
+      const run = new SoakRun(fleet, random, hasTenants, hasHostile, hostile);
+      currentKey = run.currentKey;
       notes.push(`first configuration: ${await run.put()}`);
       while (!(await fleet.isReady())) await pause(20);
       for (const client of fleet.clients) client.play(run.kinds());
@@ -246,13 +278,18 @@
       await fleet.operator.read();
       for (const machine of fleet.machines)
         if (!machine.process().isUp()) notes.push(`${machine.name} has ended by itself`);
+      hostile.watch();
       const verdicts = Checks.judge(fleet.recording, fleet.bounds);
       return {
-        verdicts: Object.fromEntries(judged.map((name) => [name, verdicts[name]!])),
+        verdicts: {
+          ...Object.fromEntries(judged.map((name) => [name, verdicts[name]!])),
+          limits: { occasions: hostile.occasions(), breaches: hostile.breaches() },
+        },
         counts: { ...run.counts, ...countEnds(fleet.recording) },
         notes,
       };
     } finally {
+      hostile.leave();
       await fleet.stop();
     }
   },
@@ -269,7 +306,14 @@
   return broken.length > 0 || notes.length > 1;
 };
 
-type Flags = { seed: number; seeds: number; seconds: number; fronts: number; tenants: string };
+type Flags = {
+  seed: number;
+  seeds: number;
+  seconds: number;
+  fronts: number;
+  tenants: string;
+  hostile: string;
+};
 
 if (process.argv[1] === fileURLToPath(import.meta.url))
   sade('soak', true)
@@ -278,8 +322,14 @@
     .option('--seconds', 'how long each runs', 30)
     .option('--fronts', 'fronts in each of the three zones', 2)
     .option('--tenants', 'on, or off: then requests carry no key and have no limit', 'on')
-    .action(async ({ seed, seeds, seconds, fronts, tenants }: Flags) => {
-      const terms = { seconds, frontsPerZone: fronts, hasTenants: tenants !== 'off' };
+    .option('--hostile', 'on, or off: then no crowds press the machines', 'on')
+    .action(async ({ seed, seeds, seconds, fronts, tenants, hostile }: Flags) => {
+      const terms = {
+        seconds,
+        frontsPerZone: fronts,
+        hasTenants: tenants !== 'off',
+        hasHostile: hostile !== 'off',
+      };
       let bad = 0;
       for (let next = seed; next < seed + seeds; next += 1)
         if (report(next, await Soak.play({ seed: next, ...terms }))) bad += 1;
