--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -49,6 +49,8 @@
     readonly fronts: number;
     readonly servers: Readonly<Record<string, number>>;
     readonly drain?: number;
+    /** What the settings state of each machine, where it differs. */
+    readonly limits?: Partial<Limits>;
     /** Whether clients go on using their open connections until these are closed. */
     readonly areClientsClinging?: boolean;
     /** What each machine runs in place of the compiled sources, say the bundle of the deployment. */
@@ -170,7 +172,7 @@
             'seed-nodes': seeds,
             'initial-start': isFirst,
             counted: role === 'control',
-            limits,
+            limits: { ...limits, ...terms.limits },
             'data-directory': role === 'control' ? data : null,
             resilience: { machines: 1, zones: 1, regions: 1 },
             bounds,
--- a/tools/platform/soak.ts
+++ b/tools/platform/soak.ts
@@ -48,6 +48,8 @@
 ];
 const { names } = PlatformFleet;
 const zones = { 'a-1': 'a', 'b-1': 'b', 'c-1': 'c' };
+/** What the settings of small machines state, so that small crowds go over it. */
+const tightLimits = { 'memory-mb': 192, 'file-descriptors': 500 };
 /** Mean pauses between crowds, in milliseconds, of series that overlap. */
 const hostileSeries = [400, 700, 1200];
 /** Keeps the crowds' choices apart from those of the other series. */
@@ -250,6 +252,7 @@
     hasHostile = false,
   }: Soak.Terms): Promise<Soak> {
     const random = Random.of(seed);
+    const limits = hasHostile ? { ...PlatformFleet.limits, ...tightLimits } : PlatformFleet.limits;
     const fleet = await PlatformFleet.start({
       folder: mkdtempSync(join(tmpdir(), 'bramblebend-soak-')),
       seed,
@@ -257,6 +260,7 @@
       fronts: frontsPerZone,
       servers: { [names.model]: 6, [names.plain]: 3 },
       areClientsClinging: true,
+      limits,
     });
     const notes: string[] = [];
     let currentKey = () => 'none';
@@ -265,7 +269,7 @@
       path: '/question/hostile',
       key: () => currentKey(),
       wirePort: PlatformFleet.wirePort,
-      limits: PlatformFleet.limits,
+      limits,
     });
     try {
       const run = new SoakRun(fleet, random, hasTenants, hasHostile, hostile);
