--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -32,7 +32,12 @@
 import type { Rights } from './rights.js';
 
 /** The HTTP server of the control API and a function that closes the connections to the primary. */
-export type ControlHttp = { readonly server: Server; readonly close: () => void };
+export type ControlHttp = {
+  readonly server: Server;
+  readonly close: () => void;
+  /** How many requests were refused before they were handled. */
+  readonly refusedCount: () => number;
+};
 
 export declare namespace ControlHttp {
   /** The parts of the node that the API reads and changes. */
@@ -250,6 +255,6 @@
       },
     }) as Server;
     needs.overload.connections.attach(server);
-    return { server, close: forwarder.close };
+    return { server, close: forwarder.close, refusedCount: gate.refusedCount };
   },
 };
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -325,6 +325,11 @@
       note: logBuffer.info,
     });
     const { server } = controlHttp;
+    gauge(
+      'requests_refused',
+      'requests of operators and the platform refused before they were handled',
+      controlHttp.refusedCount,
+    );
     http = Address.text(await Listen(server, Address.checked(startup.http)));
     const directoryServer = adapter.directory && DirectoryHttp.of(adapter.directory, directory, overload);
     if (directoryServer) await Listen(directoryServer, Address.checked(adapter.directory!.address));
