--- a/src/bin/agent.ts
+++ b/src/bin/agent.ts
@@ -16,6 +16,8 @@
     feed: 'loopback address for the proxy',
     ops: 'address of the operations port',
     seeds: 'three addresses of control nodes, comma-separated',
+    memory: 'memory of the machine for this process, in MB (1024)',
+    descriptors: 'descriptors of the machine for this process (4096)',
   },
   start: Agent.start,
 });
--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -16,6 +16,8 @@
     http: 'address for operators and the platform',
     seeds: 'three addresses of control nodes, comma-separated',
     data: 'folder for this node’s files',
+    memory: 'memory of the machine for this process, in MB (1024)',
+    descriptors: 'descriptors of the machine for this process (4096)',
   },
   start: Control.start,
 });
--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -19,6 +19,8 @@
     concurrent: 'most requests served at once (512)',
     drain: 'milliseconds that requests may finish in after SIGTERM (30000)',
     linger: 'milliseconds in which new connections are still taken while draining (0)',
+    memory: 'memory of the machine for this process, in MB (1024)',
+    descriptors: 'descriptors of the machine for this process (4096)',
   },
   start: ProxyProgram.start,
 });
