Directory: name a region's draining fronts while it has no ready one (HOME)

Cause: three fronts of one region got their SIGTERM at 1.4, 2.8 and 4.2 s, the first was back at 5.4 s; in between none was ready, though the last one still took requests.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -305,6 +305,7 @@
     const gateway = PrimaryGateway.of({ leading: running.leading, proposer });
     const directory: ReadDirectory.Dependencies = {
       roll,
+      namesDrainingMs: startup.names_draining ?? 0,
       isReady: () => Instant.since(startedAt) > directoryReadyAfterMs,
       regionOf: (zone) => feed.view().manifest?.document.zones[zone]?.region,
     };
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -29,6 +29,8 @@
   readonly descendants: () => readonly Frame.Entry[];
   readonly all: () => readonly Frame.Entry[];
   readonly get: (node: string) => Frame.Entry | undefined;
+  /** Milliseconds since a node that was ready stopped being so; infinite for any other node. */
+  readonly unreadyFor: (node: string) => number;
   /** Milliseconds since a node joined or restarted. */
   readonly sinceLastJoin: () => number;
   /** Calls back with the nodes whose entries from below changed; returns a function that ends it. */
@@ -44,11 +46,15 @@
   };
 }
 
-/** An entry; `left` is when its node sent it, and `isListed` whether its sender still reports it. */
+/**
+ * An entry; `left` is when its node sent it, `isListed` whether its sender still reports it, and `unreadyAt` when a process that
+ * was ready stopped being so.
+ */
 type Member = {
   readonly entry: Frame.Entry;
   readonly digest: bigint;
   readonly isBelow: boolean;
+  readonly unreadyAt: Instant | undefined;
   left: Instant;
   isListed: boolean;
 };
@@ -60,6 +66,12 @@
 /** Time in which a node that left its parent has to appear elsewhere. */
 const departureTimeoutMs = 2000;
 
+/** When the process of an entry stopped being ready; undefined while it is, and for one that never was. */
+const unreadyAtOf = (known: Member | undefined, entry: Frame.Entry): Instant | undefined => {
+  if (entry.ready || known?.entry.boot !== entry.boot) return undefined;
+  return known.entry.ready ? Instant.now() : known.unreadyAt;
+};
+
 /** A digest of what an entry says about its node, without when and through whom it was received. */
 const digestOf = ({ counter: _counter, age: _age, via: _via, stamp, ...rest }: Frame.Entry): bigint => {
   const { node, program, zone, boot, http, wire, ops, depth, ready, vouched } = rest;
@@ -140,7 +152,14 @@
         if (known?.entry.boot !== entry.boot) joinedAt = Instant.now();
         const digest = digestOf(entry);
         if (known?.digest !== digest && isBelow) changed.push(entry.node);
-        table.set(entry.node, { entry: { ...entry, via }, digest, left, isBelow, isListed: true });
+        table.set(entry.node, {
+          entry: { ...entry, via },
+          digest,
+          left,
+          isBelow,
+          isListed: true,
+          unreadyAt: unreadyAtOf(known, entry),
+        });
       }
       notify(changed);
     };
@@ -190,6 +209,10 @@
         if (!member || Instant.since(member.left) > expiryTimeoutMs) return undefined;
         return { ...member.entry, age: Instant.since(member.left) };
       },
+      unreadyFor(node) {
+        const unreadyAt = table.get(node)?.unreadyAt;
+        return unreadyAt === undefined ? Number.POSITIVE_INFINITY : Instant.since(unreadyAt);
+      },
       sinceLastJoin: () => Instant.since(joinedAt),
       watch(listener) {
         listeners.add(listener);
--- a/src/startup/startup.ts
+++ b/src/startup/startup.ts
@@ -57,6 +57,7 @@
     extra_tries: extraTries,
     losses: Guard.integer({ min: 0, max: 4 }),
     initial: Guard.boolean,
+    names_draining: Guard.integer({ min: 0, max: 3_600_000 }),
     key_file: Guard.string({ max: 4096 }),
   },
 );
