Overload: tell 413 of what can never fit, and 503 of what may fit later

Callers saw: an order whose bytes and parsing together exceed what one request may hold got 503 `memory` with Retry-After, though it could never be served (with 24 MB of memory, an order of 1.6 MiB, 413 expected); so did a body that alone exceeds it. An order between half and three quarters of the budget got 413 while others held the rest, though it fitted once they had left.

Cause: the border was half of the budget and counted the parsing alone. The budget now says what fits while nothing else is held, by the rule by which it admits.

--- a/src/control/request-gate.ts
+++ b/src/control/request-gate.ts
@@ -55,7 +55,7 @@
       outgoing.once('close', () => holding.release());
       const cost = JsonCost(bytes);
       if (holding.grow(cost)) return undefined;
-      return cost > memory.limitBytes / 2 ? tooManyValues : failures.shed;
+      return memory.canFit(cost, bytes.length) ? failures.shed : tooManyValues;
     };
     const receive = async (context: Context): Promise<Responses | undefined> => {
       if (context.req.method === 'GET' || context.req.method === 'HEAD') return undefined;
--- a/src/overload/body-reader.ts
+++ b/src/overload/body-reader.ts
@@ -18,7 +18,7 @@
 
 export declare namespace BodyReader {
   type Options = { readonly maxBytes: number; readonly until: Instant };
-  /** Too long, too late, left by its client, or shed since the process holds as much as it may. */
+  /** Too long for its limit or for the process, too late, left by its client, or shed to make room for others. */
   type Failure = 'long' | 'late' | 'left' | 'shed';
 }
 
@@ -50,7 +50,7 @@
           const onData = (chunk: Buffer) => {
             pacer.note(incoming, chunk.length);
             if (assembler.byteLength() + chunk.length > maxBytes) finish('long');
-            else if (!assembler.add(chunk)) finish('shed');
+            else if (!assembler.add(chunk)) finish(budget.canFit(assembler.byteLength()) ? 'shed' : 'long');
           };
           const late = Timer.after(Instant.remaining(until), () => finish('late'));
           outgoing.once('close', () => holding.release());
--- a/src/overload/memory-budget.ts
+++ b/src/overload/memory-budget.ts
@@ -12,6 +12,8 @@
   /** How many holdings were shed, and how many reservations were refused. */
   readonly shedCount: () => number;
   readonly refusedCount: () => number;
+  /** Whether one holding of that size, in bytes, fits beside others of `besides` bytes while clients hold nothing else. */
+  readonly canFit: (bytes: number, besides?: number) => boolean;
   /** Opens an empty holding; with `shed`, it may be shed to make room until it is settled. */
   readonly hold: (shed?: () => void) => MemoryBudget.Holding;
   /** Sheds the oldest holding that may be shed and is at least that old, in milliseconds; false if there is none. */
@@ -82,6 +84,8 @@
   readonly shedCount = () => this.shedTotal;
   readonly refusedCount = () => this.refusedTotal;
 
+  readonly canFit = (bytes: number, besides = 0): boolean => besides + bytes <= this.limitFor(bytes);
+
   readonly hold = (shed?: () => void): MemoryBudget.Holding => {
     const holding = new Holding(this, shed);
     if (shed) this.sheddable.add(holding);
@@ -97,7 +101,7 @@
 
   /** Sheds other holdings until the bytes fit; false where the holding itself occupies most. */
   makeRoom(holding: Holding, bytes: number): boolean {
-    const limit = holding.bytes + bytes > largeBytes ? this.limitBytes * largeShare : this.limitBytes;
+    const limit = this.limitFor(holding.bytes + bytes);
     const isPossible = holding.bytes + bytes <= limit;
     while (isPossible && this.used + bytes > limit) {
       const heaviest = this.findHeaviest();
@@ -109,6 +113,11 @@
     return fits;
   }
 
+  /** What all holdings together may take for one of that size to grow. */
+  private limitFor(bytes: number): number {
+    return bytes > largeBytes ? this.limitBytes * largeShare : this.limitBytes;
+  }
+
   private findHeaviest(): Holding | undefined {
     const now = Instant.now();
     let heaviest: Holding | undefined;
