Overload: each newcomer at the bound closes a connection of its own

Callers saw nothing yet; the process passed its bound. Several connections that arrived in one turn of the event loop closed the same stalled connection, since it counted until its close event. And while shed requests still had their connections, newcomers were accepted without a bound (1,000 above 10).

--- a/src/overload/connection-limiter.ts
+++ b/src/overload/connection-limiter.ts
@@ -40,6 +40,9 @@
 /** Looks in a row without progress after which such a connection is closed. */
 const maxStalledLooks = 30;
 
+/** Connections above the bound that are being closed because their request was shed. */
+const maxShedding = 64;
+
 /** The parser of an HTTP connection; `onIncoming` is called for each head and says how to go on. */
 type Parser = { onIncoming?: () => number };
 
@@ -117,24 +120,20 @@
   }
 
   private makeRoom(): boolean {
-    for (const [socket, { activeRequests }] of this.connections)
-      if (activeRequests === 0) {
-        this.connections.delete(socket);
-        this.close(socket);
+    for (const [socket, connection] of this.connections)
+      if (connection.activeRequests === 0) {
+        this.drop(socket, connection);
         return true;
       }
-    return this.closeMostStalled() || this.options.shedOldest();
+    if (this.closeMostStalled()) return true;
+    return this.connections.size < this.options.maxConnections + maxShedding && this.options.shedOldest();
   }
 
   private closeMostStalled(): boolean {
-    let most: Socket | undefined;
-    let looks = 0;
-    for (const [socket, { stalledLooks }] of this.connections)
-      if (stalledLooks > looks) {
-        most = socket;
-        looks = stalledLooks;
-      }
-    if (most) this.close(most);
+    let most: readonly [Socket, Connection] | undefined;
+    for (const entry of this.connections)
+      if (entry[1].stalledLooks > (most?.[1].stalledLooks ?? 0)) most = entry;
+    if (most) this.drop(...most);
     return most !== undefined;
   }
 
@@ -148,6 +147,12 @@
     }
   }
 
+  /** Closes a connection that no longer counts, so that the next newcomer makes room of its own. */
+  private drop(socket: Socket, connection: Connection): void {
+    this.forget(socket, connection);
+    this.close(socket);
+  }
+
   private close(socket: Socket): void {
     this.closed += 1;
     socket.destroy();
