--- a/src/control/directory-http.ts
+++ b/src/control/directory-http.ts
@@ -1,8 +1,7 @@
 /** The directory of proxies at an address of its own, in the protocol of the installation. */
 
 import type { Server } from 'node:http';
-import { createAdaptorServer } from '@hono/node-server';
-import { HeldResponse } from '../overload/held-response.js';
+import { BoundedServer } from '../overload/bounded-server.js';
 import type { Overload } from '../overload/overload.js';
 import type { Adapter } from './adapter.js';
 import { ReadDirectory } from './queries/read-directory.js';
@@ -16,15 +15,9 @@
   of(
     directory: NonNullable<Adapter['directory']>,
     needs: ReadDirectory.Dependencies,
-    { connections, memory }: Overload,
+    overload: Overload,
   ): DirectoryHttp {
     const app = directory.app((zone) => ReadDirectory.find(needs, zone));
-    const server = createAdaptorServer({
-      fetch: app.fetch,
-      overrideGlobalObjects: false,
-      serverOptions: { ServerResponse: HeldResponse.of(memory) },
-    }) as Server;
-    connections.attach(server);
-    return server;
+    return BoundedServer.of(app.fetch, overload);
   },
 };
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -5,12 +5,11 @@
 
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { Server } from 'node:http';
-import { createAdaptorServer } from '@hono/node-server';
 import { type Context, Hono } from 'hono';
 import { Revision } from '../common/revision.js';
 import { Check } from '../manifest/check.js';
 import type { MemberTable } from '../membership/member-table.js';
-import { HeldResponse } from '../overload/held-response.js';
+import { BoundedServer } from '../overload/bounded-server.js';
 import type { Overload } from '../overload/overload.js';
 import type { Startup } from '../startup/startup.js';
 import type { Adapter } from './adapter.js';
@@ -244,17 +243,11 @@
     app.notFound((context) =>
       toResponse(context as Context<Env>, Responses.fail(404, 'no_path', 'there is nothing here')),
     );
-    const server = createAdaptorServer({
-      fetch: app.fetch,
-      overrideGlobalObjects: false,
-      serverOptions: {
-        ServerResponse: HeldResponse.of(needs.overload.memory),
-        headersTimeout: 10_000,
-        requestTimeout: 30_000,
-        connectionsCheckingInterval: 2000,
-      },
-    }) as Server;
-    needs.overload.connections.attach(server);
+    const server = BoundedServer.of(app.fetch, needs.overload, {
+      headersTimeout: 10_000,
+      requestTimeout: 30_000,
+      connectionsCheckingInterval: 2000,
+    });
     return { server, close: forwarder.close, refusedCount: gate.refusedCount };
   },
 };
--- a/src/startup/ops.ts
+++ b/src/startup/ops.ts
@@ -1,9 +1,8 @@
 /** The operations port of every program: health, readiness, metrics and the log. */
 import type { Server } from 'node:http';
-import { createAdaptorServer } from '@hono/node-server';
 import { Hono } from 'hono';
 import type { LogBuffer } from '../log/log-buffer.js';
-import { HeldResponse } from '../overload/held-response.js';
+import { BoundedServer } from '../overload/bounded-server.js';
 import type { Overload } from '../overload/overload.js';
 import type { Metrics } from './metrics.js';
 
@@ -36,17 +35,6 @@
       return context.body(text, 200, { 'content-type': type });
     });
     app.get('/log', (context) => context.json(options.ring.entries()));
-    return {
-      app,
-      server({ connections, memory }) {
-        const server = createAdaptorServer({
-          fetch: app.fetch,
-          overrideGlobalObjects: false,
-          serverOptions: { ServerResponse: HeldResponse.of(memory) },
-        }) as Server;
-        connections.attach(server);
-        return server;
-      },
-    };
+    return { app, server: (overload) => BoundedServer.of(app.fetch, overload) };
   },
 };
