Crowd tests: one scene opens the fleet and the crowd, and each file judges in one place

The set-up stood three times, and two pairs of tests were the same but for what they send. Crowds, bounds and what is judged stay as they were.

--- a/test/hostile-front.test.ts
+++ b/test/hostile-front.test.ts
@@ -5,32 +5,36 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import type { Socket } from 'node:net';
-import { afterEach, beforeEach, describe, it } from 'node:test';
+import { describe, it } from 'node:test';
 import { HostileCrowd } from '../tools/platform/hostile-crowd.js';
 import { HostileKit } from './hostile-kit.js';
 
 describe('a front with clients that do not behave', { timeout: 170_000 }, () => {
-  let fleet: HostileKit;
-  let crowd: Socket[];
+  const scene = HostileKit.scene();
   const chunked = 'transfer-encoding: chunked';
 
-  beforeEach(async () => {
-    fleet = await HostileKit.start();
-    crowd = [];
-  });
-  afterEach(async () => {
-    for (const socket of crowd) socket.destroy();
-    await fleet.end();
-  });
-
-  /** Each of the crowd sends its pieces and stays open; an ordinary client asks meanwhile. */
-  const press = async (count: number, pieces: () => Iterable<Uint8Array | string>): Promise<void> => {
-    crowd = await HostileCrowd.openMany(count, fleet.front.listen);
-    await Promise.all(crowd.map((socket) => HostileCrowd.send(socket, pieces())));
-    await HostileKit.settle(fleet.front, fleet.front.listen);
-    await HostileKit.askUntilServed(fleet.front);
-    HostileKit.check(fleet.front);
+  /** An ordinary client is served while the crowd stays, and the front is within its limits. */
+  const judge = async (address: string): Promise<void> => {
+    const { front } = scene.fleet();
+    await HostileKit.settle(front, address);
+    await HostileKit.askUntilServed(front);
+    HostileKit.check(front);
+  };
+  /** Each of the crowd sends its pieces and stays open. */
+  const press = async (count: number, pieces: HostileCrowd.Pieces): Promise<void> => {
+    const { listen } = scene.fleet().front;
+    await scene.send(count, listen, pieces);
+    await judge(listen);
+  };
+  const pressWithConnections = async (count: number, address: string): Promise<void> => {
+    await scene.open(count, address);
+    await judge(address);
+  };
+  /** One client sends a request and is served. */
+  const serveOne = async (pieces: Iterable<Uint8Array | string>): Promise<void> => {
+    const { socket, received } = await scene.sendOne(scene.fleet().front.listen, pieces);
+    if (!socket.closed) await once(socket, 'close');
+    assert.match(received(), /^HTTP\/1\.1 200 /);
   };
 
   it('holds bodies in large chunks that stop just before their end', () =>
@@ -50,22 +54,13 @@
   it('holds bodies in chunks of one byte', () =>
     press(24, () => HostileCrowd.smallChunks(HostileKit.head(chunked), 256 * 1024)));
 
-  it('has more connections than descriptors', async () => {
-    crowd = await HostileCrowd.openMany(450, fleet.front.listen);
-    await HostileKit.settle(fleet.front, fleet.front.listen);
-    await HostileKit.askUntilServed(fleet.front);
-    HostileKit.check(fleet.front);
-  });
+  it('has more connections than descriptors', () => pressWithConnections(450, scene.fleet().front.listen));
 
   it('has more connections than descriptors, each with a body begun', () =>
     press(450, () => [HostileKit.head('content-length: 2'), 'a']));
 
-  it('has more connections than descriptors at its operations port', async () => {
-    crowd = await HostileCrowd.openMany(450, fleet.front.ready);
-    await HostileKit.settle(fleet.front, fleet.front.ready);
-    await HostileKit.askUntilServed(fleet.front);
-    HostileKit.check(fleet.front);
-  });
+  it('has more connections than descriptors at its operations port', () =>
+    pressWithConnections(450, scene.fleet().front.ready));
 
   it('gets many requests on each connection without waiting for the answers', () =>
     press(80, function* () {
@@ -76,35 +71,18 @@
   it('has a request under way on each of many connections', () =>
     press(250, () => [HostileKit.head('content-length: 0', HostileKit.slowPath)]));
 
-  it('serves a single body of the largest size', async () => {
-    crowd = await HostileCrowd.openMany(1, fleet.front.listen);
-    const [socket] = crowd;
-    let answer = '';
-    socket!.on('data', (bytes) => {
-      answer += String(bytes);
-    });
-    await HostileCrowd.send(socket!, [
+  it('serves a single body of the largest size', () =>
+    serveOne([
       HostileKit.head(`content-length: ${HostileKit.maxBodyBytes}\r\nconnection: close`),
       Buffer.alloc(HostileKit.maxBodyBytes, 'a'),
-    ]);
-    if (!socket!.closed) await once(socket!, 'close');
-    assert.match(answer, /^HTTP\/1\.1 200 /);
-  });
+    ]));
 
   it('serves a single body in chunks of one byte', async () => {
-    crowd = await HostileCrowd.openMany(1, fleet.front.listen);
-    const [socket] = crowd;
-    let answer = '';
-    socket!.on('data', (bytes) => {
-      answer += String(bytes);
-    });
-    await HostileCrowd.send(socket!, [
+    await serveOne([
       HostileKit.head(`${chunked}\r\nconnection: close`),
       '1\r\na\r\n'.repeat(256 * 1024),
       '0\r\n\r\n',
     ]);
-    if (!socket!.closed) await once(socket!, 'close');
-    assert.match(answer, /^HTTP\/1\.1 200 /);
-    HostileKit.check(fleet.front);
+    HostileKit.check(scene.fleet().front);
   });
 });
--- a/test/hostile-kit.ts
+++ b/test/hostile-kit.ts
@@ -5,7 +5,10 @@
  */
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
+import type { Socket } from 'node:net';
+import { afterEach, beforeEach } from 'node:test';
 import { request } from 'undici';
+import { HostileCrowd } from '../tools/platform/hostile-crowd.js';
 import { ProcessUse } from '../tools/platform/process-use.js';
 import type { Process } from '../tools/process.js';
 import { AnsweringServer } from './answering-server.js';
@@ -20,6 +23,21 @@
   readonly end: () => Promise<void>;
 };
 
+export declare namespace HostileKit {
+  /** What one client of a crowd has received. */
+  type Client = { readonly socket: Socket; readonly received: () => string };
+  /** The fleet and the crowd of the test that runs. */
+  type Scene = {
+    readonly fleet: () => HostileKit;
+    /** Opens the connections of the crowd; they stay until the test ends. */
+    readonly open: (count: number, address: string) => Promise<readonly Socket[]>;
+    /** Opens them, and sends the pieces on each. */
+    readonly send: (count: number, address: string, pieces: HostileCrowd.Pieces) => Promise<void>;
+    /** Sends the pieces on one connection, and keeps what comes back. */
+    readonly sendOne: (address: string, pieces: Iterable<Uint8Array | string>) => Promise<Client>;
+  };
+}
+
 /** What the settings of these tests state. */
 const limits = { 'memory-mb': 192, 'file-descriptors': 500 };
 /** Descriptors that the platform keeps for files; sockets share the rest. */
@@ -111,8 +129,56 @@
     .join();
 };
 
+class TestScene implements HostileKit.Scene {
+  private running: HostileKit | undefined;
+  private crowd: readonly Socket[] = [];
+
+  readonly fleet = (): HostileKit => this.running!;
+
+  readonly open = async (count: number, address: string): Promise<readonly Socket[]> => {
+    this.crowd = await HostileCrowd.openMany(count, address);
+    return this.crowd;
+  };
+
+  readonly send = async (count: number, address: string, pieces: HostileCrowd.Pieces): Promise<void> => {
+    const crowd = await this.open(count, address);
+    await Promise.all(crowd.map((socket) => HostileCrowd.send(socket, pieces())));
+  };
+
+  readonly sendOne = async (
+    address: string,
+    pieces: Iterable<Uint8Array | string>,
+  ): Promise<HostileKit.Client> => {
+    const [socket] = await this.open(1, address);
+    let text = '';
+    socket!.on('data', (bytes) => {
+      text += String(bytes);
+    });
+    await HostileCrowd.send(socket!, pieces);
+    return { socket: socket!, received: () => text };
+  };
+
+  async begin(): Promise<void> {
+    this.running = await HostileKit.start();
+    this.crowd = [];
+  }
+
+  async end(): Promise<void> {
+    for (const socket of this.crowd) socket.destroy();
+    await this.running?.end();
+  }
+}
+
 /** Starts fleets and crowds. */
 export const HostileKit = {
+  /** A scene for the suite that calls it: a fleet is started before each of its tests and ended after it. */
+  scene(): HostileKit.Scene {
+    const scene = new TestScene();
+    beforeEach(() => scene.begin());
+    afterEach(() => scene.end());
+    return scene;
+  },
+
   limits,
   hangMs,
   maxBodyBytes,
