--- a/src/control/lifecycle/cluster-formation.ts
+++ b/src/control/lifecycle/cluster-formation.ts
@@ -26,7 +26,7 @@
 /** Creates the forming of a core. */
 export const ClusterFormation = {
   of(context: CoreContext, rules: FormationRules): ClusterFormation {
-    const { register, proposer, losses, alert } = context.options;
+    const { register, proposer, losses, alert, note } = context.options;
     let formableSince: Instant | undefined;
     const tryForm = async () => {
       formableSince ??= Instant.now();
@@ -38,7 +38,7 @@
         (grants) => (rules.isAllowed(grants) ? rules.buildTerm(grants) : undefined),
         rules.clusterSize,
       );
-      if (formed) alert('the cores formed a new cluster', { term: Term.text(formed) });
+      if (formed) note('the cores formed a new cluster', { term: Term.text(formed) });
       await context.collectVotes();
     };
     return {
--- a/src/control/lifecycle/leading.ts
+++ b/src/control/lifecycle/leading.ts
@@ -52,11 +52,12 @@
   const isOfferNewer = Stamp.isNewer(offered.stamp, primary.state().stamp);
   const isUnsettled = primary.state().formed !== formed;
   if ((!isUnsettled && !isOfferNewer) || !isOfferWindowOver(context, primary, leadingSince)) return;
-  options.alert('settling on the newest state that nodes hold', {
+  const isFirst = isFirstStart(options, primary);
+  const log = isFirst ? options.note : options.alert;
+  log('settling on the newest state that nodes hold', {
     offered: Stamp.text(offered.stamp),
     held: Stamp.text(primary.state().stamp),
   });
-  const isFirst = isFirstStart(options, primary);
   if (isOfferNewer) await primary.raiseEpoch(offered.stamp);
   await primary.commit((_state, { epoch, revision }) => ({
     kind: 'settled',
