Overload: answers to what is not HTTP reach a client that is still sending

Callers saw a reset in place of 431 (head too long), 400 (no HTTP) and 408 (late head): Node.js answers and closes at once, with what the client still sends unread. And a client with a request under way that sent something malformed after it got that 400 as the answer to the first, which may have run.

Cause: the default handling of `clientError`. What lingers and is discarded has metrics, as has what was malformed.

Also: a method of the limiter had a retired name (test/rules).

--- a/src/overload/bounded-server.ts
+++ b/src/overload/bounded-server.ts
@@ -18,7 +18,7 @@
 export const BoundedServer = {
   of(
     fetch: BoundedServer.Fetch,
-    { connections, memory }: Pick<Overload, 'connections' | 'memory'>,
+    { attach, memory }: Pick<Overload, 'attach' | 'memory'>,
     timeouts: BoundedServer.Timeouts = {},
   ): BoundedServer {
     const server = createAdaptorServer({
@@ -26,7 +26,7 @@
       overrideGlobalObjects: false,
       serverOptions: { ServerResponse: HeldResponse.of(memory), ...timeouts },
     }) as Server;
-    connections.attach(server);
+    attach(server);
     return server;
   },
 };
--- a/src/overload/connection-limiter.ts
+++ b/src/overload/connection-limiter.ts
@@ -122,7 +122,7 @@
   private makeRoom(): boolean {
     for (const [socket, connection] of this.connections)
       if (connection.activeRequests === 0) {
-        this.drop(socket, connection);
+        this.evict(socket, connection);
         return true;
       }
     if (this.closeMostStalled()) return true;
@@ -133,7 +133,7 @@
     let most: readonly [Socket, Connection] | undefined;
     for (const entry of this.connections)
       if (entry[1].stalledLooks > (most?.[1].stalledLooks ?? 0)) most = entry;
-    if (most) this.drop(...most);
+    if (most) this.evict(...most);
     return most !== undefined;
   }
 
@@ -148,7 +148,7 @@
   }
 
   /** Closes a connection that no longer counts, so that the next newcomer makes room of its own. */
-  private drop(socket: Socket, connection: Connection): void {
+  private evict(socket: Socket, connection: Connection): void {
     this.forget(socket, connection);
     this.close(socket);
   }
--- a/src/overload/lingering-close.ts
+++ b/src/overload/lingering-close.ts
@@ -10,6 +10,11 @@
 export type LingeringClose = {
   /** Replaces the way in which the HTTP server ends a connection after its last response. */
   readonly prepare: (socket: Socket) => void;
+  /** Sends the last bytes and ends the connection. */
+  readonly end: (socket: Socket, lastBytes: string) => void;
+  /** How many connections were ended so, and how many bytes of them were discarded. */
+  readonly count: () => number;
+  readonly discardedBytes: () => number;
 };
 
 /** How long a client may go on sending after its response, in milliseconds. */
@@ -17,7 +22,11 @@
 /** How many bytes of it are discarded before the connection is closed. */
 const maxDiscardedBytes = 16 * 1024 * 1024;
 
-const linger = (socket: Socket): void => {
+let connectionTotal = 0;
+let discardedTotal = 0;
+
+const linger = (socket: Socket, lastBytes = ''): void => {
+  connectionTotal += 1;
   let discarded = 0;
   const timer = Timer.after(maxLingerMs, () => socket.destroy());
   socket.once('close', timer.stop);
@@ -26,10 +35,11 @@
   socket.removeAllListeners('data');
   socket.on('data', (bytes: Buffer) => {
     discarded += bytes.length;
+    discardedTotal += bytes.length;
     if (discarded > maxDiscardedBytes) socket.destroy();
   });
   socket.resume();
-  socket.end();
+  socket.end(lastBytes);
 };
 
 /** Ends connections of refused requests. */
@@ -39,4 +49,7 @@
       if (!socket.destroyed) linger(socket);
     };
   },
+  end: (socket, lastBytes) => linger(socket, lastBytes),
+  count: () => connectionTotal,
+  discardedBytes: () => discardedTotal,
 };
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -2,8 +2,12 @@
  * What protects one process against more than it can hold: a bound on the bytes of bodies and unread responses, on client
  * connections, on frames of links and on links, all derived from the memory and the descriptors of its machine.
  */
+
+import type { Server } from 'node:http';
 import { BodyReader } from './body-reader.js';
 import { ConnectionLimiter } from './connection-limiter.js';
+import { LingeringClose } from './lingering-close.js';
+import { MalformedRequests } from './malformed-requests.js';
 import { MemoryBudget } from './memory-budget.js';
 import { ProcessLimits } from './process-limits.js';
 
@@ -12,7 +16,10 @@
   /** Bytes of request bodies and of responses that are not read. */
   readonly memory: MemoryBudget;
   readonly bodies: BodyReader;
-  readonly connections: ConnectionLimiter;
+  readonly connections: Pick<ConnectionLimiter, 'openCount' | 'closedCount'>;
+  readonly malformed: Pick<MalformedRequests, 'count'>;
+  /** Counts the connections of a server towards the bounds, and answers what is not HTTP there. */
+  readonly attach: (server: Server) => void;
   /** Bytes of frames, in and out. */
   readonly linkMemory: MemoryBudget;
   readonly maxLinks: number;
@@ -27,7 +34,7 @@
 }
 
 const addMetrics = (overload: Omit<Overload, 'addMetrics'>, { gauge }: Overload.Gauges): void => {
-  const { memory, linkMemory, connections } = overload;
+  const { memory, linkMemory, connections, malformed } = overload;
   gauge('held_bytes', 'bytes of bodies and unread responses held for clients', memory.usedBytes);
   gauge('held_bytes_limit', 'the most bytes held for clients', () => memory.limitBytes);
   gauge('held_shed', 'bodies and responses given up to make room', memory.shedCount);
@@ -40,6 +47,17 @@
     'connections of clients closed because of a bound',
     connections.closedCount,
   );
+  gauge(
+    'requests_malformed',
+    'requests whose head or framing was rejected or came too late',
+    malformed.count,
+  );
+  gauge(
+    'connections_lingered',
+    'connections closed after a refusal while their client was sending',
+    LingeringClose.count,
+  );
+  gauge('discarded_bytes', 'bytes read and dropped on such connections', LingeringClose.discardedBytes);
 };
 
 /** Creates the protection of a process. */
@@ -47,13 +65,20 @@
   of(machine: ProcessLimits.Machine): Overload {
     const limits = ProcessLimits.of(machine);
     const memory = MemoryBudget.of(limits.bodyBytes);
+    const connections = ConnectionLimiter.of({
+      maxConnections: limits.connections,
+      shedOldest: memory.shedOldest,
+    });
+    const malformed = MalformedRequests.of();
     const overload = {
       memory,
       bodies: BodyReader.of(memory),
-      connections: ConnectionLimiter.of({
-        maxConnections: limits.connections,
-        shedOldest: memory.shedOldest,
-      }),
+      connections,
+      malformed,
+      attach(server: Server) {
+        connections.attach(server);
+        malformed.attach(server);
+      },
       linkMemory: MemoryBudget.of(limits.linkBytes),
       maxLinks: limits.links,
       maxRequests: limits.requests,
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -250,7 +250,7 @@
         },
       },
     );
-    overload.connections.attach(server);
+    overload.attach(server);
     const listening = await Listen(server, Address.checked(startup.listen));
     const ops = Ops.of({
       isReady,
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -49,8 +49,9 @@
   });
   after(() => bench.stop());
 
+  const requestHead = 'POST /plain/x HTTP/1.1\r\nhost: h\r\ncontent-type: text/plain\r\n';
   /** Sends everything before it reads anything; the first line of the response, or the error. */
-  const send = async (head: string, pieces: readonly string[]): Promise<string> => {
+  const sendRaw = async (head: string, pieces: readonly string[]): Promise<string> => {
     const [host, port] = bench.kit.fronts[0]!.listen.split(':');
     const socket = connect(Number(port), host!);
     let text = '';
@@ -59,7 +60,7 @@
       failure = String(error);
     });
     await once(socket, 'connect');
-    socket.write(`POST /plain/x HTTP/1.1\r\nhost: h\r\ncontent-type: text/plain\r\n${head}\r\n\r\n`);
+    socket.write(head);
     for (const piece of pieces) {
       if (socket.destroyed) break;
       if (!socket.write(piece))
@@ -72,23 +73,47 @@
     if (!socket.closed) await Promise.race([once(socket, 'close')]).catch(() => {});
     return text.split('\r\n')[0] || failure;
   };
+  const send = (head: string, pieces: readonly string[]) => sendRaw(`${requestHead}${head}\r\n\r\n`, pieces);
+  const repeat = async (ask: () => Promise<string>): Promise<ReadonlySet<string>> => {
+    const answers = [];
+    for (let count = 0; count < callers; count += 1) answers.push(await ask());
+    return new Set(answers);
+  };
   const pieceBytes = 64 * 1024;
   const piece = 'a'.repeat(pieceBytes);
   const chunk = `${pieceBytes.toString(16)}\r\n${piece}\r\n`;
   const pieces = (text: string) => Array.from({ length: Math.ceil(bodyBytes / pieceBytes) }, () => text);
 
   it('is read by every caller whose body has a length', async () => {
-    const answers = [];
-    for (let count = 0; count < callers; count += 1)
-      answers.push(await send(`content-length: ${pieceBytes * pieces(piece).length}`, pieces(piece)));
-    assert.deepEqual(new Set(answers), new Set(['HTTP/1.1 413 Payload Too Large']));
+    const head = `content-length: ${pieceBytes * pieces(piece).length}`;
+    assert.deepEqual(
+      await repeat(() => send(head, pieces(piece))),
+      new Set(['HTTP/1.1 413 Payload Too Large']),
+    );
   });
 
   it('is read by every caller whose body comes in chunks', async () => {
-    const answers = [];
-    for (let count = 0; count < callers; count += 1)
-      answers.push(await send('transfer-encoding: chunked', [...pieces(chunk), '0\r\n\r\n']));
-    assert.deepEqual(new Set(answers), new Set(['HTTP/1.1 413 Payload Too Large']));
+    const ask = () => send('transfer-encoding: chunked', [...pieces(chunk), '0\r\n\r\n']);
+    assert.deepEqual(await repeat(ask), new Set(['HTTP/1.1 413 Payload Too Large']));
+  });
+
+  it('is read by every caller whose head is too long', async () => {
+    const field = `x-long: ${piece}\r\n`;
+    assert.deepEqual(
+      await repeat(() => sendRaw(requestHead, pieces(field))),
+      new Set(['HTTP/1.1 431 Request Header Fields Too Large']),
+    );
+  });
+
+  it('is read by every caller that does not send HTTP', async () => {
+    assert.deepEqual(await repeat(() => sendRaw('?', pieces(piece))), new Set(['HTTP/1.1 400 Bad Request']));
+  });
+
+  it('is not given in place of the answer to an earlier request that is under way', async () => {
+    const server = await bench.backEnd({ instance: 'l1', group: 'lookup', region: 'a', handle: () => {} });
+    await bench.list([server]);
+    const waiting = `${requestHead}content-length: 0\r\n\r\n`;
+    while (server.reached.length === 0) assert.doesNotMatch(await sendRaw(`${waiting}?\r\n`, []), /400/);
   });
 
   it('is not followed by an answer to what else was sent', async () => {
