--- a/src/control/adapter.ts
+++ b/src/control/adapter.ts
@@ -30,7 +30,7 @@
   type Handle = (context: Context) => Promise<Responses> | Responses;
   /** What the paths for operators are built from. */
   type OperatorContext = {
-    readonly office: PrimaryGateway;
+    readonly gateway: PrimaryGateway;
     /** Writes a log line. */
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
     /** Runs the handler at the primary and answers 503 if its result could not be confirmed. */
--- a/src/control/commands/evacuate.ts
+++ b/src/control/commands/evacuate.ts
@@ -23,7 +23,7 @@
 export const Evacuate = {
   /** Makes the change, or answers why it was refused; repeating it changes nothing. */
   async run(
-    office: PrimaryGateway,
+    gateway: PrimaryGateway,
     { zone, isEvacuated, by: person = unrestrictedOperator }: Evacuate,
   ): Promise<Responses> {
     const by = person.name;
@@ -31,10 +31,10 @@
     if (denied) return Responses.fail(403, 'not_yours', denied);
     const at = new Date().toISOString();
     const done = (zones: readonly string[]): Responses => ({ status: 200, body: { evacuations: zones } });
-    return office.change(
+    return gateway.change(
       (state, stamp) => {
         const document = State.newest(state)?.document;
-        if (!office.isSettled() || !document)
+        if (!gateway.isSettled() || !document)
           return Responses.unconfirmed('unconfirmed', 'no manifest is known to be in place yet', 'no');
         if (!Object.hasOwn(document.zones, zone))
           return Responses.fail(
--- a/src/control/commands/leave.ts
+++ b/src/control/commands/leave.ts
@@ -11,13 +11,13 @@
 /** The command that marks an instance as leaving. */
 export const Leave = {
   /** Records the notice, or answers why it was refused; repeating it changes nothing. */
-  async run(office: PrimaryGateway, { body }: Leave): Promise<Responses> {
+  async run(gateway: PrimaryGateway, { body }: Leave): Promise<Responses> {
     const findings: Guard.Finding[] = [];
     if (!Document.leaving(body, '', findings))
       return Responses.fail(422, 'invalid_notice', 'the notice was not taken', { findings });
     const { instance } = body;
     const at = new Date().toISOString();
-    return office.change(
+    return gateway.change(
       ({ platform }, stamp) => {
         if (!platform.servers.some((server) => server.instance === instance))
           return Responses.fail(404, 'unknown_instance', `the list names no ${instance}`);
--- a/src/control/commands/put-manifest.ts
+++ b/src/control/commands/put-manifest.ts
@@ -90,7 +90,7 @@
   recordedResponse,
   uncertainResponse,
   /** Takes the manifest, or answers why it was refused. */
-  async run(office: PrimaryGateway, put: PutManifest): Promise<Responses> {
+  async run(gateway: PrimaryGateway, put: PutManifest): Promise<Responses> {
     const checked = Check.manifest(put.body);
     if (checked.kind === 'bad')
       return Responses.fail(422, 'invalid_manifest', 'the manifest was not taken', {
@@ -105,15 +105,15 @@
       });
     const digest = put.digest ?? digestOf(requested);
     const at = new Date().toISOString();
-    return office.change(
+    return gateway.change(
       (state, stamp) => {
         const known = recordedResponse(state, put, digest);
         if (known) return known;
         const newest = State.newest(state);
         const current = newest?.revision ?? 0;
-        if (put.ifMatch !== 0 && !office.isSettled())
+        if (put.ifMatch !== 0 && !gateway.isSettled())
           return Responses.unconfirmed('unconfirmed', 'the cores formed anew and ask the nodes', 'no');
-        if (current !== put.ifMatch && (put.ifMatch !== 0 || office.isSettled()))
+        if (current !== put.ifMatch && (put.ifMatch !== 0 || gateway.isSettled()))
           return (
             uncertainResponse(state, put) ??
             Responses.fail(412, 'stale', `the manifest is at revision ${current}`, { revision: current })
@@ -136,7 +136,7 @@
           what: [document.note ?? 'manifest put', ...(changed.what === '' ? [] : [changed.what])].join('; '),
           teams: affected.teams,
           answer: { key: keyOf(put), digest },
-          ...(office.isSettled() ? {} : { isUnsettled: true as const }),
+          ...(gateway.isSettled() ? {} : { isUnsettled: true as const }),
         };
       },
       (_state, change) => takenResponse(change.stamp.revision),
--- a/src/control/commands/put-numbered.ts
+++ b/src/control/commands/put-numbered.ts
@@ -33,7 +33,7 @@
 /** The command that replaces the manifest under a number. */
 export const PutNumbered = {
   /** Takes the manifest, or answers why it was refused. */
-  async run(office: PrimaryGateway, { base, document }: PutNumbered): Promise<Responses> {
+  async run(gateway: PrimaryGateway, { base, document }: PutNumbered): Promise<Responses> {
     const checked = Check.manifest(document);
     if (checked.kind === 'bad')
       return Responses.fail(400, 'invalid_manifest', 'the manifest was not taken', {
@@ -48,9 +48,9 @@
     );
     const taken: Responses = { status: 200, body: { number } };
     const at = new Date().toISOString();
-    return office.change(
+    return gateway.change(
       (state, stamp) => {
-        if (!office.isSettled())
+        if (!gateway.isSettled())
           return Responses.unconfirmed('unconfirmed', 'the cores formed anew and ask the nodes', 'no');
         const newest = State.newest(state)?.document;
         const current = newest?.source?.number ?? 0;
--- a/src/control/commands/put-servers.ts
+++ b/src/control/commands/put-servers.ts
@@ -14,13 +14,13 @@
 /** The command that replaces the list of servers. */
 export const PutServers = {
   /** Takes the list, or answers why it was refused. */
-  async run(office: PrimaryGateway, { body }: PutServers): Promise<Responses> {
+  async run(gateway: PrimaryGateway, { body }: PutServers): Promise<Responses> {
     const checked = Check.servers(body);
     if (!('serial' in checked))
       return Responses.fail(422, 'invalid_servers', 'the list was not taken', { findings: checked });
     const { serial, servers } = checked;
     const at = new Date().toISOString();
-    return office.change(
+    return gateway.change(
       ({ platform }, stamp) => {
         if (serial === platform.serial && isDeepStrictEqual(servers, platform.servers))
           return { status: 200, body: { serial, revision: platform.revision } };
--- a/src/control/commands/refresh-server-list.ts
+++ b/src/control/commands/refresh-server-list.ts
@@ -11,9 +11,9 @@
 /** The command that stores a polled list of servers. */
 export const RefreshServerList = {
   /** Stores the list if it differs from the stored one. */
-  async run(office: PrimaryGateway, { servers }: RefreshServerList): Promise<Responses> {
+  async run(gateway: PrimaryGateway, { servers }: RefreshServerList): Promise<Responses> {
     const at = new Date().toISOString();
-    return office.change(
+    return gateway.change(
       ({ platform }, stamp) =>
         isDeepStrictEqual(servers, platform.servers)
           ? { status: 200, body: { serial: platform.serial } }
--- a/src/control/commands/rollback.ts
+++ b/src/control/commands/rollback.ts
@@ -18,21 +18,21 @@
 /** The command that restores a retained manifest. */
 export const Rollback = {
   /** Puts the manifest of the requested revision as a new revision. */
-  async run(office: PrimaryGateway, rollback: Rollback): Promise<Responses> {
+  async run(gateway: PrimaryGateway, rollback: Rollback): Promise<Responses> {
     const findings: Guard.Finding[] = [];
     if (!bodyGuard(rollback.body, '', findings))
       return Responses.fail(422, 'invalid_rollback', 'nothing was changed', { findings });
     const wanted = Revision.of(rollback.body.revision);
-    const state = await office.confirm();
+    const state = await gateway.confirm();
     const digest = PutManifest.digestOf({ rollback: wanted });
     const refuse = (current: State): Responses =>
       PutManifest.recordedResponse(current, rollback, digest) ??
       PutManifest.uncertainResponse(current, rollback) ??
       Responses.fail(404, 'not_kept', `the manifest of revision ${wanted} is not kept`);
     const kept = state.manifests.find((one) => one.revision === wanted);
-    if (!kept) return office.change(refuse, refuse);
+    if (!kept) return gateway.change(refuse, refuse);
     const walls = State.newest(state)?.document.walls ?? kept.document.walls;
     const body = { ...kept.document, ...(walls ? { walls } : {}), note: `rollback to revision ${wanted}` };
-    return PutManifest.run(office, { ...rollback, body, digest });
+    return PutManifest.run(gateway, { ...rollback, body, digest });
   },
 };
--- a/src/control/http.ts
+++ b/src/control/http.ts
@@ -42,7 +42,7 @@
   /** The parts of the node that the API reads and changes. */
   type Dependencies = {
     readonly startup: Startup['control'];
-    readonly office: PrimaryGateway;
+    readonly gateway: PrimaryGateway;
     readonly core: Core;
     readonly roll: MemberTable;
     readonly usage: () => object;
@@ -78,7 +78,7 @@
 export const ControlHttp = {
   /** Builds the server with all its routes. */
   of(needs: ControlHttp.Dependencies): ControlHttp {
-    const { startup, office, core, roll } = needs;
+    const { startup, gateway, core, roll } = needs;
     const app = new Hono<Env>();
     const { toResponse } = PrimaryForwarder;
     const gate = RequestGate.of(needs.overload);
@@ -92,7 +92,7 @@
     });
     /** Answers with data that only the primary holds, after a majority has confirmed that this core leads. */
     const readConfirmed = (read: () => object) => async (): Promise<Responses> => {
-      await office.confirm();
+      await gateway.confirm();
       return { status: 200, body: read() };
     };
     app.route('/', needs.operations);
@@ -136,11 +136,11 @@
     app.use(gate.handle);
     app.get(
       '/v1/manifest',
-      serve(operators, (context) => ReadManifest.run(office, { by: context.var.person })),
+      serve(operators, (context) => ReadManifest.run(gateway, { by: context.var.person })),
     );
     app.put(
       '/v1/manifest',
-      serve(operators, (context) => PutManifest.run(office, readPutRequest(context))),
+      serve(operators, (context) => PutManifest.run(gateway, readPutRequest(context))),
     );
     app.post(
       '/v1/manifest/check',
@@ -158,12 +158,12 @@
     );
     app.post(
       '/v1/manifest/rollback',
-      serve(operators, (context) => Rollback.run(office, readPutRequest(context))),
+      serve(operators, (context) => Rollback.run(gateway, readPutRequest(context))),
     );
     app.get(
       '/v1/manifest/:revision',
       serve(operators, (context) =>
-        ReadManifest.run(office, {
+        ReadManifest.run(gateway, {
           revision: context.req.param('revision') ?? '',
           by: context.var.person,
         }),
@@ -171,11 +171,11 @@
     );
     app.get(
       '/v1/nodes',
-      serve(operators, () => ReadStatus.nodes(office, { roll, core })),
+      serve(operators, () => ReadStatus.nodes(gateway, { roll, core })),
     );
     app.get(
       '/v1/status',
-      serve(operators, () => ReadStatus.run(office, { roll, core })),
+      serve(operators, () => ReadStatus.run(gateway, { roll, core })),
     );
     app.post(
       '/v1/cores/form',
@@ -195,14 +195,14 @@
     );
     app.get(
       '/v1/audit',
-      serve(operators, () => ReadServers.run(office, { kind: 'audit' })),
+      serve(operators, () => ReadServers.run(gateway, { kind: 'audit' })),
     );
     app.get('/v1/usage', serve(operators, readConfirmed(needs.usage)));
     app.get('/v1/loads', serve(operatorsAndPlatform, readConfirmed(needs.loads)));
     app.get('/v1/budget', serve(operators, readConfirmed(needs.budget)));
     app.get(
       '/v1/evacuations',
-      serve(operators, () => ReadEvacuations.run(office)),
+      serve(operators, () => ReadEvacuations.run(gateway)),
     );
     for (const [verb, isEvacuated] of [
       ['begin', true],
@@ -211,7 +211,7 @@
       app.post(
         `/v1/evacuations/:zone/${verb}`,
         serve(operators, (context) =>
-          Evacuate.run(office, {
+          Evacuate.run(gateway, {
             zone: context.req.param('zone') ?? '',
             isEvacuated,
             by: context.var.person,
@@ -220,21 +220,21 @@
       );
     app.get(
       '/v1/servers',
-      serve(operatorsAndPlatform, () => ReadServers.run(office, { kind: 'servers' })),
+      serve(operatorsAndPlatform, () => ReadServers.run(gateway, { kind: 'servers' })),
     );
     app.put(
       '/v1/servers',
-      serve(platform, (context) => PutServers.run(office, { body: context.var.body })),
+      serve(platform, (context) => PutServers.run(gateway, { body: context.var.body })),
     );
     app.post(
       '/v1/leaving',
-      serve(platform, (context) => Leave.run(office, { body: context.var.body })),
+      serve(platform, (context) => Leave.run(gateway, { body: context.var.body })),
     );
     app.get('/v1/directory', (context) =>
       toResponse(context, ReadDirectory.run(needs.directory, { zone: context.req.query('zone') ?? '' })),
     );
     const operatorPaths = needs.adapter.operators?.({
-      office,
+      gateway,
       note: needs.note,
       onPrimary: (handle) => (context) =>
         core.leading() ? forwarder.respond(context, () => handle(context)) : forwarder.forward(context),
--- a/src/control/lifecycle/leading.ts
+++ b/src/control/lifecycle/leading.ts
@@ -76,7 +76,7 @@
     losses: options.losses,
     store: options.store,
     proposer: options.proposer,
-    courierTo: options.clientFor,
+    clientFor: options.clientFor,
     note: options.note,
     ...(options.transfers ? { meter: options.transfers } : {}),
     publish(state, under) {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -172,7 +172,7 @@
       );
     const proposer = Proposer.of({
       register,
-      couriers: peers.clients,
+      peerClients: peers.clients,
       core: self,
       highest,
       isAble: () => store.isHealthy() && core?.isLeaving() !== true,
@@ -311,7 +311,7 @@
     };
     const controlHttp = ControlHttp.of({
       startup,
-      office: gateway,
+      gateway,
       core: running,
       roll,
       directory,
@@ -343,7 +343,7 @@
         renew: async (servers) => (await RefreshServerList.run(gateway, { servers })).status === 200,
         note: logBuffer.info,
       });
-    const lookout =
+    const fallbackList =
       adapter.list &&
       FallbackListDuty.run({
         source: adapter.list,
@@ -379,7 +379,7 @@
             run: async () => {
               rosterTimer.stop();
               failures.stop();
-              await Promise.all([list?.stop(), lookout?.stop(), reports?.stop()]);
+              await Promise.all([list?.stop(), fallbackList?.stop(), reports?.stop()]);
             },
           },
           { name: 'core', timeout: stopTimeoutMs, run: running.stop },
--- a/src/control/queries/read-evacuations.ts
+++ b/src/control/queries/read-evacuations.ts
@@ -10,8 +10,8 @@
 /** The query for zones and evacuations. */
 export const ReadEvacuations = {
   /** Answers with all zones of the manifest. */
-  async run(office: PrimaryGateway): Promise<Responses> {
-    const document = State.newest(await office.confirm())?.document;
+  async run(gateway: PrimaryGateway): Promise<Responses> {
+    const document = State.newest(await gateway.confirm())?.document;
     const zones: ReadEvacuations[] = Object.entries(document?.zones ?? {}).map(([zone, { region }]) => ({
       zone,
       region,
--- a/src/control/queries/read-manifest.ts
+++ b/src/control/queries/read-manifest.ts
@@ -22,8 +22,8 @@
 /** The query for a manifest. */
 export const ReadManifest = {
   /** Answers with the manifest, or 404 with the revisions that are retained. */
-  async run(office: PrimaryGateway, query: ReadManifest): Promise<Responses> {
-    const state = await office.confirm();
+  async run(gateway: PrimaryGateway, query: ReadManifest): Promise<Responses> {
+    const state = await gateway.confirm();
     const requested = query.revision === undefined ? undefined : Revision.parse(query.revision);
     const found =
       query.revision === undefined
--- a/src/control/queries/read-servers.ts
+++ b/src/control/queries/read-servers.ts
@@ -9,8 +9,8 @@
 /** The query for the list of servers or the audit log. */
 export const ReadServers = {
   /** Answers with the list, after a majority has confirmed the epoch. */
-  async run(office: PrimaryGateway, { kind }: ReadServers): Promise<Responses> {
-    const state = await office.confirm();
+  async run(gateway: PrimaryGateway, { kind }: ReadServers): Promise<Responses> {
+    const state = await gateway.confirm();
     return { status: 200, body: kind === 'audit' ? { audit: state.audit } : state.platform };
   },
 };
--- a/src/control/queries/read-source.ts
+++ b/src/control/queries/read-source.ts
@@ -13,8 +13,8 @@
 /** The query for the source of the newest manifest. */
 export const ReadSource = {
   /** The source, or undefined if the newest manifest has none. */
-  async run(office: PrimaryGateway): Promise<ReadSource | undefined> {
-    const source = State.newest(await office.confirm())?.document.source;
+  async run(gateway: PrimaryGateway): Promise<ReadSource | undefined> {
+    const source = State.newest(await gateway.confirm())?.document.source;
     return source && { source };
   },
 };
--- a/src/control/queries/read-status.ts
+++ b/src/control/queries/read-status.ts
@@ -59,13 +59,13 @@
 /** The queries for members and status. */
 export const ReadStatus = {
   /** The members known to the primary. An isolated core knows only a few and answers 503 instead. */
-  async nodes(office: PrimaryGateway, { roll }: ReadStatus): Promise<Responses> {
-    await office.confirm();
+  async nodes(gateway: PrimaryGateway, { roll }: ReadStatus): Promise<Responses> {
+    await gateway.confirm();
     return { status: 200, body: { nodes: roll.all().map(describeNode) } };
   },
   /** The state of the cores, the manifest and the proxies. */
-  async run(office: PrimaryGateway, { roll, core }: ReadStatus): Promise<Responses> {
-    const state = await office.confirm();
+  async run(gateway: PrimaryGateway, { roll, core }: ReadStatus): Promise<Responses> {
+    const state = await gateway.confirm();
     const proxies = roll.all().filter((entry) => entry.program === 'proxy');
     const behind = proxies.filter((entry) => Stamp.isNewer(state.stamp, entry.stamp));
     const term = core.term();
--- a/src/duty/retry-limits.ts
+++ b/src/duty/retry-limits.ts
@@ -1,6 +1,6 @@
 /**
  * Limits of the tries beyond the first ("extra tries") that a group of servers may receive from all proxies together, in any
- * window: a share of the requests for that group, and a fixed number. The share is earned as tokens, one purse for each group.
+ * window: a share of the requests for that group, and a fixed number. The share is earned as tokens, one pool for each group.
  * The fixed number covers the rest: what proxies may try without a token, and the tokens that exist at the start of a window,
  * which were earned before it.
  */
--- a/src/epoch/proposer.ts
+++ b/src/epoch/proposer.ts
@@ -70,8 +70,8 @@
       if (Term.has(term, core.disk) && Term.isSame(voted, term)) agreeing.add(core.disk);
       if (agreeing.size >= Term.majority(term)) resolve(true);
     };
-    const requests = needs.couriers().map(async (courier) => {
-      const reply = await courier.ask({ kind: 'peek' }, VoteCollector.answerTimeoutMs);
+    const requests = needs.peerClients().map(async (peerClient) => {
+      const reply = await peerClient.ask({ kind: 'peek' }, VoteCollector.answerTimeoutMs);
       if (reply.kind === 'vote') countVote(reply);
     });
     countVote(collector.vote(true));
--- a/src/epoch/vote-collector.ts
+++ b/src/epoch/vote-collector.ts
@@ -36,7 +36,7 @@
   /** What a collector uses of its core. */
   type Needs = {
     readonly register: Register;
-    readonly couriers: () => readonly PeerClient[];
+    readonly peerClients: () => readonly PeerClient[];
     readonly core: () => Frame.Core;
     readonly highest: () => Epoch;
     readonly isAble: () => boolean;
@@ -48,7 +48,7 @@
 const answerTimeoutMs = 1000;
 
 type Broadcast = {
-  readonly couriers: readonly PeerClient[];
+  readonly peerClients: readonly PeerClient[];
   readonly request: Parameters<PeerClient['ask']>[0];
   /** Whether this core grants the request. */
   readonly ownGrant: Promise<boolean>;
@@ -75,8 +75,8 @@
       if (broadcast.isEnough?.(votes)) resolve();
     };
     const own = falseOnTimeout(broadcast.ownGrant).then(broadcast.vote).then(receive);
-    const others = broadcast.couriers.map((courier) =>
-      courier.ask(broadcast.request, answerTimeoutMs).then(receive),
+    const others = broadcast.peerClients.map((peerClient) =>
+      peerClient.ask(broadcast.request, answerTimeoutMs).then(receive),
     );
     void Promise.allSettled([own, ...others]).then(() => resolve());
   });
@@ -107,7 +107,7 @@
       request: Broadcast['request'],
       ownGrant: Promise<boolean>,
       isEnough?: Broadcast['isEnough'],
-    ) => collectVotes({ couriers: needs.couriers(), request, ownGrant, vote, onVote, isEnough });
+    ) => collectVotes({ peerClients: needs.peerClients(), request, ownGrant, vote, onVote, isEnough });
     const isQuorum = (votes: readonly Vote[]): boolean => {
       if (!votes.some((one) => one.core.disk === register.disk)) return false;
       const base = Vote.newest(Vote.granted(votes))?.term;
--- a/src/proxy/filter.ts
+++ b/src/proxy/filter.ts
@@ -51,10 +51,10 @@
     readonly budget: Budget;
     readonly quotas: QuotaLimiter;
     readonly stall: Stall;
-    readonly ramp: SlowStart;
+    readonly slowStart: SlowStart;
     readonly placement: Placement;
     readonly warmup: Warmup;
-    readonly prover: HealthChecker;
+    readonly healthChecker: HealthChecker;
     readonly shares: Shares;
     readonly meters: Meters;
     /** Writes a log line. */
--- a/src/proxy/filters/attempt.ts
+++ b/src/proxy/filters/attempt.ts
@@ -147,9 +147,9 @@
       compiled: needs.compiled() ?? this.compiled,
       inFlight: needs.inFlight,
       ejector: needs.ejector,
-      concurrencyLimit: needs.ramp.concurrencyLimit,
+      concurrencyLimit: needs.slowStart.concurrencyLimit,
       connectionLimit: needs.pool.connectionLimit,
-      isUnreachable: needs.prover.isUnreachable,
+      isUnreachable: needs.healthChecker.isUnreachable,
       allowsWarmup: needs.warmup.allows,
       mayUseGroup: this.mayGo,
       placement: needs.placement,
@@ -203,7 +203,7 @@
     const { needs, call, rule } = this;
     const { instance } = pick.server;
     const onLost = (end: () => void) =>
-      needs.prover.watch(instance, () => {
+      needs.healthChecker.watch(instance, () => {
         if (needs.budget.held(pick.group.name) >= 1) end();
       });
     return {
@@ -219,7 +219,7 @@
       settle: needs.stall.settle,
       ...(rule.isOnce ? {} : { onUnreachable: onLost }),
       onSuspect() {
-        needs.prover.suspect(pick.server);
+        needs.healthChecker.suspect(pick.server);
         needs.failures.see(instance, Outcome.weights.silent);
       },
     };
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -126,14 +126,15 @@
       onWrongIdentity(server, cause) {
         meters.wrongIdentities.inc({ group: server.group });
         const facts = { instance: server.instance, why: Failure.text(cause), ...Failure.info(cause) };
-        if (prover.isUnreachable(server.instance)) ring.info('server identity still does not match', facts);
+        if (healthChecker.isUnreachable(server.instance))
+          ring.info('server identity still does not match', facts);
         else ring.error('server identity does not match', facts);
       },
-      onUnexpectedClose: (server) => prover.suspect(server),
+      onUnexpectedClose: (server) => healthChecker.suspect(server),
       proxies: () => roster.length,
     });
     let roster: readonly string[] = [];
-    const ramp = SlowStart.of(startup.node, () => roster);
+    const slowStart = SlowStart.of(startup.node, () => roster);
     const warmup = Warmup.of(
       startup.node,
       () => roster,
@@ -148,13 +149,13 @@
       hasIdle: pool.hasIdle,
       random: Math.random,
     });
-    const prover: HealthChecker = HealthChecker.of({
+    const healthChecker: HealthChecker = HealthChecker.of({
       pool,
       newest: () => compiled,
-      isRecentlyHealthy: ramp.isRecentlyHealthy,
+      isRecentlyHealthy: slowStart.isRecentlyHealthy,
       onUnreachable({ instance, group }) {
         meters.darkServers.inc({ group });
-        ramp.markUnreachable(instance);
+        slowStart.markUnreachable(instance);
         ring.info('server marked dark', { instance });
         uplink.send({ kind: 'cold', instance, age: 0, dark: true });
       },
@@ -165,7 +166,7 @@
       },
     });
     const startRamp = (instance: string, age = 0) => {
-      if (ramp.start(instance, age)) ring.info('fed gently', { instance });
+      if (slowStart.start(instance, age)) ring.info('fed gently', { instance });
     };
     const startWarmup = (before: Compiled | undefined, server: Compiled.Server, group: Compiled.Group) => {
       const known = before?.servers.get(server.instance);
@@ -185,7 +186,7 @@
         const hadServers = (before?.groups.get(server.group)?.servers.length ?? 0) > 0;
         if (isNew && hadServers) startRamp(server.instance);
       }
-      for (const tracker of [ramp, warmup]) tracker.retain((instance) => after.servers.has(instance));
+      for (const tracker of [slowStart, warmup]) tracker.retain((instance) => after.servers.has(instance));
       placement.retain(after);
       failures.retain((instance) => after.servers.has(instance));
     };
@@ -202,7 +203,7 @@
       budget.retain(compiled.groups.keys());
       pool.retain(compiled);
       ejector.retain(compiled);
-      prover.retain(compiled);
+      healthChecker.retain(compiled);
     };
     const departures = LeavingServers.of({
       serial: () => feed.view().platform.serial,
@@ -237,8 +238,8 @@
         budget,
         quotas,
         stall,
-        ramp,
-        prover,
+        slowStart,
+        healthChecker,
         shares: Shares.of(),
         meters,
         note: ring.info,
@@ -262,9 +263,9 @@
         boot,
         stamp: currentStamp(),
         out: ejector.ejected(),
-        dark: prover.unreachable(),
+        dark: healthChecker.unreachable(),
         leaving: departures.instances(),
-        cold: [...new Set([...warmup.warming(), ...ramp.active()])],
+        cold: [...new Set([...warmup.warming(), ...slowStart.active()])],
         tokens: budget.heldInTotal(),
         parent: uplink.parent(),
         version: Version,
@@ -304,10 +305,10 @@
       onFailures: failures.addReported,
       onCold({ instance, age, dark }) {
         if (dark) {
-          prover.reportUnreachable(instance);
-          ramp.markUnreachable(instance);
+          healthChecker.reportUnreachable(instance);
+          slowStart.markUnreachable(instance);
         } else {
-          prover.reportRecovered(instance);
+          healthChecker.reportRecovered(instance);
           startRamp(instance, age);
         }
       },
@@ -334,7 +335,7 @@
         late.stop();
         uplink.stop();
         await uplink.done;
-        prover.stop();
+        healthChecker.stop();
         await pool.close();
         departures.stop();
         stall.stop();
--- a/src/proxy/stream-response.ts
+++ b/src/proxy/stream-response.ts
@@ -121,9 +121,9 @@
     const { server, group } = trial.pick;
     return {
       onEvent: (span) => needs.placement.prefillSpeed.recordEventGap(server.instance, span),
-      onSilence: () => needs.prover.suspect(server),
+      onSilence: () => needs.healthChecker.suspect(server),
       onLost: (end) =>
-        needs.prover.watch(server.instance, () => {
+        needs.healthChecker.watch(server.instance, () => {
           if (events?.canResume() && needs.budget.held(group.name) >= 1) end();
         }),
     };
--- a/src/replica/followers.ts
+++ b/src/replica/followers.ts
@@ -32,19 +32,19 @@
   /** Followers of a new leadership, none of them created yet. */
   of(options: {
     readonly leadership: Leadership;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
     readonly source: TransferSource;
     /** The state held when the leadership began; in-sync backups are assumed to hold it until they report one. */
     readonly initialStamp: Stamp;
     readonly meter: TransferMeter | undefined;
   }): Followers {
-    const { leadership, courierTo, source, meter } = options;
+    const { leadership, clientFor, source, meter } = options;
     const members = new Map<string, Member>();
     const memberOf = (core: Frame.Core): Member => {
       let member = members.get(core.disk);
       if (!member) {
         const current = () => members.get(core.disk)?.core ?? core;
-        const client = MemberClient.of({ core: current, courierTo, meter });
+        const client = MemberClient.of({ core: current, clientFor, meter });
         const assumedStamp = leadership.backups().includes(core.disk) ? options.initialStamp : undefined;
         const follower = Follower.of({ core: current, leadership, client, source, assumedStamp });
         member = { core, client, follower };
@@ -67,8 +67,8 @@
         }
       },
       downFor(core) {
-        const courier = courierTo(core);
-        return courier?.reaches(core) ? courier.downFor() : Number.POSITIVE_INFINITY;
+        const peerClient = clientFor(core);
+        return peerClient?.reaches(core) ? peerClient.downFor() : Number.POSITIVE_INFINITY;
       },
       progress: (core) => memberOf(core).follower.progress(),
     };
--- a/src/replica/leadership-transfer.ts
+++ b/src/replica/leadership-transfer.ts
@@ -22,15 +22,15 @@
   /** Asks the backups in order to take over; resolves with the reason if none did, else with an empty string. */
   async request(options: {
     readonly leadership: Leadership;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
   }): Promise<string> {
     const { leadership } = options;
     const { epoch } = leadership.term();
     for (const disk of leadership.backups()) {
       const core = Term.core(leadership.term(), disk);
-      const courier = core && options.courierTo(core);
-      if (!core || !courier?.reaches(core) || courier.downFor() > 0) continue;
-      const reply = await courier.ask({ kind: 'yield', epoch }, requestTimeoutMs).catch(() => undefined);
+      const peerClient = core && options.clientFor(core);
+      if (!core || !peerClient?.reaches(core) || peerClient.downFor() > 0) continue;
+      const reply = await peerClient.ask({ kind: 'yield', epoch }, requestTimeoutMs).catch(() => undefined);
       if (reply?.kind !== 'done' || !reply.isDone) continue;
       await Promise.race([leadership.deposed, Timer.sleep(takeOverTimeoutMs)]);
       if (!leadership.isLeading()) return '';
@@ -40,7 +40,7 @@
   /** The handler of a local disk failure, which asks all backups to take over. */
   of(options: {
     readonly leadership: Leadership;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
   }): LeadershipTransfer {
     const { leadership } = options;
@@ -50,7 +50,7 @@
       const backups = leadership.backups();
       for (const core of cores.filter(({ disk }) => backups.includes(disk)))
         void options
-          .courierTo(core)
+          .clientFor(core)
           ?.ask({ kind: 'yield', epoch }, requestTimeoutMs)
           .catch(() => undefined);
       leadership.depose(`local disk failure: ${Failure.text(cause)}`);
--- a/src/replica/member-client.ts
+++ b/src/replica/member-client.ts
@@ -1,5 +1,5 @@
 /**
- * The primary's requests to one member over its courier. The timeout of each is a fixed time plus the time that its
+ * The primary's requests to one member over its peer client. The timeout of each is a fixed time plus the time that its
  * bytes take over the slowest supported link.
  */
 import type { Epoch } from '../common/epoch.js';
@@ -45,21 +45,21 @@
 
 /** Creates clients for single members. */
 export const MemberClient = {
-  /** The client for one member, whose courier is looked up for each request. */
+  /** The client for one member, whose peer client is looked up for each request. */
   of(options: {
     readonly core: () => Frame.Core;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
     readonly meter: TransferMeter | undefined;
   }): MemberClient {
-    const courier = (): PeerClient => {
+    const peerClient = (): PeerClient => {
       const core = options.core();
-      const found = options.courierTo(core);
+      const found = options.clientFor(core);
       if (!found?.reaches(core)) throw Failure.of('link', `no link to the disk of ${core.node}`);
       return found;
     };
     const unexpected = (kind: string) => Failure.of('frame', `unexpected reply of kind ${kind}`);
     const ask = (request: Parameters<PeerClient['ask']>[0], byteLength: number): Promise<Frame.Reply> =>
-      courier().ask(request, replyTimeoutMs + byteLength / minBytesPerMs);
+      peerClient().ask(request, replyTimeoutMs + byteLength / minBytesPerMs);
     const position = async (...args: Parameters<typeof ask>): Promise<MemberClient.Position> => {
       const reply = await ask(...args);
       if (reply.kind !== 'position') throw unexpected(reply.kind);
@@ -90,7 +90,7 @@
         return position({ kind: 'piece', epoch, digest, offset, bytes, check }, bytes.length);
       },
       protocol() {
-        const { protocol } = courier();
+        const { protocol } = peerClient();
         if (!protocol) return Protocol.none;
         const known = protocol();
         if (known === undefined)
--- a/src/replica/primary.ts
+++ b/src/replica/primary.ts
@@ -86,7 +86,7 @@
     readonly losses: number;
     readonly store: Store;
     readonly proposer: Proposer;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
     /** Called with each state when it is acknowledged. */
     readonly publish: (state: State, term: Term) => void;
     readonly note: (text: string, facts?: Record<string, unknown>) => void;
@@ -103,15 +103,15 @@
 }
 
 const createComponents = (options: Primary.Options) => {
-  const { proposer, courierTo, losses, store, note, meter } = options;
+  const { proposer, clientFor, losses, store, note, meter } = options;
   const leadership = Leadership.of(options.disk, options.term, options.ballot);
   const termChange = TermChange.of({ leadership, proposer, note });
   const initialStamp = store.state().stamp;
   const log = ChangeLog.from(initialStamp);
   const source = TransferSource.of(log);
-  const followers = Followers.of({ leadership, courierTo, source, initialStamp, meter });
+  const followers = Followers.of({ leadership, clientFor, source, initialStamp, meter });
   const replication = Replication.of({ leadership, termChange, followers, losses, note });
-  const stepDown = LeadershipTransfer.of({ leadership, courierTo, note });
+  const stepDown = LeadershipTransfer.of({ leadership, clientFor, note });
   const publish = (state: State) => options.publish(state, leadership.term());
   const acknowledgement = Acknowledgement.of({ leadership, store, log, replication, stepDown, publish });
   const maintenance = Maintenance.of({
@@ -183,7 +183,7 @@
     const transferLeadership = async () => {
       leadership.mustLead();
       await acknowledgement.acknowledgePending();
-      return LeadershipTransfer.request({ leadership, courierTo: options.courierTo });
+      return LeadershipTransfer.request({ leadership, clientFor: options.clientFor });
     };
     const raiseEpoch = async (above: Stamp) => {
       leadership.mustLead();
--- a/src/upstream/outcome.ts
+++ b/src/upstream/outcome.ts
@@ -1,5 +1,5 @@
 /**
- * Reports the result of a try to the components that track server health: failure totals, outlier ejection, the prover
+ * Reports the result of a try to the components that track server health: failure totals, outlier ejection, the health checker
  * that checks unreachable servers, and the slow start of new servers.
  */
 import type { Ejector } from './ejector.js';
@@ -17,8 +17,8 @@
   type Needs = {
     readonly failures: Pick<FailureScores, 'see' | 'good'>;
     readonly ejector: Pick<Ejector, 'good' | 'bad' | 'misdirected'>;
-    readonly prover: Pick<HealthChecker, 'lost' | 'suspect'>;
-    readonly ramp: Pick<SlowStart, 'good'>;
+    readonly healthChecker: Pick<HealthChecker, 'lost' | 'suspect'>;
+    readonly slowStart: Pick<SlowStart, 'good'>;
   };
 }
 
@@ -58,15 +58,15 @@
     if (failureWeight > 0) needs.failures.see(server.instance, failureWeight);
     else if (result.kind === 'stream') needs.failures.good(server.instance);
     if (result.kind === 'unsent' && (result.why === 'connect' || result.why === 'identity'))
-      needs.prover.lost(server);
+      needs.healthChecker.lost(server);
     const isSuspect =
       result.kind === 'unsent' ? result.why === 'slow' : result.kind === 'lost' && result.why !== 'left';
-    if (isSuspect) needs.prover.suspect(server);
+    if (isSuspect) needs.healthChecker.suspect(server);
     if (result.kind === 'response' && result.status === group.proof?.misdirected) {
       needs.ejector.misdirected(server);
       return;
     }
-    if (result.kind === 'stream' || result.kind === 'response') needs.ramp.good(server.instance);
+    if (result.kind === 'stream' || result.kind === 'response') needs.slowStart.good(server.instance);
     updateEjector(needs, result);
   },
 };
--- a/src/upstream/upstream-try.ts
+++ b/src/upstream/upstream-try.ts
@@ -89,7 +89,7 @@
 /** Largest body of an error response, in bytes. */
 const maxErrorBodyBytes = 256 * 1024;
 /**
- * If connecting takes longer than this many milliseconds, the prover checks the server and the request, which was not
+ * If connecting takes longer than this many milliseconds, the health checker checks the server and the request, which was not
  * sent, goes to another one.
  */
 const slowConnectMs = 400;
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -51,9 +51,9 @@
         return false;
       },
     });
-    const office = PrimaryGateway.of({ leading: () => leading, proposer });
-    assert.equal(await readTaken(office.change(refuse, refuse)), 'no');
-    assert.equal((await office.change(refuse, refuse)).status, 412);
+    const gateway = PrimaryGateway.of({ leading: () => leading, proposer });
+    assert.equal(await readTaken(gateway.change(refuse, refuse)), 'no');
+    assert.equal((await gateway.change(refuse, refuse)).status, 412);
   });
 
   it('answers a command at once if no majority has been in contact', async () => {
@@ -65,14 +65,14 @@
         return new Promise(() => {});
       },
     });
-    const office = PrimaryGateway.of({ leading: () => primary, proposer });
+    const gateway = PrimaryGateway.of({ leading: () => primary, proposer });
     const began = Instant.now();
-    assert.equal(await readTaken(office.change(refuse, refuse)), 'no');
+    assert.equal(await readTaken(gateway.change(refuse, refuse)), 'no');
     assert.equal(isAsked, true);
     assert.ok(Instant.since(began) < 3000);
     isAsked = false;
     const again = Instant.now();
-    assert.equal(await readTaken(office.change(refuse, refuse)), 'no');
+    assert.equal(await readTaken(gateway.change(refuse, refuse)), 'no');
     assert.deepEqual([isAsked, Instant.since(again) < 100], [false, true]);
   });
 
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -82,16 +82,16 @@
   });
 
   it('stores each token once, keeps its age when it is passed on, and expires it', () => {
-    const purse = TokenPool.of();
-    for (let count = 0; count < 10; count += 1) purse.add([{ amount: 200, age: 0 }]);
-    assert.equal(purse.total(), 2000);
-    const taken = purse.take(1500, true);
+    const pool = TokenPool.of();
+    for (let count = 0; count < 10; count += 1) pool.add([{ amount: 200, age: 0 }]);
+    assert.equal(pool.total(), 2000);
+    const taken = pool.take(1500, true);
     assert.equal(
       taken?.reduce((sum, one) => sum + one.amount, 0),
       1500,
     );
-    assert.equal(purse.take(501), undefined);
-    assert.equal(purse.total(), 500);
+    assert.equal(pool.take(501), undefined);
+    assert.equal(pool.total(), 500);
     const other = TokenPool.of();
     other.add([{ amount: 700, age: TokenPool.lifetimeMs + 1 }]);
     assert.equal(other.total(), 0);
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -58,8 +58,8 @@
 };
 
 const open = async (
-  couriers: () => readonly PeerClient[],
-  courierTo: (core: Frame.Core) => PeerClient | undefined,
+  peerClients: () => readonly PeerClient[],
+  clientFor: (core: Frame.Core) => PeerClient | undefined,
 ): Promise<Member> => {
   memberCount += 1;
   const data = join(folder, String(memberCount));
@@ -69,7 +69,7 @@
   const self = { disk: register.disk, node: `core-${memberCount}`, wire, http: wire };
   const proposer = Proposer.of({
     register,
-    couriers,
+    peerClients,
     core: () => self,
     highest: () => Epoch.none,
     isAble: store.isHealthy,
@@ -84,7 +84,7 @@
     seeds: [],
     proposer,
     self: () => self,
-    clientFor: courierTo,
+    clientFor,
     connectTo: () => {},
     addresses: () => [],
     offeredView: () => View.empty,
--- a/test/model-follows.test.ts
+++ b/test/model-follows.test.ts
@@ -187,7 +187,7 @@
         isAble: true,
         held: Stamp.none,
       });
-      const courier = (index: number): PeerClient => ({
+      const peerClient = (index: number): PeerClient => ({
         async ask(request) {
           if (request.kind === 'accept') sent.push(request);
           const isReached = request.kind === 'accept' ? answers[index] : reached[index];
@@ -210,7 +210,7 @@
       const others = disks.map((_code, index) => index).filter((index) => index !== proposer);
       const made = Proposer.of({
         register: registers[proposer]!,
-        couriers: () => others.map(courier),
+        peerClients: () => others.map(peerClient),
         core: () => core(proposer),
         highest: () => Epoch.none,
         isAble: () => true,
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -38,9 +38,9 @@
   state: State = State.empty;
   formed = Epoch.of(1);
   epoch = Epoch.of(1);
-  readonly office: PrimaryGateway = {
+  readonly gateway: PrimaryGateway = {
     confirm: async () => {
-      if (!this.office.isSettled()) throw Failure.of('unconfirmed', 'unsettled', { taken: 'no' });
+      if (!this.gateway.isSettled()) throw Failure.of('unconfirmed', 'unsettled', { taken: 'no' });
       return this.state;
     },
     isSettled: () => State.isSettled(this.state, this.formed),
@@ -75,13 +75,13 @@
     this.settle(view);
   }
   put(number: number, base: number, content?: string): Promise<Responses> {
-    return PutNumbered.run(this.office, { base, document: numbered(number, content) });
+    return PutNumbered.run(this.gateway, { base, document: numbered(number, content) });
   }
   replace(note: string, ifMatch: number, key?: string): Promise<Responses> {
-    return PutManifest.run(this.office, { ...this.request(ifMatch, key), body: plain(note) });
+    return PutManifest.run(this.gateway, { ...this.request(ifMatch, key), body: plain(note) });
   }
   rollBack(revision: number, ifMatch: number, key?: string): Promise<Responses> {
-    return Rollback.run(this.office, { ...this.request(ifMatch, key), body: { revision } });
+    return Rollback.run(this.gateway, { ...this.request(ifMatch, key), body: { revision } });
   }
   revision(): number {
     return State.newest(this.state)?.revision ?? 0;
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -43,7 +43,7 @@
 const makeGroup = async (count: number, listed = count) => {
   const members: Member[] = [];
   const lost = new Set<string>();
-  const courier = (from: number, to: number): PeerClient => ({
+  const peerClient = (from: number, to: number): PeerClient => ({
     async ask(request) {
       const { register, proposer } = members[to]!;
       if (lost.has(`${from}>${to}`) || lost.has(`${from}>${to} ${request.kind}`)) throw new Error('lost');
@@ -77,7 +77,7 @@
     const core = { disk: register.disk, node: `core-${index}`, wire: '', http: '' };
     const proposer = Proposer.of({
       register,
-      couriers: () => members.flatMap((_one, to) => (to === index ? [] : [courier(index, to)])),
+      peerClients: () => members.flatMap((_one, to) => (to === index ? [] : [peerClient(index, to)])),
       core: () => core,
       highest: () => Epoch.none,
       isAble: () => true,
--- a/test/replica-kit.ts
+++ b/test/replica-kit.ts
@@ -1,5 +1,5 @@
 /**
- * In-process cores for replication tests: real registers, couriers and links over loopback. The traffic to each machine
+ * In-process cores for replication tests: real registers, peer clients and links over loopback. The traffic to each machine
  * can be throttled, cut and counted, and its disk can be slowed down or emptied.
  */
 import { createHash } from 'node:crypto';
@@ -60,7 +60,7 @@
     proposer: Proposer;
     readonly meter: TransferMeter;
     readonly self: () => Frame.Core;
-    readonly courierTo: (core: Frame.Core) => PeerClient | undefined;
+    readonly clientFor: (core: Frame.Core) => PeerClient | undefined;
     /** Runs before each write to the store. */
     beforeWrite: () => Promise<void>;
     /** Runs before the machine accepts a term or asks another one to accept it. */
@@ -171,7 +171,7 @@
 const startMachine = async (
   folder: string,
   node: string,
-  couriers: Map<string, PeerClient>,
+  peerClients: Map<string, PeerClient>,
 ): Promise<{ machine: ReplicaKit.Machine; stop: () => Promise<void> }> => {
   let data = join(folder, node);
   let restarts = 0;
@@ -203,12 +203,12 @@
           return register.accept(ballot, term, isChosen);
         },
       },
-      couriers: () =>
-        [...couriers.values()].map((courier) => ({
-          ...courier,
+      peerClients: () =>
+        [...peerClients.values()].map((peerClient) => ({
+          ...peerClient,
           async ask(request, within) {
             if (request.kind === 'accept') await machine.beforeAccept(request.term);
-            return courier.ask(request, within);
+            return peerClient.ask(request, within);
           },
         })),
       core: self,
@@ -258,7 +258,7 @@
     relay,
     meter,
     self,
-    courierTo: (core) => couriers.get(core.wire),
+    clientFor: (core) => peerClients.get(core.wire),
     beforeWrite: async () => {},
     beforeAccept: async () => {},
     emulateVersion(_version, callback) {
@@ -303,27 +303,27 @@
     const document = { ...Bench.manifest, note, words } as unknown as Document;
     return { kind: 'manifest', stamp, document, by: 'operator', at: '', what: 'put', teams: [] };
   },
-  /** Starts this many machines; only the first one has couriers to the others. */
+  /** Starts this many machines; only the first one has peer clients to the others. */
   async start(count: number): Promise<ReplicaKit> {
     const folder = mkdtempSync(join(tmpdir(), 'bramblebend-replica-'));
     const machines: ReplicaKit.Machine[] = [];
-    const couriers = new Map<string, PeerClient>();
+    const peerClients = new Map<string, PeerClient>();
     const stops: (() => Promise<void>)[] = [];
     for (let index = 0; index < count; index += 1) {
-      const started = await startMachine(folder, `core-${index + 1}`, couriers);
+      const started = await startMachine(folder, `core-${index + 1}`, peerClients);
       machines.push(started.machine);
       stops.push(started.stop);
     }
     const [first, ...others] = machines as [ReplicaKit.Machine, ...ReplicaKit.Machine[]];
     const hello = { kind: 'hello', self: {} as never, version: '', aim: 'core' } as const;
     for (const { relay } of others)
-      couriers.set(
+      peerClients.set(
         relay.place,
         PeerClient.start({ address: relay.place, stamp: () => Stamp.none, age: () => 0, hello: () => hello }),
       );
     const running: Primary[] = [];
     const allUp = async () => {
-      while (![...couriers.values()].every((courier) => courier.isUp()))
+      while (![...peerClients.values()].every((peerClient) => peerClient.isUp()))
         await new Promise((resolve) => setImmediate(resolve));
     };
     return {
@@ -346,7 +346,7 @@
           losses,
           store: first.store,
           proposer: first.proposer,
-          courierTo: first.courierTo,
+          clientFor: first.clientFor,
           publish: () => {},
           note: process.env.BRAMBLEBEND_TELL ? (...args) => console.error(...args) : () => {},
           meter: first.meter,
@@ -357,7 +357,7 @@
       },
       async stop() {
         for (const primary of running) primary.depose('the test is over');
-        await Promise.all([...couriers.values()].map((courier) => courier.stop()));
+        await Promise.all([...peerClients.values()].map((peerClient) => peerClient.stop()));
         await Promise.all(stops.map((stop) => stop()));
         rmSync(folder, { recursive: true, force: true });
       },
--- a/test/rights.test.ts
+++ b/test/rights.test.ts
@@ -34,8 +34,8 @@
     assert.match(denied({ ...manifest, rules: [...manifest.rules, shared] })!, /others/);
   });
   it('keep the operator from evacuations', async () => {
-    const office = { isSettled: () => true, confirm: failIfCalled, change: failIfCalled };
-    const denied = await Evacuate.run(office, { zone: 'a-1', isEvacuated: true, by: teamOperator });
+    const gateway = { isSettled: () => true, confirm: failIfCalled, change: failIfCalled };
+    const denied = await Evacuate.run(gateway, { zone: 'a-1', isEvacuated: true, by: teamOperator });
     assert.equal(denied.status, 403);
     assert.match(JSON.stringify(denied.body), /nurse may not change evacuations/);
   });
--- a/test/silent-servers.test.ts
+++ b/test/silent-servers.test.ts
@@ -154,8 +154,8 @@
       {
         failures: { see: see('failure'), good: see('good') },
         ejector: { good: see('well'), bad: see('ill'), misdirected: see('misdirected') },
-        prover: { lost: see('lost'), suspect: see('suspect') },
-        ramp: { good: see('fed') },
+        healthChecker: { lost: see('lost'), suspect: see('suspect') },
+        slowStart: { good: see('fed') },
       },
       trial,
     );
--- a/tools/experiment/front.ts
+++ b/tools/experiment/front.ts
@@ -101,16 +101,16 @@
   readonly inFlight: InFlight;
   readonly ejector: Ejector;
   readonly failures: FailureScores;
-  readonly ramp: SlowStart;
+  readonly slowStart: SlowStart;
   readonly warmup: Warmup;
   readonly placement: Placement;
   readonly budget: Budget;
-  readonly prover: HealthChecker;
+  readonly healthChecker: HealthChecker;
 };
 
 const proverOf = (
   needs: Front.Needs,
-  parts: Omit<Parts, 'prover'>,
+  parts: Omit<Parts, 'healthChecker'>,
   newest: () => Compiled | undefined,
 ): HealthChecker =>
   HealthChecker.of({
@@ -122,9 +122,9 @@
       },
     } as unknown as Pool,
     newest,
-    isRecentlyHealthy: parts.ramp.isRecentlyHealthy,
+    isRecentlyHealthy: parts.slowStart.isRecentlyHealthy,
     onUnreachable({ instance }) {
-      parts.ramp.markUnreachable(instance);
+      parts.slowStart.markUnreachable(instance);
       needs.tellDark(instance);
     },
     onRecovered: () => {},
@@ -139,7 +139,7 @@
     inFlight,
     failures,
     ejector: Ejector.of(() => {}),
-    ramp: SlowStart.of(needs.node, roster),
+    slowStart: SlowStart.of(needs.node, roster),
     warmup: Warmup.of(needs.node, roster, () => warmupOvershoot),
     placement: Placement.of({
       region,
@@ -152,7 +152,7 @@
     } as Placement.Needs & Pick<Front.Needs, 'unread'>),
     budget: Budget.of(needs.sendTokens, extraTries, () => roster().length),
   };
-  return { ...parts, prover: proverOf(needs, parts, compiled) };
+  return { ...parts, healthChecker: proverOf(needs, parts, compiled) };
 };
 
 /** What is to be done when a stream has ended. */
@@ -221,9 +221,9 @@
       compiled: this.compiled(),
       inFlight: parts.inFlight,
       ejector: parts.ejector,
-      concurrencyLimit: parts.ramp.concurrencyLimit,
+      concurrencyLimit: parts.slowStart.concurrencyLimit,
       connectionLimit: () => Number.POSITIVE_INFINITY,
-      isUnreachable: parts.prover.isUnreachable,
+      isUnreachable: parts.healthChecker.isUnreachable,
       allowsWarmup: parts.warmup.allows,
       mayUseGroup: () => true,
       placement: parts.placement,
@@ -279,7 +279,7 @@
   ): void {
     const { parts, rule } = this;
     if (rule.isOnce) return;
-    watch.onStop = parts.prover.watch(server.instance, () => {
+    watch.onStop = parts.healthChecker.watch(server.instance, () => {
       if (parts.budget.held(group.name) >= 1) end('reset');
     });
   }
@@ -289,7 +289,7 @@
     const { parts, rule } = this;
     const gapAfter = Suspicion.pauseAfter(rule.gap);
     let timer = Timer.after(Suspicion.firstAfter(rule.aim), () => {
-      parts.prover.suspect(server);
+      parts.healthChecker.suspect(server);
       parts.failures.see(server.instance, Outcome.weights.silent);
     });
     const watch = {
@@ -297,7 +297,7 @@
       heard: () => timer.restart(),
       began() {
         timer.stop();
-        if (gapAfter !== undefined) timer = Timer.after(gapAfter, () => parts.prover.suspect(server));
+        if (gapAfter !== undefined) timer = Timer.after(gapAfter, () => parts.healthChecker.suspect(server));
       },
       stop() {
         timer.stop();
@@ -333,21 +333,22 @@
         parts.budget.retain(next.groups.keys());
         parts.placement.retain(next);
         parts.ejector.retain(next);
-        parts.prover.retain(next);
+        parts.healthChecker.retain(next);
         parts.failures.retain((instance) => next.servers.has(instance));
-        for (const kept of [parts.ramp, parts.warmup]) kept.retain((instance) => next.servers.has(instance));
+        for (const kept of [parts.slowStart, parts.warmup])
+          kept.retain((instance) => next.servers.has(instance));
       },
       hear: parts.placement.updateLoads,
       hearDark(instance) {
-        parts.prover.reportUnreachable(instance);
-        parts.ramp.markUnreachable(instance);
+        parts.healthChecker.reportUnreachable(instance);
+        parts.slowStart.markUnreachable(instance);
       },
       hearFailures: parts.failures.addReported,
       untold: parts.failures.takeUnreported,
       grant: (transfers) => parts.budget.grant(1, transfers),
       stop() {
         tending.stop();
-        parts.prover.stop();
+        parts.healthChecker.stop();
       },
     };
   },
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -83,7 +83,7 @@
   const inFlight = InFlight.of();
   const stall = Stall.of();
   const failures = FailureScores.of();
-  const ramp = SlowStart.of(own, roster);
+  const slowStart = SlowStart.of(own, roster);
   const budget = Budget.of();
   const amount = (terms.tokens ?? 1000) * RetryLimits.oneToken;
   for (const group of newest()?.groups.keys() ?? [])
@@ -92,13 +92,13 @@
   const pool: Pool = Pool.of({
     newest,
     onWrongIdentity() {},
-    onUnexpectedClose: (server) => prover.suspect(server),
+    onUnexpectedClose: (server) => healthChecker.suspect(server),
     proxies: () => 1,
   });
-  const prover: HealthChecker = HealthChecker.of({
+  const healthChecker: HealthChecker = HealthChecker.of({
     pool,
     newest,
-    isRecentlyHealthy: ramp.isRecentlyHealthy,
+    isRecentlyHealthy: slowStart.isRecentlyHealthy,
     onUnreachable() {},
     onRecovered() {},
   });
@@ -122,7 +122,7 @@
     budget,
     quotas: QuotaLimiter.of({ proxies: () => 1, send: () => true }),
     stall,
-    ramp,
+    slowStart,
     placement: Placement.of({
       failureCosts: failures.costs,
       region: () => newest()?.regionOf(zone),
@@ -132,7 +132,7 @@
       random: Math.random,
     }),
     warmup: Warmup.of(own, roster),
-    prover,
+    healthChecker,
     shares: Shares.of(),
     meters: Meters.of({
       stamp: () => newest()?.stamp ?? Stamp.none,
@@ -144,7 +144,7 @@
     overload: Overload.of({}),
     note() {},
   };
-  return { needs, prover };
+  return { needs, healthChecker };
 };
 
 export const Lab = {
@@ -189,7 +189,7 @@
         isStopped = true;
         server.closeAllConnections();
         await new Promise<void>((resolve) => server.close(() => resolve()));
-        made.prover.stop();
+        made.healthChecker.stop();
         await needs.pool.close();
         needs.stall.stop();
       },
--- a/tools/simulation/program.ts
+++ b/tools/simulation/program.ts
@@ -32,7 +32,7 @@
   start(startup: Startup['control'], ring: LogBuffer): Promise<Running> {
     Ticker.clear();
     return Control.start(startup, ring, {
-      operators({ office, onPrimary: order }) {
+      operators({ gateway, onPrimary: order }) {
         const app = new Hono();
         app.put(
           '/numbered',
@@ -41,13 +41,13 @@
               base: number;
               document: Document & { source: Document.Source };
             };
-            return PutNumbered.run(office, { base, document });
+            return PutNumbered.run(gateway, { base, document });
           }),
         );
         app.get(
           '/numbered',
           order(async () => {
-            const read = await ReadSource.run(office);
+            const read = await ReadSource.run(gateway);
             return read
               ? { status: 200, body: read.source }
               : Responses.unconfirmed('none', 'nothing is in place', 'no');
