--- a/test/log-levels.test.ts
+++ b/test/log-levels.test.ts
@@ -6,9 +6,24 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { after, before, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
 import { InForce } from '../tools/in-force.js';
 import { Bench } from './bench.js';
 
+const root = fileURLToPath(new URL('../..', import.meta.url));
+
+/** The texts that the programs log at level error, read from their sources. */
+const errorTexts = (): readonly string[] =>
+  ['src', 'platform']
+    .flatMap((folder) =>
+      readdirSync(join(root, folder), { recursive: true, encoding: 'utf8' }).map((name) =>
+        join(root, folder, name),
+      ),
+    )
+    .filter((file) => file.endsWith('.ts'))
+    .flatMap((file) => [...readFileSync(file, 'utf8').matchAll(/\b(?:alert|error|log)\(\s*'([^']+)'/g)])
+    .map(([, text]) => text!);
+
 type Line = { readonly level?: string; readonly message?: string };
 
 describe('a calm day', { timeout: 60_000 }, () => {
@@ -68,3 +83,15 @@
     );
   });
 });
+
+describe('a line at level error', () => {
+  it('has a row in the page for operators', () => {
+    const page = readFileSync(join(root, 'docs/operators.md'), 'utf8');
+    const texts = errorTexts();
+    assert.ok(texts.includes('the program ends'));
+    assert.deepEqual(
+      texts.filter((text) => !page.includes(`| \`${text}\` |`)),
+      [],
+    );
+  });
+});
