--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -50,8 +50,11 @@
   after(() => bench.stop());
 
   const requestHead = 'POST /plain/x HTTP/1.1\r\nhost: h\r\ncontent-type: text/plain\r\n';
-  /** Sends everything before it reads anything; the first line of the response, or the error. */
-  const sendRaw = async (head: string, pieces: readonly string[]): Promise<string> => {
+  /** The first line of the response, or the error. */
+  const sendRaw = async (head: string, pieces: readonly string[]): Promise<string> =>
+    (await exchange(head, pieces)).split('\r\n')[0]!;
+  /** Sends everything before it reads anything; all that comes back, or the error. */
+  const exchange = async (head: string, pieces: readonly string[]): Promise<string> => {
     const [host, port] = bench.kit.fronts[0]!.listen.split(':');
     const socket = connect(Number(port), host!);
     let text = '';
@@ -71,7 +74,7 @@
     });
     socket.once('end', () => socket.end());
     if (!socket.closed) await Promise.race([once(socket, 'close')]).catch(() => {});
-    return text.split('\r\n')[0] || failure;
+    return text || failure;
   };
   const send = (head: string, pieces: readonly string[]) => sendRaw(`${requestHead}${head}\r\n\r\n`, pieces);
   const repeat = async (ask: () => Promise<string>): Promise<ReadonlySet<string>> => {
@@ -97,6 +100,15 @@
     assert.deepEqual(await repeat(ask), new Set(['HTTP/1.1 413 Payload Too Large']));
   });
 
+  it('is read by every caller that asks whether it may send its body, and sends it', async () => {
+    const head = `${requestHead}expect: 100-continue\r\ncontent-length: ${bodyBytes}\r\n\r\n`;
+    const ask = async () => {
+      const text = await exchange(head, pieces(piece));
+      return text.split('\r\n').find((line) => line.startsWith('HTTP/1.1 4')) ?? text;
+    };
+    assert.deepEqual(await repeat(ask), new Set(['HTTP/1.1 413 Payload Too Large']));
+  });
+
   it('is read by every caller whose head is too long', async () => {
     const field = `x-long: ${piece}\r\n`;
     assert.deepEqual(
