Overload: malformed requests ask the limiter what is under way

Each request of every port was tracked twice: the connection limiter counts the active requests of a connection, and the answers to malformed requests kept a set of exchanges with a listener for each. They now ask the limiter, and keep the newest exchange alone. No change of behaviour; test/refusals also sends a malformed body (400, as before).

Beside it: the budget's rule of what fits stands once; three tests share the manifest of one open, plain group (Bench.openManifest); a field and an import in their usual places.

--- a/src/overload/connection-limiter.ts
+++ b/src/overload/connection-limiter.ts
@@ -12,6 +12,8 @@
   /** Counts the connections of a server. */
   readonly attach: (server: Server) => void;
   readonly openCount: () => number;
+  /** Requests of a connection whose response is not closed. */
+  readonly activeRequests: (socket: Socket) => number;
   /** How many connections were closed because of the bounds. */
   readonly closedCount: () => number;
 };
@@ -69,6 +71,7 @@
 
   readonly openCount = () => this.connections.size;
   readonly closedCount = () => this.closed;
+  readonly activeRequests = (socket: Socket) => this.connections.get(socket)?.activeRequests ?? 0;
 
   readonly attach = (server: Server): void => {
     server.prependListener('connection', this.add);
--- a/src/overload/malformed-requests.ts
+++ b/src/overload/malformed-requests.ts
@@ -7,6 +7,7 @@
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { ConnectionLimiter } from './connection-limiter.js';
 import { LingeringClose } from './lingering-close.js';
 
 /** Answers malformed requests. */
@@ -31,10 +32,13 @@
 };
 
 class Answerer implements MalformedRequests {
-  private readonly exchanges = new WeakMap<Duplex, Set<Exchange>>();
+  /** The newest exchange of each connection. */
+  private readonly newest = new WeakMap<Socket, Exchange>();
   private readonly answered = new WeakSet<Duplex>();
   private total = 0;
 
+  constructor(private readonly connections: Pick<ConnectionLimiter, 'activeRequests'>) {}
+
   readonly count = () => this.total;
 
   readonly attach = (server: Server): void => {
@@ -43,10 +47,7 @@
   };
 
   private readonly begin = (incoming: IncomingMessage, outgoing: ServerResponse): void => {
-    const exchange = { incoming, outgoing };
-    const open = this.exchanges.get(incoming.socket) ?? new Set();
-    this.exchanges.set(incoming.socket, open.add(exchange));
-    outgoing.once('close', () => open.delete(exchange));
+    this.newest.set(incoming.socket, { incoming, outgoing });
   };
 
   private readonly handleError = (error: NodeJS.ErrnoException, socket: Duplex): void => {
@@ -57,20 +58,28 @@
     }
     this.answered.add(socket);
     this.total += 1;
-    const open = [...(this.exchanges.get(socket) ?? [])];
-    if (open.length === 0) LingeringClose.end(socket as Socket, answerTo(error));
-    else this.endExchange(error, socket, open);
+    this.answer(error, socket as Socket);
   };
 
-  /** Answers the request whose body is malformed, unless it is answered already; then ends all of the connection. */
-  private endExchange(error: Error, socket: Duplex, [first, ...others]: readonly Exchange[]): void {
-    const isOwn = others.length === 0 && first?.incoming.complete === false && !first.outgoing.headersSent;
-    if (isOwn) socket.write(answerTo(error));
+  private answer(error: Error, socket: Socket): void {
+    const active = this.connections.activeRequests(socket);
+    if (active === 0) {
+      LingeringClose.end(socket, answerTo(error));
+      return;
+    }
+    if (active === 1 && this.isBodyMalformed(socket)) socket.write(answerTo(error));
     socket.destroy();
   }
+
+  /** Whether the newest request is still being received and has no answer. */
+  private isBodyMalformed(socket: Socket): boolean {
+    const { incoming, outgoing } = this.newest.get(socket)!;
+    return !incoming.complete && !outgoing.headersSent;
+  }
 }
 
 /** Creates answerers. */
 export const MalformedRequests = {
-  of: (): MalformedRequests => new Answerer(),
+  of: (connections: Pick<ConnectionLimiter, 'activeRequests'>): MalformedRequests =>
+    new Answerer(connections),
 };
--- a/src/overload/memory-budget.ts
+++ b/src/overload/memory-budget.ts
@@ -102,7 +102,7 @@
   /** Sheds other holdings until the bytes fit; false where the holding itself occupies most. */
   makeRoom(holding: Holding, bytes: number): boolean {
     const limit = this.limitFor(holding.bytes + bytes);
-    const isPossible = holding.bytes + bytes <= limit;
+    const isPossible = this.canFit(holding.bytes + bytes);
     while (isPossible && this.used + bytes > limit) {
       const heaviest = this.findHeaviest();
       if (heaviest === undefined || heaviest === holding) break;
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -2,7 +2,6 @@
  * What protects one process against more than it can hold: a bound on the bytes of bodies and unread responses, on client
  * connections, on frames of links and on links, all derived from the memory and the descriptors of its machine.
  */
-
 import type { Server } from 'node:http';
 import { BodyReader } from './body-reader.js';
 import { ConnectionLimiter } from './connection-limiter.js';
@@ -69,7 +68,7 @@
       maxConnections: limits.connections,
       shedOldest: memory.shedOldest,
     });
-    const malformed = MalformedRequests.of();
+    const malformed = MalformedRequests.of(connections);
     const overload = {
       memory,
       bodies: BodyReader.of(memory),
--- a/src/wire/frame-reader.ts
+++ b/src/wire/frame-reader.ts
@@ -21,6 +21,8 @@
 class Reader implements FrameReader {
   /** Bytes that belong to a frame which has not arrived completely. */
   private partial: ByteAssembler | undefined;
+  /** The length of the partial frame with its prefix; until that is known, of the prefix. */
+  private neededBytes = 0;
   private holding: MemoryBudget.Holding | undefined;
 
   constructor(
@@ -60,9 +62,6 @@
     return bytes;
   }
 
-  /** The length of the partial frame with its prefix; until that is known, of the prefix. */
-  private neededBytes = 0;
-
   private keep(bytes: Buffer): void {
     if (!this.partial) {
       this.holding = this.memory?.hold(this.shed);
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -27,6 +27,13 @@
     readonly text: string;
     readonly isBroken: boolean;
   };
+  /** What an open manifest is made of; `group` holds further fields of its group. */
+  type OpenTerms = {
+    readonly regions: readonly string[];
+    readonly group?: object;
+    readonly rules: readonly object[];
+    readonly limits?: object;
+  };
   type Handle = (request: IncomingMessage, response: ServerResponse, body: string) => void;
   type Terms = {
     readonly instance: string;
@@ -174,8 +181,27 @@
   }
 };
 
+/** A manifest of one plain group, `lookup`, whose servers prove their identity by a header; its routes need no key. */
+const openManifest = ({ regions, group = {}, ...more }: Bench.OpenTerms): Document =>
+  ({
+    zones: manifest.zones,
+    groups: {
+      lookup: {
+        kind: 'plain',
+        regions,
+        proof: { header: 'x-wanted-instance', misdirected: 421 },
+        not_run: [{ status: 421 }],
+        ...group,
+      },
+    },
+    homes: { all: { regions } },
+    teams: { everybody: { keys: [], home: 'all', open: true } },
+    ...more,
+  }) as unknown as Document;
+
 export const Bench = {
   manifest,
+  openManifest,
   key,
   models,
   sse: (response: ServerResponse, pieces: readonly string[], isWhole = true) => {
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -19,23 +19,12 @@
   ...more,
 });
 const of = (limits: object, connections: number): Document =>
-  ({
-    zones: Bench.manifest.zones,
-    groups: {
-      lookup: {
-        kind: 'plain',
-        regions,
-        connections,
-        echo: 'bramblebend-request-id',
-        proof: { header: 'x-wanted-instance', misdirected: 421 },
-        not_run: [{ status: 421 }],
-      },
-    },
-    homes: { all: { regions } },
-    teams: { everybody: { keys: [], home: 'all', open: true } },
+  Bench.openManifest({
+    regions,
+    group: { connections, echo: 'bramblebend-request-id' },
     rules: [rule('plain'), rule('long', { body: 50_000 })],
     limits,
-  }) as unknown as Document;
+  });
 const limits = { header_bytes: 2048, body_bytes: 1000, header_time: 700, idle: 1200 };
 
 describe('limits', () => {
--- a/test/misdirected.test.ts
+++ b/test/misdirected.test.ts
@@ -4,22 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, it } from 'node:test';
-import type { Document } from '../src/manifest/document.js';
 import { Bench } from './bench.js';
 
 const regions = ['a', 'b'];
-const manifest = {
-  zones: Bench.manifest.zones,
-  groups: {
-    lookup: {
-      kind: 'plain',
-      regions,
-      proof: { header: 'x-wanted-instance', misdirected: 421 },
-      not_run: [{ status: 421 }],
-    },
-  },
-  homes: { all: { regions } },
-  teams: { everybody: { keys: [], home: 'all', open: true } },
+const manifest = Bench.openManifest({
+  regions,
   rules: [
     {
       name: 'single',
@@ -33,7 +22,7 @@
       retry: { retry_on: ['connect-failure', 'refused-stream', 'reset', '5xx'], count: 0 },
     },
   ],
-} as unknown as Document;
+});
 
 const answerServed: Bench.Handle = (_incoming, response) => void response.end('served');
 const answerMisdirected: Bench.Handle = (_incoming, response) => {
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -6,7 +6,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import { after, before, describe, it } from 'node:test';
-import type { Document } from '../src/manifest/document.js';
 import { InForce } from '../tools/in-force.js';
 import { Bench } from './bench.js';
 
@@ -14,19 +13,9 @@
 const maxBodyBytes = 1_000_000;
 const bodyBytes = 2 * maxBodyBytes;
 const callers = 24;
-const manifest = {
-  zones: Bench.manifest.zones,
-  groups: {
-    lookup: {
-      kind: 'plain',
-      regions,
-      echo: 'bramblebend-request-id',
-      proof: { header: 'x-wanted-instance', misdirected: 421 },
-      not_run: [{ status: 421 }],
-    },
-  },
-  homes: { all: { regions } },
-  teams: { everybody: { keys: [], home: 'all', open: true } },
+const manifest = Bench.openManifest({
+  regions,
+  group: { echo: 'bramblebend-request-id' },
   rules: [
     {
       name: 'plain',
@@ -38,7 +27,7 @@
     },
   ],
   limits: { body_bytes: maxBodyBytes },
-} as unknown as Document;
+});
 
 describe('a refusal to a caller that is still sending', { timeout: 60_000 }, () => {
   let bench: Bench;
@@ -121,6 +110,10 @@
     assert.deepEqual(await repeat(() => sendRaw('?', pieces(piece))), new Set(['HTTP/1.1 400 Bad Request']));
   });
 
+  it('is given to a caller whose body is malformed', async () => {
+    assert.equal(await send('transfer-encoding: chunked', ['no length\r\n']), 'HTTP/1.1 400 Bad Request');
+  });
+
   it('is not given in place of the answer to an earlier request that is under way', async () => {
     const server = await bench.backEnd({ instance: 'l1', group: 'lookup', region: 'a', handle: () => {} });
     await bench.list([server]);
