--- a/src/proxy/event-splitter.ts
+++ b/src/proxy/event-splitter.ts
@@ -3,6 +3,8 @@
  * event can be resumed after the last one that the client received; events that the client already has are left out. After
  * an event that has content but no id, the position in the stream is unknown and it cannot be resumed.
  */
+import { EventScanner } from '../wire/event-scanner.js';
+
 /** Splits one event stream, which may come from several servers in turn. */
 export type EventSplitter = {
   /** Adds received bytes and returns the new complete events, if any. */
@@ -28,43 +30,46 @@
   return Number.isFinite(a) && Number.isFinite(b) ? a > b : id !== last;
 };
 
-const findEventEnd = (bytes: Buffer, from: number): number => {
-  const lf = bytes.indexOf('\n\n', from, 'latin1');
-  const crlf = bytes.indexOf('\r\n\r\n', from, 'latin1');
-  if (lf < 0 && crlf < 0) return -1;
-  return crlf < 0 || (lf >= 0 && lf < crlf) ? lf + 2 : crlf + 4;
-};
+const join = (first: Buffer, second: Buffer): Buffer =>
+  first.length === 0 ? second : Buffer.concat([first, second]);
 
 /** Creates event splitters. */
 export const EventSplitter = {
   /** `first` is the id of the last event that the client already has. */
   of(first?: string): EventSplitter {
-    let buffered: Buffer = Buffer.alloc(0);
+    let scanner = EventScanner.of();
+    /** The beginning of an event whose end has not arrived. */
+    let pending: Buffer = Buffer.alloc(0);
     let last = first;
     let canResume = true;
+    /** Whether the client does not have the event yet; notes its id. */
+    const isNew = (event: Buffer): boolean => {
+      const text = event.toString('utf8');
+      const id = readId(text);
+      if (id !== undefined && last !== undefined && !isAfter(id, last)) return false;
+      if (id !== undefined) last = id;
+      if (id !== undefined || hasContent(text)) canResume = id !== undefined;
+      return true;
+    };
     return {
       lastId: () => last,
       canResume: () => canResume,
       reset() {
-        buffered = Buffer.alloc(0);
+        scanner = EventScanner.of();
+        pending = Buffer.alloc(0);
       },
-      remainder: () => (buffered.length > 0 ? buffered : undefined),
+      remainder: () => (pending.length > 0 ? pending : undefined),
       push(chunk) {
-        buffered = buffered.length > 0 ? Buffer.concat([buffered, chunk]) : chunk;
         const whole: Buffer[] = [];
         let start = 0;
-        for (let end = findEventEnd(buffered, start); end >= 0; end = findEventEnd(buffered, start)) {
-          const event = buffered.subarray(start, end);
+        for (const end of scanner.scan(chunk)) {
+          const event = join(pending, chunk.subarray(start, end));
+          pending = Buffer.alloc(0);
           start = end;
-          const text = event.toString('utf8');
-          const id = readId(text);
-          if (id !== undefined && last !== undefined && !isAfter(id, last)) continue;
-          if (id !== undefined) last = id;
-          if (id !== undefined || hasContent(text)) canResume = id !== undefined;
-          whole.push(event);
+          if (isNew(event)) whole.push(event);
         }
-        buffered = buffered.subarray(start);
-        return whole.length === 0 ? undefined : whole.length === 1 ? whole[0] : Buffer.concat(whole);
+        pending = join(pending, chunk.subarray(start));
+        return whole.length <= 1 ? whole[0] : Buffer.concat(whole);
       },
     };
   },
--- a/src/proxy/stream-response.ts
+++ b/src/proxy/stream-response.ts
@@ -8,6 +8,7 @@
 import { Instant } from '../common/instant.js';
 import { Suspicion } from '../upstream/suspicion.js';
 import type { UpstreamTry } from '../upstream/upstream-try.js';
+import { ContentKind } from '../wire/content-kind.js';
 import { BodyWriter } from './body-writer.js';
 import { Call } from './call.js';
 import { EventSplitter } from './event-splitter.js';
@@ -25,9 +26,7 @@
 /** Grace period after the deadline, in milliseconds: servers know the deadline and should stop by themselves. */
 const deadlineGraceMs = 200;
 
-const isEventStream = ({ headers }: ServerStream): boolean =>
-  String(headers['content-type'] ?? '').startsWith('text/event-stream') &&
-  (headers['content-encoding'] ?? 'identity') === 'identity';
+const isEventStream = ({ headers }: ServerStream): boolean => ContentKind.of(headers) === 'events';
 
 /** Aborts a response so that it looks truncated; one without a length or chunks needs a TCP reset for that. */
 const abortResponse = (outgoing: ServerResponse, { isDelimited }: BodyWriter): void => {
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -12,6 +12,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { Failure } from '../common/failure.js';
+import { BodyEnd } from '../wire/body-end.js';
 
 /** The result of an exchange. */
 export type Exchange =
@@ -73,15 +74,6 @@
 
 const maxResponseHeadBytes = 32 * 1024;
 
-const hasNoBody = (method: string, status: number): boolean =>
-  method === 'HEAD' || status === 204 || status === 304;
-
-/** Whether the response body is delimited only by the close of the connection. */
-const isDelimitedByClose = (method: string, { statusCode = 0, headers }: IncomingMessage): boolean =>
-  !hasNoBody(method, statusCode) &&
-  headers['content-length'] === undefined &&
-  !/chunked\s*$/i.test(headers['transfer-encoding'] ?? '');
-
 const methodsWithBody = new Set(['POST', 'PUT', 'PATCH']);
 
 /** Header names and values alternately, in the order in which they are sent. */
@@ -116,7 +108,11 @@
   });
 
 /** Callbacks from a response body to its exchange. */
-type BodyCallbacks = { readonly onBodyEnd: () => void; readonly abort: (cause: Error) => void };
+type BodyCallbacks = {
+  readonly onData: (chunk: Buffer) => void;
+  readonly onBodyEnd: () => void;
+  readonly abort: (cause: Error) => void;
+};
 
 /** A response body, read by a single sink. It stays in the stream until a sink is attached. */
 class ResponseBody implements Exchange.Body {
@@ -135,6 +131,7 @@
     else {
       response.once('end', callbacks.onBodyEnd);
       response.on('data', (chunk: Buffer) => {
+        callbacks.onData(chunk);
         if (!this.cause && !sink.write(chunk)) response.pause();
       });
     }
@@ -235,8 +232,11 @@
   private readonly onResponse = (response: IncomingMessage): void => {
     this.response = response;
     response.on('error', this.onError);
+    const { hasEndedCleanly } = this.transport;
+    const bodyEnd = BodyEnd.of({ method: this.outgoing.method, response, hasEndedCleanly });
     this.body = new ResponseBody(response, {
-      onBodyEnd: this.onBodyEnd,
+      onData: bodyEnd.add,
+      onBodyEnd: () => this.onBodyEnd(bodyEnd),
       abort: (cause) => this.fail(cause),
     });
     this.options.onHead?.(() => response.complete);
@@ -248,13 +248,11 @@
     });
   };
 
-  private readonly onBodyEnd = (): void => {
-    const { response, outgoing, transport } = this;
-    const isComplete =
-      response?.complete && (!isDelimitedByClose(outgoing.method, response) || transport.hasEndedCleanly());
-    if (isComplete) this.end();
-    else this.fail(Failure.of('reset', 'response truncated'));
-  };
+  private onBodyEnd(bodyEnd: BodyEnd): void {
+    const truncation = bodyEnd.truncation();
+    if (truncation === undefined) this.end();
+    else this.fail(Failure.of('reset', `response truncated: ${truncation}`));
+  }
 
   private end(): void {
     if (this.isFinished) return;
--- a/src/wire/http-client.ts
+++ b/src/wire/http-client.ts
@@ -9,6 +9,7 @@
 import { Address } from '../common/address.js';
 import { Failure } from '../common/failure.js';
 import { Timer } from '../common/timer.js';
+import { BodyEnd } from './body-end.js';
 
 /** Sends requests to other programs. */
 export type HttpClient = {
@@ -49,21 +50,26 @@
 
 /** Buffers the response body. */
 const collect = (
+  method: string,
   response: IncomingMessage,
   done: (body: Buffer) => void,
   fail: (cause: Error) => void,
 ): void => {
   const chunks: Buffer[] = [];
   let length = 0;
+  const { socket } = response;
+  const bodyEnd = BodyEnd.of({ method, response, hasEndedCleanly: () => socket.errored === null });
   response.on('data', (chunk: Buffer) => {
+    bodyEnd.add(chunk);
     length += chunk.length;
     if (length > maxBodyBytes) response.destroy(Failure.of('reset', 'the response exceeds the size limit'));
     else chunks.push(chunk);
   });
   response.once('error', fail);
   response.once('end', () => {
-    if (response.complete) done(Buffer.concat(chunks));
-    else fail(Failure.of('reset', 'the response was truncated'));
+    const truncation = bodyEnd.truncation();
+    if (truncation === undefined) done(Buffer.concat(chunks));
+    else fail(Failure.of('reset', `the response was truncated: ${truncation}`));
   });
 };
 
@@ -110,7 +116,7 @@
         settle();
         resolve({ status: response.statusCode ?? 0, headers: response.headers, body: whole });
       };
-      collect(response, done, fail);
+      collect(method, response, done, fail);
     });
     clientRequest.end(body);
   });
