The rule for whole bodies moves to common, where upstream may import it

The rule and its three scanners import nothing of the product, and both upstream/exchange and wire/http-client use them, so they belong to common.

--- a/src/proxy/event-splitter.ts
+++ b/src/proxy/event-splitter.ts
@@ -3,7 +3,7 @@
  * event can be resumed after the last one that the client received; events that the client already has are left out. After
  * an event that has content but no id, the position in the stream is unknown and it cannot be resumed.
  */
-import { EventScanner } from '../wire/event-scanner.js';
+import { EventScanner } from '../common/event-scanner.js';
 
 /** Splits one event stream, which may come from several servers in turn. */
 export type EventSplitter = {
--- a/src/proxy/stream-response.ts
+++ b/src/proxy/stream-response.ts
@@ -5,10 +5,10 @@
  * close of the client connection, so that the client never mistakes a truncated response for a complete one.
  */
 import type { ServerResponse } from 'node:http';
+import { ContentKind } from '../common/content-kind.js';
 import { Instant } from '../common/instant.js';
 import { Suspicion } from '../upstream/suspicion.js';
 import type { UpstreamTry } from '../upstream/upstream-try.js';
-import { ContentKind } from '../wire/content-kind.js';
 import { BodyWriter } from './body-writer.js';
 import { Call } from './call.js';
 import { EventSplitter } from './event-splitter.js';
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -11,8 +11,8 @@
   request,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import { BodyEnd } from '../common/body-end.js';
 import { Failure } from '../common/failure.js';
-import { BodyEnd } from '../wire/body-end.js';
 
 /** The result of an exchange. */
 export type Exchange =
--- a/src/wire/http-client.ts
+++ b/src/wire/http-client.ts
@@ -7,9 +7,9 @@
   request,
 } from 'node:http';
 import { Address } from '../common/address.js';
+import { BodyEnd } from '../common/body-end.js';
 import { Failure } from '../common/failure.js';
 import { Timer } from '../common/timer.js';
-import { BodyEnd } from './body-end.js';
 
 /** Sends requests to other programs. */
 export type HttpClient = {
--- a/test/truncated-bodies.test.ts
+++ b/test/truncated-bodies.test.ts
@@ -4,8 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
+import { EventScanner } from '../src/common/event-scanner.js';
 import { Failure } from '../src/common/failure.js';
-import { EventScanner } from '../src/wire/event-scanner.js';
 import { HttpClient } from '../src/wire/http-client.js';
 import { Lab } from '../tools/fuzz/lab.js';
 import { RawHttp } from '../tools/fuzz/raw-http.js';
