--- a/src/control/request-gate.ts
+++ b/src/control/request-gate.ts
@@ -5,8 +5,8 @@
 import type { HttpBindings } from '@hono/node-server';
 import type { Context, MiddlewareHandler } from 'hono';
 import { Instant } from '../common/instant.js';
+import { ClientConnection } from '../overload/client-connection.js';
 import { JsonCost } from '../overload/json-cost.js';
-import { LingeringClose } from '../overload/lingering-close.js';
 import type { Overload } from '../overload/overload.js';
 import { Responses } from './responses.js';
 
@@ -46,7 +46,8 @@
     const refuse = (context: Context, response: Responses): Response => {
       refused += 1;
       const connection = connectionOf(context);
-      if (connection?.incoming.complete === false) LingeringClose.prepare(connection.incoming.socket);
+      if (connection?.incoming.complete === false)
+        ClientConnection.of(connection.incoming.socket).lingerAtEnd();
       return respond(context, response);
     };
     /** Reserves what parsing the body takes until its response is closed; returns the refusal if there is no room. */
--- a/src/overload/connection-limiter.ts
+++ b/src/overload/connection-limiter.ts
@@ -1,19 +1,19 @@
 /**
  * Bounds the connections that clients keep open at all HTTP ports of a process. When the bound is reached, the connection that
  * has rested for longest is closed in favour of a new one; if none rests, a request whose body does not arrive to its end, or a
- * response that is not read, gives way. A client that sends many requests without waiting for answers is disconnected.
+ * response that is not read, gives way. A client that sends many requests without waiting for answers is disconnected once those
+ * that were read have been answered.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { Timer } from '../common/timer.js';
+import { ClientConnection } from './client-connection.js';
 
 /** Bounds connections. */
 export type ConnectionLimiter = {
   /** Counts the connections of a server. */
   readonly attach: (server: Server) => void;
   readonly openCount: () => number;
-  /** Requests of a connection whose response is not closed. */
-  readonly activeRequests: (socket: Socket) => number;
   /** How many connections were closed because of the bounds. */
   readonly closedCount: () => number;
 };
@@ -52,8 +52,7 @@
 const notHttp = 2;
 
 /**
- * Stops the parser of a connection in the middle of what it was given. It would go on making requests of all of that, also
- * after the connection is closed.
+ * Stops the parser of a connection in the middle of what it was given: it would go on making requests of all of that.
  */
 const stopParser = (socket: Socket & { readonly parser?: Parser | null }): void => {
   if (socket.parser) socket.parser.onIncoming = () => notHttp;
@@ -71,7 +70,6 @@
 
   readonly openCount = () => this.connections.size;
   readonly closedCount = () => this.closed;
-  readonly activeRequests = (socket: Socket) => this.connections.get(socket)?.activeRequests ?? 0;
 
   readonly attach = (server: Server): void => {
     server.prependListener('connection', this.add);
@@ -104,10 +102,7 @@
     const isFlood =
       connection.activeRequests > maxPipelined ||
       (connection.activeRequests > 1 && this.waiting > maxWaiting);
-    if (isFlood) {
-      stopParser(socket);
-      this.close(socket);
-    }
+    if (isFlood) this.stopReading(socket);
     outgoing.once('close', () => this.rest(socket, connection));
   };
 
@@ -156,9 +151,17 @@
     this.close(socket);
   }
 
+  /** Takes no further request of a connection, which ends once those that were read have been answered. */
+  private stopReading(socket: Socket): void {
+    this.closed += 1;
+    stopParser(socket);
+    ClientConnection.of(socket).finish();
+    socket.pause();
+  }
+
   private close(socket: Socket): void {
     this.closed += 1;
-    socket.destroy();
+    ClientConnection.of(socket).abort();
   }
 }
 
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -68,7 +68,7 @@
       maxConnections: limits.connections,
       shedOldest: memory.shedOldest,
     });
-    const malformed = MalformedRequests.of(connections);
+    const malformed = MalformedRequests.of();
     const overload = {
       memory,
       bodies: BodyReader.of(memory),
--- a/src/proxy/body-writer.ts
+++ b/src/proxy/body-writer.ts
@@ -11,8 +11,6 @@
   readonly write: (chunk: Buffer) => boolean;
   /** Ends the body with an optional last chunk. */
   readonly end: (last: Buffer | undefined, done: () => void) => void;
-  /** Whether the client can tell that a response which ends now is truncated. */
-  readonly isDelimited: boolean;
 };
 
 const lineEnd = '\r\n';
@@ -33,13 +31,11 @@
   of(outgoing: ServerResponse): BodyWriter {
     if (!outgoing.chunkedEncoding)
       return {
-        isDelimited: outgoing.hasHeader('content-length'),
         write: (chunk) => outgoing.write(chunk),
         end: (last, done) => void outgoing.end(last, done),
       };
     outgoing.chunkedEncoding = false;
     return {
-      isDelimited: true,
       write: (chunk) => chunk.length === 0 || outgoing.write(frame(chunk)),
       end: (last, done) =>
         void outgoing.end(last ? Buffer.concat([frame(last), lastChunk]) : lastChunk, done),
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -1,10 +1,11 @@
 /** State of one client request as it passes through the filter chain. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { Id } from '../common/id.js';
 import type { Instant } from '../common/instant.js';
 import type { Compiled } from '../manifest/compiled.js';
 import type { Document } from '../manifest/document.js';
 import type { Wall } from '../manifest/wall.js';
+import type { ClientResponse } from '../overload/client-response.js';
 import type { Tries } from '../upstream/tries.js';
 import type { Dialect } from './dialect.js';
 import type { Prompt } from './prompt.js';
@@ -14,7 +15,7 @@
   readonly id: Id.Request;
   readonly arrivedAt: Instant;
   readonly incoming: IncomingMessage;
-  readonly outgoing: ServerResponse;
+  readonly outgoing: ClientResponse;
   readonly method: string;
   /** The request path exactly as the client sent it, without the query. */
   readonly path: string;
--- a/src/proxy/client-connections.ts
+++ b/src/proxy/client-connections.ts
@@ -1,18 +1,15 @@
 /**
- * The connections of clients, each with the limits that it took when it was opened: its parser keeps the header size limit, and
- * its timer the idle timeout. When these limits change, connections at rest are closed and the others are closed after their
- * response. A request that crosses the close was not read and may be sent again.
+ * The connections of the client port, each with the limits that it took when it was opened: its parser keeps the header size limit,
+ * and its timer the idle timeout. When these limits change, connections opened under others are finished.
  */
+import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
+import { ClientConnection } from '../overload/client-connection.js';
 
 /** The open connections. */
 export type ClientConnections = {
-  /** Registers a new connection under the current limits. */
-  readonly add: (socket: Socket) => void;
-  /** Whether a connection was opened under other limits than the current ones. */
-  readonly isOutdated: (socket: Socket) => boolean;
-  /** Registers a request on a connection; the returned function registers that its response is complete. */
-  readonly begin: (socket: Socket) => () => void;
+  /** Announces the close with the next response of each connection, also of those opened later. */
+  readonly announceEnd: () => void;
   /** Applies new limits. */
   readonly setLimits: (limits: ClientConnections.Limits) => void;
 };
@@ -23,51 +20,61 @@
   type Limits = { readonly headerBytes: number; readonly idleMs: number };
 }
 
-type Connection = {
-  readonly limits: ClientConnections.Limits;
-  activeRequests: number;
-  /** Bytes received when the last response was complete; more than that are part of a next request. */
-  bytesAtRest: number;
-};
-
 const isSame = (a: ClientConnections.Limits, b: ClientConnections.Limits): boolean =>
   a.headerBytes === b.headerBytes && a.idleMs === b.idleMs;
 
-/** Creates an empty register. */
+class Register implements ClientConnections {
+  private readonly limitsOf = new Map<Socket, ClientConnections.Limits>();
+  private isEnding = false;
+
+  constructor(private limits: ClientConnections.Limits) {}
+
+  readonly attach = (server: Server): void => {
+    server.prependListener('connection', this.add);
+    // The HTTP server has its own idea of rest, and ends what it closes in order.
+    server.closeIdleConnections = this.finishUsed;
+    server.closeAllConnections = this.abortAll;
+  };
+
+  readonly announceEnd = (): void => {
+    this.isEnding = true;
+    for (const connection of this.connections()) connection.announceEnd();
+  };
+
+  readonly setLimits = (next: ClientConnections.Limits): void => {
+    if (isSame(this.limits, next)) return;
+    this.limits = next;
+    for (const [socket, limits] of this.limitsOf)
+      if (!isSame(limits, next)) ClientConnection.of(socket).finish();
+  };
+
+  private readonly add = (socket: Socket): void => {
+    const connection = ClientConnection.of(socket);
+    this.limitsOf.set(socket, this.limits);
+    socket.once('close', () => this.limitsOf.delete(socket));
+    if (this.isEnding) connection.announceEnd();
+  };
+
+  private connections(): readonly ClientConnection[] {
+    return [...this.limitsOf.keys()].map(ClientConnection.of);
+  }
+
+  /** One that was never used has a client whose first request may be on its way. */
+  private readonly finishUsed = (): void => {
+    for (const connection of this.connections()) if (connection.isUsed()) connection.finish();
+  };
+
+  private readonly abortAll = (): void => {
+    for (const connection of this.connections()) connection.abort();
+  };
+}
+
+/** Registers connections. */
 export const ClientConnections = {
-  of(initial: ClientConnections.Limits): ClientConnections {
-    let limits = initial;
-    const connections = new Map<Socket, Connection>();
-    const isOutdated = (socket: Socket): boolean => {
-      const connection = connections.get(socket);
-      return connection !== undefined && !isSame(connection.limits, limits);
-    };
-    const closeIfAtRest = (socket: Socket): void => {
-      const connection = connections.get(socket);
-      if (!connection || connection.activeRequests > 0) return;
-      if (socket.bytesRead === connection.bytesAtRest) socket.destroySoon();
-    };
-    return {
-      isOutdated,
-      add(socket) {
-        connections.set(socket, { limits, activeRequests: 0, bytesAtRest: socket.bytesRead });
-        socket.once('close', () => connections.delete(socket));
-      },
-      begin(socket) {
-        const connection = connections.get(socket);
-        if (connection) connection.activeRequests += 1;
-        return () => {
-          if (!connection) return;
-          connection.activeRequests -= 1;
-          connection.bytesAtRest = socket.bytesRead;
-          if (isOutdated(socket)) closeIfAtRest(socket);
-        };
-      },
-      setLimits(next) {
-        if (isSame(limits, next)) return;
-        limits = next;
-        for (const socket of connections.keys()) if (isOutdated(socket)) closeIfAtRest(socket);
-      },
-    };
+  /** Registers the connections of a server, which closes them as they decide from now on. */
+  attach(server: Server, limits: ClientConnections.Limits): ClientConnections {
+    const register = new Register(limits);
+    register.attach(server);
+    return register;
   },
 };
--- a/src/proxy/program.ts
+++ b/src/proxy/program.ts
@@ -218,7 +218,7 @@
       listSerial: () => feed.view().platform.serial,
     });
     const isReady = ready.reason;
-    const { server, setLimits } = ProxyServer.of(
+    const { server, setLimits, announceEnd } = ProxyServer.of(
       {
         compiled: () => compiled,
         firstManifest,
@@ -323,15 +323,14 @@
       ready: { listen: Address.text(listening), ops: Address.text(opsAt) },
       async drain() {
         drain.begin();
+        announceEnd();
         uplink.announce();
         await Timer.sleep(startup.linger ?? 0);
         const late = Timer.after(drainMs() - (startup.linger ?? 0), () => server.closeAllConnections());
-        const idle = Timer.every(100, () => server.closeIdleConnections());
         await new Promise<void>((resolve) => {
           server.close(() => resolve());
           server.closeIdleConnections();
         });
-        idle.stop();
         late.stop();
         uplink.stop();
         await uplink.done;
--- a/src/proxy/responses.ts
+++ b/src/proxy/responses.ts
@@ -3,7 +3,7 @@
  * did not and never will; "unknown" means that it may have.
  */
 import { Stamp } from '../common/stamp.js';
-import { LingeringClose } from '../overload/lingering-close.js';
+import { ClientConnection } from '../overload/client-connection.js';
 import type { Call } from './call.js';
 
 /** An error response of the proxy itself. */
@@ -58,13 +58,14 @@
   /** Answers with an error; if a response has already started, closes the connection instead. */
   refuse(call: Call, response: Responses): 'answered' {
     const { id, compiled, dialect, incoming, outgoing } = call;
+    const connection = ClientConnection.of(incoming.socket);
     if (outgoing.headersSent) {
-      outgoing.destroy();
+      connection.abort();
       return 'answered';
     }
     // The rest of the request body was not read, so the connection cannot be reused.
     const isClosing = !incoming.complete;
-    if (isClosing) LingeringClose.prepare(incoming.socket);
+    if (isClosing) connection.lingerAtEnd();
     const { status, headers, body } = dialect.errorResponse({
       id,
       ...response,
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -2,10 +2,12 @@
  * The HTTP server for clients: every request passes through a chain of filters, each of which may answer it. Limits on
  * headers, bodies and idle connections follow the newest manifest; connections opened under other limits are closed.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { Failure } from '../common/failure.js';
 import { Instant } from '../common/instant.js';
 import type { Document } from '../manifest/document.js';
+import { ClientConnection } from '../overload/client-connection.js';
+import { ClientResponse } from '../overload/client-response.js';
 import type { Call } from './call.js';
 import { ClientConnections } from './client-connections.js';
 import type { Filter } from './filter.js';
@@ -25,6 +27,8 @@
   readonly server: Server;
   /** Applies the connection limits of the newest manifest. */
   readonly setLimits: (limits: Document.Limits) => void;
+  /** Begins to announce the close of each connection with its next response. */
+  readonly announceEnd: () => void;
 };
 
 type ConnectionLimits = {
@@ -38,27 +42,6 @@
 /** Time for receiving a whole request, in milliseconds, unless the header timeout is longer. */
 const requestTimeoutMs = 30_000;
 
-/**
- * Closes pipelined responses when their connection closes. Node.js closes only the response being sent and does not
- * notify those queued behind it on the same connection.
- */
-const closeWithConnection = ({ socket }: IncomingMessage, outgoing: ServerResponse): void => {
-  if (outgoing.socket && !socket.destroyed) return;
-  let isClosed = false;
-  const close = () => {
-    if (isClosed) return;
-    outgoing.destroy();
-    outgoing.emit('close');
-  };
-  const end = () => void setImmediate(close);
-  outgoing.once('close', () => {
-    isClosed = true;
-    socket.removeListener('close', end);
-  });
-  if (socket.destroyed) end();
-  else socket.once('close', end);
-};
-
 type Probes = {
   /** The reason why the proxy is not ready; undefined when it is ready. */
   readonly isReady: () => string | undefined;
@@ -83,7 +66,7 @@
 const createCall = (
   needs: Filter.Dependencies,
   incoming: IncomingMessage,
-  outgoing: ServerResponse,
+  outgoing: ClientResponse,
 ): Call => {
   const { dialect } = needs;
   const abort = new AbortController();
@@ -136,17 +119,14 @@
 ];
 
 /** Handles requests. */
-const createHandler = (needs: Filter.Dependencies, probes: Probes, connections: ClientConnections) => {
+const createHandler = (needs: Filter.Dependencies, probes: Probes) => {
   const filters = createFilters(needs);
   const probe = createProbeFilter(needs, probes);
-  return async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
-    const call = createCall(needs, incoming, outgoing);
-    outgoing.once('close', connections.begin(incoming.socket));
-    if (probe(call) === 'answered') return;
-    closeWithConnection(incoming, outgoing);
+  const handle = async (call: Call): Promise<void> => {
+    const { outgoing, clientAbort } = call;
+    if (clientAbort.aborted || probe(call) === 'answered') return;
     outgoing.once('close', () => probes.change(-1));
     probes.change(1);
-    if (needs.drain.isDraining() || connections.isOutdated(incoming.socket)) outgoing.shouldKeepAlive = false;
     try {
       await runFilters(filters, call);
       Quota.refundIfNotRun(call);
@@ -154,26 +134,33 @@
       answerInternalError(needs, call, error);
     }
   };
+  return (incoming: IncomingMessage, outgoing: ClientResponse): void => {
+    const call = createCall(needs, incoming, outgoing);
+    ClientConnection.of(incoming.socket).takeTurn(outgoing, () => void handle(call));
+  };
 };
 
 /** Creates the HTTP server for clients. */
 export const ProxyServer = {
   of(needs: Filter.Dependencies, probes: Probes): ProxyServer {
-    const connections = ClientConnections.of({ headerBytes: defaults.header_bytes, idleMs: defaults.idle });
-    const handle = createHandler(needs, probes, connections);
     const server = createServer(
       {
+        ServerResponse: ClientResponse,
         headersTimeout: defaults.header_time,
         requestTimeout: requestTimeoutMs,
         keepAliveTimeout: defaults.idle,
         maxHeaderSize: defaults.header_bytes,
         connectionsCheckingInterval: 1000,
       },
-      (incoming, outgoing) => void handle(incoming, outgoing),
+      createHandler(needs, probes),
     ) as Server & { maxHeaderSize: number };
-    server.prependListener('connection', connections.add);
+    const connections = ClientConnections.attach(server, {
+      headerBytes: defaults.header_bytes,
+      idleMs: defaults.idle,
+    });
     return {
       server,
+      announceEnd: connections.announceEnd,
       setLimits({ header_bytes, header_time, idle }) {
         const headerBytes = header_bytes ?? defaults.header_bytes;
         const idleMs = idle ?? defaults.idle;
--- a/src/proxy/stream-response.ts
+++ b/src/proxy/stream-response.ts
@@ -4,9 +4,9 @@
  * event stream may be resumed on another server if its rule allows this. Any other broken response ends with an abrupt
  * close of the client connection, so that the client never mistakes a truncated response for a complete one.
  */
-import type { ServerResponse } from 'node:http';
 import { ContentKind } from '../common/content-kind.js';
 import { Instant } from '../common/instant.js';
+import { ClientConnection } from '../overload/client-connection.js';
 import { Suspicion } from '../upstream/suspicion.js';
 import type { UpstreamTry } from '../upstream/upstream-try.js';
 import { BodyWriter } from './body-writer.js';
@@ -14,7 +14,6 @@
 import { EventSplitter } from './event-splitter.js';
 import type { Filter } from './filter.js';
 import { HeaderFilter } from './header-filter.js';
-import { Reset } from './reset.js';
 import { StreamPump } from './stream-pump.js';
 
 /** A response whose headers have been sent. */
@@ -28,12 +27,6 @@
 
 const isEventStream = ({ headers }: ServerStream): boolean => ContentKind.of(headers) === 'events';
 
-/** Aborts a response so that it looks truncated; one without a length or chunks needs a TCP reset for that. */
-const abortResponse = (outgoing: ServerResponse, { isDelimited }: BodyWriter): void => {
-  if (isDelimited || !outgoing.socket) outgoing.destroy();
-  else Reset.now(outgoing.socket);
-};
-
 const discard = async ({ connection, job }: ServerStream): Promise<void> => {
   await connection.destroy();
   job.end();
@@ -77,11 +70,11 @@
   }
 
   async relay(): Promise<StreamPump> {
-    const { outgoing } = this.call;
+    const { incoming, outgoing } = this.call;
     let result = await this.relayBody();
     while (result === 'server' && (await this.resume())) result = await this.relayBody();
     if (result === 'done' || result === 'client') return result;
-    abortResponse(outgoing, this.chunks);
+    ClientConnection.of(incoming.socket).abort();
     return outgoing.writableFinished ? 'done' : result;
   }
 
--- a/test/chunks.test.ts
+++ b/test/chunks.test.ts
@@ -4,17 +4,18 @@
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer, type ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
 import { type AddressInfo, connect } from 'node:net';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
+import { ClientResponse } from '../src/overload/client-response.js';
 import { BodyWriter } from '../src/proxy/body-writer.js';
 
 const responseText = async (
-  answer: (response: ServerResponse) => void,
+  answer: (response: ClientResponse) => void,
   request = 'GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n',
 ): Promise<string> => {
-  const server = createServer((_request, response) => {
+  const server = createServer({ ServerResponse: ClientResponse }, (_request, response) => {
     response.sendDate = false;
     answer(response);
   });
@@ -43,7 +44,7 @@
             response.writeHead(200, { 'content-type': 'text/plain' });
             response.flushHeaders();
             const chunks = BodyWriter.of(response);
-            assert.equal(chunks.isDelimited, true);
+            assert.equal(response.isDelimited, true);
             for (const one of buffers) chunks.write(one);
             chunks.end(rest, () => {});
           });
@@ -60,18 +61,21 @@
     );
   });
 
-  it('leaves an answer with a length as it is', async () => {
-    const text = await responseText((response) => {
-      response.setHeader('content-length', '5');
-      response.writeHead(200);
-      response.flushHeaders();
-      const chunks = BodyWriter.of(response);
-      assert.equal(chunks.isDelimited, true);
-      chunks.write(Buffer.from('he'));
-      chunks.end(Buffer.from('llo'), () => {});
+  for (const [how, writeHead] of [
+    ['set before', (response: ClientResponse) => response.setHeader('content-length', '5').writeHead(200)],
+    ['written with the head', (response: ClientResponse) => response.writeHead(200, { 'content-length': 5 })],
+  ] as const)
+    it(`leaves an answer with a length as it is, ${how}`, async () => {
+      const text = await responseText((response) => {
+        writeHead(response);
+        response.flushHeaders();
+        const chunks = BodyWriter.of(response);
+        assert.equal(response.isDelimited, true);
+        chunks.write(Buffer.from('he'));
+        chunks.end(Buffer.from('llo'), () => {});
+      });
+      assert.ok(text.endsWith('\r\n\r\nhello'), text);
     });
-    assert.ok(text.endsWith('\r\n\r\nhello'), text);
-  });
 
   it('shows no end where the answer breaks off', async () => {
     const text = await responseText((response) => {
@@ -89,7 +93,7 @@
       response.writeHead(200, {});
       response.flushHeaders();
       const chunks = BodyWriter.of(response);
-      assert.equal(chunks.isDelimited, false);
+      assert.equal(response.isDelimited, false);
       chunks.write(Buffer.from('plain'));
       chunks.end(undefined, () => {});
     }, 'GET / HTTP/1.0\r\n\r\n');
--- a/test/connection.test.ts
+++ b/test/connection.test.ts
@@ -6,7 +6,7 @@
 import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import type { Compiled } from '../src/manifest/compiled.js';
-import { Reset } from '../src/proxy/reset.js';
+import { Reset } from '../src/overload/reset.js';
 import { Connection } from '../src/upstream/connection.js';
 import type { Exchange } from '../src/upstream/exchange.js';
 import { Lab } from '../tools/fuzz/lab.js';
--- a/test/request-client.test.ts
+++ b/test/request-client.test.ts
@@ -128,7 +128,9 @@
 });
 
 describe('a client that', () => {
-  it('pipelines requests gets the responses in order', async () => {
+  it('pipelines requests has each passed on after the response before it, and gets the responses in order', {
+    timeout: 10_000,
+  }, async () => {
     const held: RequestKit.Arrival[] = [];
     const server = await serve((arrival) => void held.push(arrival));
     const lab = await start({ servers: [server] });
@@ -137,11 +139,22 @@
     socket.on('data', (bytes: Buffer) => {
       text += bytes.toString('latin1');
     });
-    socket.write(request('/once/a', { 'attempt-id': 'p1' }) + request('/once/b', { 'attempt-id': 'p2' }));
-    await until(() => held.length === 2);
-    for (const one of held.sort((a, b) => (a.target < b.target ? 1 : -1))) mine(one);
-    await until(() => text.includes('body of p2'));
-    assert.ok(text.indexOf('body of p1') < text.indexOf('body of p2'));
+    const ids = ['p1', 'p2', 'p3'];
+    socket.write(ids.map((id) => request('/once/a', { 'attempt-id': id })).join(''));
+    for (const id of ids) {
+      await until(() => held.length > 0);
+      for (let turn = 0; turn < 20; turn += 1) await new Promise<void>((resolve) => setImmediate(resolve));
+      assert.deepEqual(
+        held.map(({ headers }) => headers['attempt-id']),
+        [id],
+      );
+      assert.doesNotMatch(text, new RegExp(`body of ${id}`));
+      mine(held.shift()!);
+      await until(() => text.includes(`body of ${id}`));
+    }
+    assert.deepEqual(text.match(/HTTP\/1\.1 \d+|body of p\d/g), [
+      ...ids.flatMap((id) => ['HTTP/1.1 200', `body of ${id}`]),
+    ]);
     socket.destroy();
   });
   it('pipelines requests and disconnects leaves nothing behind', { timeout: 10_000 }, async () => {
@@ -149,9 +162,10 @@
     const lab = await start({ servers: [server] });
     const socket = await Lab.connect(lab.address);
     socket.write(request('/safe/a') + request('/safe/b') + request('/safe/c'));
-    await until(() => server.arrivals.length === 3);
+    await until(() => server.arrivals.length === 1);
     socket.destroy();
     await untilWithoutTimers(() => server.sockets.size === 0 && lab.active() === 0);
+    assert.equal(server.arrivals.length, 1);
   });
   it('half-closes the connection gets a response or a close, and its request is cancelled', async () => {
     const server = await serve(silent);
--- a/test/request-path.test.ts
+++ b/test/request-path.test.ts
@@ -3,7 +3,7 @@
 // responses, and what the client is told when an attempt was lost.
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { Reset } from '../src/proxy/reset.js';
+import { Reset } from '../src/overload/reset.js';
 import { Lab } from '../tools/fuzz/lab.js';
 import { RawHttp } from '../tools/fuzz/raw-http.js';
 import { RequestKit } from './request-kit.js';
--- a/tools/fuzz/lab.ts
+++ b/tools/fuzz/lab.ts
@@ -1,6 +1,7 @@
 // A real request path in this process: the callers' port with all its filters, the pool and the tries as the
 // proxy starts them, between a client and servers that write raw bytes. Nothing but the control plane is left
 // out; the manifest and the list of servers are handed in.
+import type { Server } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import type { Guard } from '../../src/common/guard.js';
@@ -38,6 +39,12 @@
   /** How many connections the proxy holds to servers. */
   readonly connections: () => number;
   readonly inFlight: InFlight;
+  /** The callers' port. */
+  readonly server: Server;
+  /** Changes the limits of callers' connections. */
+  readonly setLimits: (limits: Document.Limits) => void;
+  /** Begins to announce the close of callers' connections. */
+  readonly announceEnd: () => void;
   /** Connections that callers hold open. */
   readonly callers: () => Promise<number>;
   readonly stop: () => Promise<void>;
@@ -168,19 +175,23 @@
       () => active,
     );
     const needs = terms.alter ? terms.alter(made.needs) : made.needs;
-    const { server, setLimits: limit } = ProxyServer.of(needs, {
+    const { server, setLimits, announceEnd } = ProxyServer.of(needs, {
       isReady: () => undefined,
       change(by) {
         active += by;
       },
     });
-    limit(compiled.limits);
+    needs.overload.attach(server);
+    setLimits(compiled.limits);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     return {
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
       active: () => active,
       connections: needs.pool.count,
       inFlight: needs.inFlight,
+      server,
+      setLimits,
+      announceEnd,
       callers: () =>
         new Promise((resolve, reject) =>
           server.getConnections((error, count) => (error ? reject(error) : resolve(count))),
--- a/tools/fuzz/scripted-server.ts
+++ b/tools/fuzz/scripted-server.ts
@@ -1,7 +1,7 @@
 // The server of the fuzzer: plays on each arrival what the case wants, byte by byte, and writes down what arrived and
 // what it worked on before anything is answered.
 import type { Socket } from 'node:net';
-import { Reset } from '../../src/proxy/reset.js';
+import { Reset } from '../../src/overload/reset.js';
 import { FuzzWords } from '../platform/fuzz-words.js';
 import type { Book } from './book.js';
 import type { Case } from './cases.js';
