A second SIGTERM no longer ends a program around the requests that it drains

Callers saw, by the code: a proxy that gets SIGTERM again while it drains ended at once, and the connections of all requests that it had passed on with it. Signals that come in series do that.

Cause: the handler of both signals ended the program when it was already draining. Change: a further SIGTERM changes nothing. SIGINT, by which an operator at a terminal means it, still ends it at once. Evidence: test/program-end.test.ts, "drains to its end though SIGTERM comes again": fails on, holds now; "ends at once by SIGINT" holds on both.

--- a/src/startup/program.ts
+++ b/src/startup/program.ts
@@ -1,8 +1,8 @@
 /**
  * What all daemons share. Flags and the startup file are validated together and all findings are reported at once. One
  * JSON line on standard output tells when the program is ready and where it listens. SIGTERM or SIGINT drains the
- * program, a second signal terminates it at once. Exit codes: 0 after a drain, 1 after a failure, 2 for an invalid
- * startup.
+ * program. While it drains, a further SIGTERM changes nothing, so that the requests under way are answered; a SIGINT
+ * terminates it at once. Exit codes: 0 after a drain, 1 after a failure, 2 for an invalid startup.
  */
 import { readFileSync } from 'node:fs';
 import sade from 'sade';
@@ -101,12 +101,13 @@
   } catch (error) {
     return exitWithError(error);
   }
-  const drainOrExit = () => {
-    if (isDraining) process.exit(0);
+  const drain = () => {
+    if (isDraining) return;
     isDraining = true;
     program.drain().then(() => process.exit(0), exitWithError);
   };
-  process.on('SIGTERM', drainOrExit);
+  const drainOrExit = () => (isDraining ? process.exit(0) : drain());
+  process.on('SIGTERM', drain);
   process.on('SIGINT', drainOrExit);
   const { name, node } = options;
   process.stdout.write(
--- a/test/program-end.test.ts
+++ b/test/program-end.test.ts
@@ -53,3 +53,37 @@
     assert.deepEqual(exitEntries(entries), []);
   });
 });
+
+/** Starts a program whose drain takes a while, sends it these signals one after the other, and waits for its end. */
+const drainUnder = async (signals: readonly NodeJS.Signals[]) => {
+  const code = `import { Program } from ${module};
+    setInterval(() => {}, 1000);
+    const drain = async () => {
+      console.log('draining');
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      console.log('drained');
+    };
+    Program.run({ name: 'p', node: 'a-node', start: async () => ({ ready: {}, drain }) });`;
+  const child = spawn(process.execPath, ['--input-type=module', '--eval', code], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const ended = new Promise<number | null>((resolve) => child.once('exit', resolve));
+  let output = '';
+  const left = [...signals];
+  child.stdout.on('data', (bytes: Buffer) => {
+    output += String(bytes);
+    if (left.length === signals.length) child.kill(left.shift());
+    else if (output.includes('draining')) for (const signal of left.splice(0)) child.kill(signal);
+  });
+  return { code: await ended, isDrained: output.includes('drained') };
+};
+
+describe('a program that drains', () => {
+  // A second SIGTERM ended a proxy at once, around the requests that it had passed on.
+  it('drains to its end though SIGTERM comes again', async () => {
+    assert.deepEqual(await drainUnder(['SIGTERM', 'SIGTERM', 'SIGTERM']), { code: 0, isDrained: true });
+  });
+  it('ends at once by SIGINT', async () => {
+    assert.deepEqual(await drainUnder(['SIGTERM', 'SIGINT']), { code: 0, isDrained: false });
+  });
+});
