The soak changes limits, repeats signals, cuts bodies without length, and judges lost requests

The soak's clients kept connections, but nothing looked for a request that ran and lost its connection, its changes left the limits of connections as they are, each process got its signal once, and every server told the length of its answers.

- a series that changes idle-timeout-ms and max-header-bytes beside the tenants' changes
- up to three more SIGTERM and SIGHUP while a process ends
- one in three servers sends answers with neither length nor chunks, and is cut in order inside an event or a value
- check `lost`: more than three requests of a machine, passed on over a kept connection to a server that went on with them, whose connection was closed; planted faults: connections closed around what ran, and early in a drain

Verdicts are unchanged but for the new ones.

--- a/test/good-day.ts
+++ b/test/good-day.ts
@@ -5,6 +5,7 @@
 const bounds: Verdict.Bounds = {
   contact: 5000,
   drain: 5000,
+  grace: 3000,
   evacuation: 5000,
   configApply: 3000,
   revertSlack: 250,
@@ -32,6 +33,7 @@
     readonly zone?: string;
     readonly isCold?: boolean;
     readonly front?: string;
+    readonly isKept?: boolean;
     readonly kind?: string;
     readonly left?: number;
     readonly labels?: string;
@@ -57,6 +59,7 @@
     digest: 'body',
     left: told.left ?? 10_000,
     labels: 'labels',
+    ...(told.isKept === undefined ? {} : { isKept: told.isKept }),
     ...(told.key === undefined ? {} : { key: told.key }),
   });
 const arrive = (recording: Recording, told: GoodDay.Told, digest = 'body') =>
@@ -163,6 +166,8 @@
     { at: 5200, attempt: 'stream', runs: 'resumable' },
     { events: eventsOf([1, 2, 3], 'run-stream') },
   );
+  for (let index = 0; index < 5; index += 1)
+    serve(recording, { at: 5500 + index, attempt: `kept${index}`, isKept: true });
   for (const [index, key] of ['key', 'old-key', 'key'].entries())
     serve(recording, { at: 5600 + index, attempt: `keyed${index}`, key, subscriber: 'tenant' });
   send(recording, { at: 5300, attempt: 'refused' });
--- a/test/hostile-soak.test.ts
+++ b/test/hostile-soak.test.ts
@@ -21,7 +21,7 @@
       );
       assert.deepEqual(breaches, []);
       assert.deepEqual(notes, ['first configuration: 200']);
-      for (const name of ['limits', 'tenant', 'unasked', 'mixed', 'twice', 'refused'])
+      for (const name of ['limits', 'tenant', 'unasked', 'mixed', 'twice', 'refused', 'lost', 'order'])
         assert.ok(verdicts[name]!.occasions > 0, `${name} met no occasion`);
       assert.ok((counts.hostile ?? 0) > 0, JSON.stringify(counts));
     });
--- a/test/platform-checks.test.ts
+++ b/test/platform-checks.test.ts
@@ -13,6 +13,8 @@
 
 const keyed: Told = { ...late, key: 'key', subscriber: 'tenant' };
 
+const closed: Partial<Recording.Ended> = { outcome: 'unreached', status: 0, why: 'other side closed' };
+
 const plants: Readonly<Record<string, Readonly<Record<string, (recording: Recording) => void>>>> = {
   twice: {
     'a once request that runs at two servers': (recording) => {
@@ -51,6 +53,17 @@
     'bytes that are no answer': (recording) => serve(recording, late, { outcome: 'wrong', status: 0 }),
     'bytes that nobody waits for': (recording) => recording.strays.push({ at: 1, front: 'f-1', why: 'more' }),
   },
+  lost: {
+    'connections that are closed around what ran': (recording) => {
+      for (let index = 0; index < 4; index += 1)
+        serve(recording, { ...late, attempt: `lost${index}`, isKept: true }, closed);
+    },
+    'connections that are closed early in a drain': (recording) => {
+      recording.ends.push({ at: late.at, front: 'f-1', isDrain: true });
+      for (let index = 0; index < 4; index += 1)
+        serve(recording, { ...late, attempt: `lost${index}`, isKept: true }, closed);
+    },
+  },
   tenant: {
     'a key that was passed on': (recording) => serve(recording, { ...keyed, hasKey: true }),
     'the name of another tenant': (recording) => serve(recording, { ...keyed, subscriber: 'other' }),
--- a/test/platform-soak.test.ts
+++ b/test/platform-soak.test.ts
@@ -15,9 +15,20 @@
       );
       assert.deepEqual(breaches, []);
       assert.deepEqual(notes, ['first configuration: 200']);
-      for (const name of ['tenant', 'revoked', 'quota', 'unasked', 'mixed', 'twice', 'back', 'race'])
+      for (const name of [
+        'tenant',
+        'revoked',
+        'quota',
+        'unasked',
+        'mixed',
+        'twice',
+        'back',
+        'race',
+        'lost',
+        'order',
+      ])
         assert.ok(verdicts[name]!.occasions > 0, `${name} met no occasion`);
-      for (const name of ['front', 'control', 'change', 'server', 'hot'])
+      for (const name of ['front', 'control', 'change', 'limits', 'server', 'hot'])
         assert.ok((counts[name] ?? 0) > 0, `${name}: ${JSON.stringify(counts)}`);
     });
 });
--- a/tools/platform/checks.ts
+++ b/tools/platform/checks.ts
@@ -3,6 +3,7 @@
  */
 import { AnswerChecks } from './answer-checks.js';
 import { ConfigurationChecks } from './configuration-checks.js';
+import { ConnectionChecks } from './connection-checks.js';
 import { DirectoryChecks } from './directory-checks.js';
 import type { Recording } from './recording.js';
 import { ServiceChecks } from './service-checks.js';
@@ -16,6 +17,7 @@
 
 const all: Checks = {
   ...AnswerChecks,
+  ...ConnectionChecks,
   ...TrafficChecks,
   ...ConfigurationChecks,
   ...TimeChecks,
--- a/tools/platform/client.ts
+++ b/tools/platform/client.ts
@@ -132,8 +132,8 @@
       });
       return connection;
     };
-    const take = (front: string, isFresh: boolean): Connection =>
-      (isFresh ? undefined : idle.get(front)?.pop()) ?? open(front);
+    const takeKept = (front: string, isFresh: boolean): Connection | undefined =>
+      isFresh ? undefined : idle.get(front)?.pop();
     const giveBack = (front: string, connection: Connection, seen: CallerTry) => {
       const isUnwanted = !terms.isClinging && !known?.addresses.includes(front);
       if (seen.isSpent || connection.destroyed || isUnwanted) return discard(connection);
@@ -172,8 +172,10 @@
           };
           return ended;
         }
+        const kept = takeKept(front, tried > 0);
         recording.sent.push({
           ...base,
+          isKept: kept !== undefined,
           at: now(),
           kind: kind.name,
           runs: kind.runs,
@@ -188,7 +190,7 @@
           ...(lastEvent > 0 ? { lastEvent } : {}),
           ...(headers[Words.key] === undefined ? {} : { key: headers[Words.key] }),
         });
-        const connection = take(front, tried > 0);
+        const connection = kept ?? open(front);
         const seen = await CallerTry.run(connection, {
           path,
           body,
--- a/tools/platform/engine-run.ts
+++ b/tools/platform/engine-run.ts
@@ -104,27 +104,42 @@
       [Words.seal]: sealOf(job),
       ...(terms.isPlain ? {} : { [Words.weights]: String(terms.revision ?? 1) }),
     });
+    /** Writes the head of an answer whose length is not told. */
+    const begin = (job: Job, type: string) => {
+      const { response } = job.asked;
+      if (terms.isUndelimited) response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { 'Content-Type': type, ...headOf(job) });
+    };
+    /** Ends the connection in order in the middle of an answer, as the system does for a process that is killed. */
+    const cutOff = (job: Job) => {
+      breakOff(job, 'cut');
+      job.asked.response.socket?.destroySoon();
+    };
+    const cutInside = (job: Job, text: string) => {
+      job.asked.response.write(text.slice(0, text.length / 2));
+      cutOff(job);
+    };
     const write = (job: Job, index: number) => {
       const { response } = job.asked;
       if (terms.isPlain) {
         job.written.push(JSON.stringify({ attempt: job.asked.attempt, by: instance, run: job.run }));
         return;
       }
-      if (!response.headersSent)
-        response.writeHead(200, { 'Content-Type': 'text/event-stream', ...headOf(job) });
+      if (!response.headersSent) begin(job, 'text/event-stream');
       const text = `id: ${index}\ndata: ${JSON.stringify({ run: job.run, place: index })}\n\n`;
+      const isCut = job.asked.cut !== undefined && job.written.length + 1 >= job.asked.cut;
+      if (isCut && terms.isUndelimited) return cutInside(job, text);
       job.last = index;
       job.written.push(text);
       response.write(text);
-      if (job.asked.cut !== undefined && job.written.length >= job.asked.cut) {
-        breakOff(job, 'cut');
-        response.socket?.destroySoon();
-      }
+      if (isCut) cutOff(job);
     };
     const finish = (job: Job) => {
-      const { response, attempt } = job.asked;
-      close(job);
+      const { response, attempt, cut } = job.asked;
       const text = job.written.join('');
+      if (terms.isPlain && terms.isUndelimited) begin(job, 'application/json');
+      if (terms.isPlain && terms.isUndelimited && cut !== undefined) return cutInside(job, text);
+      close(job);
       recording.served.push({
         kind: 'done',
         at: now(),
@@ -136,11 +151,12 @@
         last: job.last,
       });
       if (!terms.isPlain) return void response.end();
-      response.writeHead(200, {
-        'Content-Type': 'application/json',
-        'Content-Length': String(Buffer.byteLength(text)),
-        ...headOf(job),
-      });
+      if (!response.headersSent)
+        response.writeHead(200, {
+          'Content-Type': 'application/json',
+          'Content-Length': String(Buffer.byteLength(text)),
+          ...headOf(job),
+        });
       response.end(text);
     };
     const act = (event: EngineModel.Event) => {
--- a/tools/platform/engine.ts
+++ b/tools/platform/engine.ts
@@ -45,6 +45,8 @@
     readonly fallsAt?: number;
     /** One in so many answers says that the connection closes. */
     readonly closesOneIn?: number;
+    /** Its answers have neither length nor chunks, and a cut falls inside an event or a value. */
+    readonly isUndelimited?: boolean;
     readonly stride?: number;
     /** What a request takes on a server without tokens, in milliseconds. */
     readonly span?: number;
--- a/tools/platform/fleet.ts
+++ b/tools/platform/fleet.ts
@@ -53,6 +53,8 @@
     readonly limits?: Partial<Limits>;
     /** Whether clients go on using their open connections until these are closed. */
     readonly areClientsClinging?: boolean;
+    /** Whether the answers of some servers have neither length nor chunks. */
+    readonly hasUndelimited?: boolean;
     /** What each machine runs in place of the compiled sources, say the bundle of the deployment. */
     readonly program?: URL;
     /** Flags of the runtime, beside the bound of its memory. */
@@ -79,6 +81,8 @@
   inner: [7720, 7735],
 };
 const extraTriesLine = /^bramblebend_extra_tries_total\{group="(.*?)",payment="(.*?)"\} (\d+)$/gm;
+/** One in so many servers sends answers that end with their connection. */
+const undelimitedOneIn = 3;
 const lag = 300;
 /** What the settings state of each machine. */
 const limits = { 'cpu-fraction': 1, 'cpu-cores': 1, 'memory-mb': 350, 'file-descriptors': 4100 };
@@ -215,6 +219,7 @@
         model: isPlain ? SlotModel.of({ capacity: 6, queue: 24 }) : EngineModel.of({ stride: 8 }),
         recording,
         isPlain,
+        isUndelimited: (terms.hasUndelimited ?? false) && serial % undelimitedOneIn === 0,
         maxConnections: isPlain ? 110 : 370,
         closesOneIn: 50,
         coldFor,
@@ -274,6 +279,7 @@
       bounds: {
         contact: bounds['contact-ms'],
         drain,
+        grace: bounds['grace-s'] * 1000,
         evacuation: bounds['evacuation-ms'],
         configApply: bounds['config-apply-ms'],
         revertSlack: bounds['revert-slack-ms'],
--- a/tools/platform/recording.ts
+++ b/tools/platform/recording.ts
@@ -17,8 +17,8 @@
   readonly strays: { readonly at: number; readonly front: string; readonly why: string }[];
   /** Starts of the processes behind a front address. */
   readonly lives: { readonly at: number; readonly front: string }[];
-  /** Their ends by a kill or by an order. */
-  readonly ends: { readonly at: number; readonly front: string }[];
+  /** Their ends by a kill, or by an order that they follow in order. */
+  readonly ends: { readonly at: number; readonly front: string; readonly isDrain?: boolean }[];
   /** What the directory answered clients. */
   readonly resolved: { readonly at: number; readonly addresses: readonly string[] }[];
 };
@@ -44,6 +44,8 @@
     /** Its model, tokens and parts of the prompt, as a digest. */
     readonly labels?: string;
     readonly lastEvent?: number;
+    /** Whether its connection had carried a request before. */
+    readonly isKept?: boolean;
     /** The key that it carried. */
     readonly key?: string;
   };
--- a/tools/platform/soak.ts
+++ b/tools/platform/soak.ts
@@ -1,8 +1,7 @@
 /**
  * A seeded soak of whole programs with tenants: clients go on using their open connections until these are closed, while
- * several series of signals, restarts, faults of servers, changes of the configuration and crowds that do not behave run
- * beside each other. At its end the
- * checks that hold for every machine, in touch or not, judge the recordings. By hand:
+ * several series of signals, restarts, faults of servers, changes of tenants and limits, and crowds that do not behave run
+ * beside each other. At its end the checks that hold for every machine, in touch or not, judge the recordings. By hand:
  * node dist/tools/platform/soak.js --seed 1 --seeds 50 --seconds 30
  */
 import { mkdtempSync } from 'node:fs';
@@ -10,6 +9,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import sade from 'sade';
+import type { Process } from '../process.js';
 import { Random } from '../random.js';
 import { Checks } from './checks.js';
 import type { Client } from './client.js';
@@ -42,7 +42,7 @@
 
 /** Checks that hold for machines out of touch as well. */
 const judged = [
-  ...['twice', 'refused', 'unasked', 'labels', 'mixed', 'order', 'route', 'home', 'attempts'],
+  ...['twice', 'refused', 'unasked', 'labels', 'mixed', 'order', 'lost', 'route', 'home', 'attempts'],
   ...['race', 'again', 'invalid', 'inForce', 'back', 'readBack', 'tenant', 'revoked', 'quota'],
   ...['budget', 'failback'],
 ];
@@ -54,6 +54,8 @@
 const hostileSeries = [400, 700, 1200];
 /** Keeps the crowds' choices apart from those of the other series. */
 const hostileSeedOffset = 1_000_003;
+/** The longest pause between the signals that follow a SIGTERM, in milliseconds. */
+const repeatedSignalsMs = 400;
 const pause = (spanMs: number) => new Promise<void>((resolve) => setTimeout(resolve, spanMs));
 
 /** The tenants, with keys that come and go, and limits that change. */
@@ -100,6 +102,7 @@
   readonly counts: Record<string, number> = {};
   private readonly tenants: Tenants;
   private revision = 2;
+  private limits = {};
   private isOver = false;
 
   constructor(
@@ -129,7 +132,9 @@
   async put(): Promise<number> {
     const base = this.revision === 2 ? 0 : this.revision - 1;
     const subscribers = this.hasTenants ? { subscribers: this.tenants.current() } : {};
-    const next = { ...Day.configuration(this.revision), ...subscribers };
+    const configuration = Day.configuration(this.revision);
+    const limits = { ...configuration.limits, ...this.limits };
+    const next = { ...configuration, limits, ...subscribers };
     const status = await this.fleet.operator.put(next, base);
     if (status === 200) this.revision += 1;
     return status;
@@ -143,6 +148,7 @@
       this.repeat('control', 3500, () => this.strikeMachine('control')),
       this.repeat('server', 1500, () => this.strikeServer()),
       this.repeat('change', 1100, () => this.changeTenants()),
+      this.repeat('limits', 700, () => this.changeLimits()),
       this.repeat('hot', 2500, () => this.burst()),
       this.repeat('failing', 3000, () => this.failService()),
       this.repeat('watch', 100, async () => this.hostile.watch()),
@@ -183,15 +189,24 @@
       await pause(300 + this.random.below(5000));
       process.signal('SIGCONT');
     } else if (kind !== 'SIGHUP') {
-      // A signal that comes while the process ends must not keep it.
-      if (kind === 'SIGTERM' && this.random.below(2) === 0) process.signal('SIGHUP');
-      this.fleet.recording.ends.push({ at: Recording.now(), front: machine.address });
+      const isDrain = kind === 'SIGTERM';
+      this.fleet.recording.ends.push({ at: Recording.now(), front: machine.address, isDrain });
+      if (isDrain) await this.repeatSignals(process);
       await process.ended;
       await machine.start();
     }
     this.struck.delete(machine.name);
   }
 
+  /** Signals that come while a process ends, which must neither keep it nor end it sooner. */
+  private async repeatSignals(process: Process): Promise<void> {
+    for (let count = this.random.below(4); count > 0; count -= 1) {
+      if (!process.isUp()) return;
+      process.signal(this.random.pick(['SIGHUP', 'SIGTERM'] as const));
+      await pause(this.random.below(repeatedSignalsMs));
+    }
+  }
+
   private async strikeServer(): Promise<void> {
     const up = this.fleet.engines().filter((engine) => engine.isUp());
     const engine = this.random.pick(up);
@@ -221,6 +236,15 @@
     await this.put();
   }
 
+  /** Changes what clients' connections keep from their opening, inside what all clients observe. */
+  private async changeLimits(): Promise<void> {
+    this.limits = {
+      'idle-timeout-ms': 15_000 + 1000 * this.random.below(30),
+      'max-header-bytes': 16_384 + 1024 * this.random.below(4),
+    };
+    await this.put();
+  }
+
   /** One tenant asks for many times its limit, through all regions at once. */
   private async burst(): Promise<void> {
     const tenant = this.random.pick(this.tenants.current().slice(1));
@@ -260,6 +284,7 @@
       fronts: frontsPerZone,
       servers: { [names.model]: 6, [names.plain]: 3 },
       areClientsClinging: true,
+      hasUndelimited: true,
       limits,
     });
     const notes: string[] = [];
--- a/tools/platform/verdict.ts
+++ b/tools/platform/verdict.ts
@@ -11,6 +11,8 @@
   type Bounds = {
     readonly contact: number;
     readonly drain: number;
+    /** How long a machine that was told to end may take for it, in milliseconds. */
+    readonly grace: number;
     readonly evacuation: number;
     readonly configApply: number;
     readonly revertSlack: number;
