Connections of clients linger at their end, so that an answer read late isn't lost

Callers saw, by the test: a client that has not yet read its whole answer, and sends on, gets the first 190 KB of 3 MB and a reset. That holds for an announced close (drain, changed limits), for a connection closed at rest by changed limits, and for the idle timeout.

Cause: the connection was destroyed once all bytes were handed to the system. At the next byte that arrives the system resets a destroyed connection, and drops what it has not delivered (RFC 9112, section 9.6). Only refusals lingered. Change: client-connection ends every connection in order by LingeringClose, whose time counts from the moment at which all responses are handed over; the idle timeout asks client-connection, too, so that a request which has just arrived is answered rather than cut.

--- a/src/overload/client-connection.ts
+++ b/src/overload/client-connection.ts
@@ -25,7 +25,7 @@
   readonly finish: () => void;
   /** Answers bytes that are no request, after the responses owed; returns whether these are the first such bytes. */
   readonly refuse: (answer: string) => boolean;
-  /** Discards what the client still sends of a refused request, once the response is complete. */
+  /** Discards what the client still sends, once the response is complete. */
   readonly lingerAtEnd: () => void;
   /** Closes the connection at once. */
   readonly abort: () => void;
@@ -87,6 +87,7 @@
 
   readonly noteEnd = (response: Response): void => {
     this.isEndAnnounced = true;
+    this.lingerAtEnd();
     for (const ignored of this.owed.splice(this.owed.indexOf(response) + 1)) this.waiting.delete(ignored);
   };
 
@@ -164,10 +165,10 @@
     else if (this.isFinishing) this.closeIfAtRest();
   }
 
-  /** Closes the connection without reading further, so that no request can begin. */
+  /** Closes the connection without passing on what is read from now on, so that no request can begin. */
   private readonly closeIfAtRest = (): void => {
     const isAtRest = this.owed.length === 0 && this.socket.bytesRead === this.bytesAtRest;
-    if (isAtRest && !this.refusal && !this.isEndAnnounced) this.socket.destroy();
+    if (isAtRest && !this.refusal && !this.isEndAnnounced) LingeringClose.end(this.socket);
   };
 }
 
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -53,7 +53,7 @@
   );
   gauge(
     'connections_lingered',
-    'connections closed after a refusal while their client was sending',
+    'connections closed in order while their client may have been sending',
     LingeringClose.count,
   );
   gauge('discarded_bytes', 'bytes read and dropped on such connections', LingeringClose.discardedBytes);
--- a/src/proxy/client-connections.ts
+++ b/src/proxy/client-connections.ts
@@ -31,6 +31,7 @@
 
   readonly attach = (server: Server): void => {
     server.prependListener('connection', this.add);
+    server.on('timeout', this.finish);
     // The HTTP server has its own idea of rest, and ends what it closes in order.
     server.closeIdleConnections = this.finishUsed;
     server.closeAllConnections = this.abortAll;
@@ -44,8 +45,7 @@
   readonly setLimits = (next: ClientConnections.Limits): void => {
     if (isSame(this.limits, next)) return;
     this.limits = next;
-    for (const [socket, limits] of this.limitsOf)
-      if (!isSame(limits, next)) ClientConnection.of(socket).finish();
+    for (const [socket, limits] of this.limitsOf) if (!isSame(limits, next)) this.finish(socket);
   };
 
   private readonly add = (socket: Socket): void => {
@@ -55,6 +55,9 @@
     if (this.isEnding) connection.announceEnd();
   };
 
+  /** Without it, the HTTP server closes a connection that has rested for long, whatever has arrived meanwhile. */
+  private readonly finish = (socket: Socket): void => ClientConnection.of(socket).finish();
+
   private connections(): readonly ClientConnection[] {
     return [...this.limitsOf.keys()].map(ClientConnection.of);
   }
--- a/test/client-connections.test.ts
+++ b/test/client-connections.test.ts
@@ -15,6 +15,8 @@
 
 afterEach(RequestKit.end);
 
+/** Longer than the idle timeout of its test, and than what Node.js adds to it, in milliseconds. */
+const idleTimeoutIsOverMs = 1300;
 const turn = () => new Promise<void>((resolve) => setImmediate(resolve));
 const until = async (condition: () => boolean): Promise<void> => {
   while (!condition()) await turn();
@@ -266,6 +268,36 @@
     );
   });
 
+  // With data that nobody reads, a system resets a closed connection, and drops what it has not delivered.
+  const closesAtRest: Readonly<Record<string, readonly [(lab: Lab) => void, (lab: Lab) => void]>> = {
+    'an announced close': [(lab) => lab.announceEnd(), () => {}],
+    'a change of the limits': [() => {}, (lab) => lab.setLimits(changes.idle(0))],
+    'the idle timeout': [(lab) => lab.setLimits({ ...limits, idle: 50 }), () => {}],
+  };
+  for (const [what, [before, after]] of Object.entries(closesAtRest))
+    it(`carries a whole response to a client that reads late and sends on behind ${what}`, async () => {
+      const body = 'x'.repeat(3 * 1024 * 1024);
+      const server = await serve((arrival) => void reply(arrival, body));
+      const lab = await start({ servers: [server] });
+      before(lab);
+      const client = await Reader.connect(lab);
+      client.socket.pause();
+      client.socket.write(asking('c1'));
+      await until(() => lab.active() === 1);
+      await until(() => lab.active() === 0);
+      after(lab);
+      await new Promise((resolve) => setTimeout(resolve, idleTimeoutIsOverMs));
+      client.socket.write(asking('c2'));
+      await manyTurns();
+      client.socket.resume();
+      await client.closed();
+      assert.deepEqual(
+        client.answers().map(({ body: { length }, end }) => [length, end]),
+        [[body.length, 'whole']],
+      );
+      assert.deepEqual(server.arrivals.map(idOf), ['c1']);
+    });
+
   it('is reset if it is closed around a response that would look complete by its end', async () => {
     const { held, lab } = await serveHeld();
     const client = await Reader.connect(lab);
