--- a/tools/platform/day.ts
+++ b/tools/platform/day.ts
@@ -14,7 +14,7 @@
 import { PlatformFleet } from './fleet.js';
 import type { Operator } from './operator.js';
 import { Recording } from './recording.js';
-import type { Verdict } from './verdict.js';
+import { Verdict } from './verdict.js';
 import { Words } from './words.js';
 
 /** The result of a run. */
@@ -173,6 +173,10 @@
 
 type Play = (fleet: PlatformFleet, random: Random) => Promise<void>;
 
+/** How long a server of a day is cold, in milliseconds. */
+const coldSpanMs = 2500;
+/** Servers that are cold one after the other, until one of them has got a request. */
+const maxColdRounds = 5;
 /** How long all servers of a service fail; longer than the window in which retries are counted. */
 const failingSpanMs = 12_000;
 
@@ -219,8 +223,11 @@
     await fleet.retire(engine);
   },
   cold: async (fleet, random) => {
-    someEngine(fleet, random).chill(2500);
-    await pause(2500);
+    for (let round = 0; round < maxColdRounds; round += 1) {
+      someEngine(fleet, random).chill(coldSpanMs);
+      await pause(coldSpanMs);
+      if (Verdict.arrivals(fleet.recording).some(({ isCold }) => isCold)) return;
+    }
   },
   evacuate: async (fleet, random) => {
     const zone = random.pick(Object.keys(zones));
